--- /dev/null
+++ b/src/main/java/io/kitepath/cli/CommandLineEntry.java
@@ -0,0 +1,168 @@
+package io.kitepath.cli;
+
+import io.kitepath.core.Malformed;
+import io.kitepath.settings.Settings;
+import io.kitepath.wire.Pack;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The commands for people. */
+@Command(name = "kitepath", mixinStandardHelpOptions = true, versionProvider = CommandLineEntry.Version.class,
+        description = "A cluster scheduler.",
+        subcommands = {CommandLineEntry.Serve.class, CommandLineEntry.Submit.class, CommandLineEntry.Status.class,
+            CommandLineEntry.Cancel.class, CommandLineEntry.Check.class})
+final class CommandLineEntry implements Callable<Integer> {
+    @Option(names = "--config", paramLabel = "FILE", description = "Without a command: serve with these settings.")
+    Path config;
+
+    @CommandLine.Spec
+    CommandLine.Model.CommandSpec spec;
+
+    static void run(String[] args) {
+        int status = new CommandLine(new CommandLineEntry()).execute(args);
+        if (status != 0 || !serving) {
+            System.exit(status);
+        }
+    }
+
+    private static boolean serving;
+
+    @Override
+    public Integer call() {
+        if (config == null) {
+            spec.commandLine().usage(System.err);
+            return 2;
+        }
+        return serve(config);
+    }
+
+    private static int serve(Path config) {
+        int status = Main.serve(config);
+        serving = status == 0;
+        return status;
+    }
+
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String v = CommandLineEntry.class.getPackage().getImplementationVersion();
+            return new String[] {"kitepath " + (v == null ? "(unpackaged)" : v)};
+        }
+    }
+
+    @Command(name = "serve", mixinStandardHelpOptions = true, description = "Runs a controller node.")
+    static final class Serve implements Callable<Integer> {
+        @Option(names = "--config", paramLabel = "FILE", required = true, description = "The settings file.")
+        Path config;
+
+        @Override
+        public Integer call() {
+            return serve(config);
+        }
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true,
+            description = "Checks a settings file; exits 2 and says what is wrong, if anything is.")
+    static final class Check implements Callable<Integer> {
+        @Option(names = "--config", paramLabel = "FILE", required = true, description = "The settings file.")
+        Path config;
+
+        @Override
+        public Integer call() {
+            try {
+                Settings s = Settings.read(config);
+                System.out.println(config + ": ok, node " + s.facts().node() + " of " + (s.siblings().size() + 1));
+                return 0;
+            } catch (Malformed e) {
+                System.err.println("kitepath: " + e.getMessage());
+                return 2;
+            }
+        }
+    }
+
+    /** Where to ask, and how the answer is shown. */
+    static final class Target {
+        @Option(names = "--node", paramLabel = "HOST:PORT", required = true, description = "A controller node.")
+        String node;
+
+        int call(String method, String path, byte[] body) throws Exception {
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + node + path))
+                    .timeout(Duration.ofSeconds(5))
+                    .method(method, body == null ? HttpRequest.BodyPublishers.noBody()
+                            : HttpRequest.BodyPublishers.ofByteArray(body)).build();
+            HttpResponse<byte[]> r;
+            try {
+                r = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofByteArray());
+            } catch (java.io.IOException e) {
+                System.err.println("kitepath: " + node + " did not answer: " + e);
+                return 1;
+            }
+            boolean good = r.statusCode() / 100 == 2;
+            String shown = r.body().length == 0 ? "" : " " + Pack.value(r.body());
+            (good ? System.out : System.err).println(r.statusCode() + shown);
+            return good ? 0 : 1;
+        }
+    }
+
+    @Command(name = "submit", mixinStandardHelpOptions = true,
+            description = "Submits a job described in a JSON file with the protocol's fields.")
+    static final class Submit implements Callable<Integer> {
+        @Mixin
+        Target target;
+
+        @Parameters(paramLabel = "FILE", description = "The job, as JSON.")
+        Path file;
+
+        @Override
+        public Integer call() throws Exception {
+            Object job;
+            try {
+                job = Settings.document(Files.readAllBytes(file));
+            } catch (java.io.IOException | Malformed e) {
+                System.err.println("kitepath: " + file + ": " + e.getMessage());
+                return 2;
+            }
+            return target.call("POST", "/submissions", Pack.bytes(job));
+        }
+    }
+
+    @Command(name = "status", mixinStandardHelpOptions = true, description = "Shows a job's state.")
+    static final class Status implements Callable<Integer> {
+        @Mixin
+        Target target;
+
+        @Parameters(paramLabel = "JOB", description = "The job's id.")
+        String job;
+
+        @Override
+        public Integer call() throws Exception {
+            return target.call("GET", "/submissions/" + job, null);
+        }
+    }
+
+    @Command(name = "cancel", mixinStandardHelpOptions = true, description = "Cancels a job.")
+    static final class Cancel implements Callable<Integer> {
+        @Mixin
+        Target target;
+
+        @Parameters(paramLabel = "JOB", description = "The job's id.")
+        String job;
+
+        @Override
+        public Integer call() throws Exception {
+            return target.call("POST", "/submissions/" + job + "/withdraw", Pack.bytes(Map.of()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/cli/Main.java
@@ -0,0 +1,54 @@
+package io.kitepath.cli;
+
+import io.kitepath.core.Malformed;
+import io.kitepath.settings.Settings;
+import java.nio.file.Path;
+
+/** The program's entry. */
+public final class Main {
+    private Main() {}
+
+    public static void main(String[] args) {
+        logging();
+        // The platform starts every node as "--config FILE", on a sliver of a core: that way must not load the
+        // command line's library first. Everything else goes through it.
+        if (args.length == 2 && args[0].equals("--config")) {
+            int status = serve(Path.of(args[1]));
+            if (status != 0) {
+                System.exit(status);
+            }
+            return;
+        }
+        CommandLineEntry.run(args);
+    }
+
+    /** LOG_LEVEL sets the amount; everything goes to standard error. */
+    private static void logging() {
+        String level = System.getenv("LOG_LEVEL");
+        String known = level != null && (level.equals("error") || level.equals("debug")) ? level : "info";
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", known);
+        System.setProperty("org.slf4j.simpleLogger.log.io.netty", known.equals("debug") ? "info" : known);
+        System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
+        System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "HH:mm:ss.SSS");
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        System.setProperty("io.netty.allocator.numHeapArenas", "1");
+        System.setProperty("io.netty.allocator.numDirectArenas", "1");
+        System.setProperty("io.netty.allocator.maxOrder", "3");
+        System.setProperty("io.netty.tryReflectionSetAccessible", "false");
+    }
+
+    /** Starts a node; returns 2 for bad settings, 1 if it can't listen, 0 if it runs. */
+    static int serve(Path file) {
+        try {
+            new Node(Settings.read(file)).start();
+            return 0;
+        } catch (Malformed e) {
+            System.err.println("kitepath: " + e.getMessage());
+            return 2;
+        } catch (Exception e) {
+            System.err.println("kitepath: can't start: " + e);
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/cli/Metrics.java
@@ -0,0 +1,32 @@
+package io.kitepath.cli;
+
+import io.kitepath.core.Controller;
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * The node's figures in Prometheus' notation. Built when first asked for: the core counts in plain fields, so a
+ * node that nobody scrapes does not pay for the library's start.
+ */
+final class Metrics {
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    Metrics(Controller controller) {
+        controller.figures().forEach((name, f) -> {
+            if (f.total()) {
+                FunctionCounter.builder("kitepath." + name, f, x -> x.value().getAsDouble())
+                        .description(f.meaning()).register(registry);
+            } else {
+                Gauge.builder("kitepath." + name, f, x -> x.value().getAsDouble())
+                        .description(f.meaning()).strongReference(true).register(registry);
+            }
+        });
+    }
+
+    byte[] scrape() {
+        return registry.scrape().getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -0,0 +1,84 @@
+package io.kitepath.cli;
+
+import io.kitepath.cloud.HttpCloud;
+import io.kitepath.core.Controller;
+import io.kitepath.core.Facts;
+import io.kitepath.net.HttpClient;
+import io.kitepath.net.HttpServer;
+import io.kitepath.net.HttpServer.Request;
+import io.kitepath.net.HttpServer.Responder;
+import io.kitepath.net.LoopTimers;
+import io.kitepath.peers.Peers;
+import io.kitepath.settings.Settings;
+import io.kitepath.store.HttpStore;
+import io.kitepath.users.UsersApi;
+import io.kitepath.workers.WorkersApi;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A running controller node: the core with its sockets and timers round it, all on one event loop. */
+final class Node {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    /** Requests: 64 KiB as JSON; as MessagePack, decimal numbers can take more. */
+    private static final int MAX_BODY = 160 * 1024;
+    private static final int MAX_ANSWER = 2 * 1024 * 1024;
+
+    private final Settings settings;
+    private Metrics metrics;
+
+    Node(Settings settings) {
+        this.settings = settings;
+    }
+
+    /** Starts to listen and returns; the event loop's thread keeps the process alive. */
+    void start() throws InterruptedException {
+        Facts facts = settings.facts();
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        EventLoop loop = group.next();
+        LoopTimers timers = new LoopTimers(loop);
+        long timeoutMs = Math.round(Math.min(1000, facts.workers().reportS() * 500));
+        HttpStore store = new HttpStore(new HttpClient(loop, settings.state(), 8, MAX_ANSWER),
+                new HttpClient(loop, settings.state(), 2, MAX_ANSWER),
+                new HttpClient(loop, settings.state(), 3, MAX_ANSWER), timeoutMs);
+        HttpCloud cloud = new HttpCloud(new HttpClient(loop, settings.cloud(), 3, MAX_ANSWER), 3000);
+        Peers peers = new Peers(group, facts.node(), settings.siblings());
+        // The seed only spreads probes and retries of different nodes and runs.
+        Random random = new Random(facts.node().hashCode() ^ System.nanoTime());
+        Controller controller = new Controller(facts, store, cloud, timers, peers, random);
+        UsersApi users = new UsersApi(controller);
+        WorkersApi workers = new WorkersApi(controller);
+        HttpServer server = new HttpServer((request, out) -> route(controller, users, workers, request, out),
+                MAX_BODY, facts.limits().sockets() * 3 / 4, 60);
+        loop.submit(() -> {
+            peers.start(controller, settings.internal());
+            controller.start();
+        }).sync();
+        server.listen(group, settings.listen()).sync();
+        LOG.info("{} listens on {}", facts.node(), settings.listen());
+    }
+
+    private void route(Controller controller, UsersApi users, WorkersApi workers, Request r, Responder out) {
+        String path = r.path();
+        if (path.equals(WorkersApi.CHECK_IN)) {
+            workers.handle(r, out);
+        } else if (path.equals(UsersApi.JOBS) || path.startsWith(UsersApi.JOBS + "/")) {
+            users.handle(r, out);
+        } else if (path.equals("/healthz") || path.equals("/metrics")) {
+            if (!r.method().equals("GET")) {
+                out.reply(405, null);
+            } else if (path.equals("/healthz")) {
+                out.reply(controller.healthy() ? 200 : 503, null);
+            } else {
+                if (metrics == null) {
+                    metrics = new Metrics(controller);
+                }
+                out.reply(200, metrics.scrape());
+            }
+        } else {
+            out.reply(404, null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/cloud/HttpCloud.java
@@ -0,0 +1,99 @@
+package io.kitepath.cloud;
+
+import io.kitepath.core.Cloud;
+import io.kitepath.core.MachineType;
+import io.kitepath.core.Malformed;
+import io.kitepath.core.Store.Outcome;
+import io.kitepath.net.HttpClient;
+import io.kitepath.wire.Pack;
+import io.kitepath.wire.Wire;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The cloud over its published protocol. */
+public final class HttpCloud implements Cloud {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpCloud.class);
+    private static final int PAGE = 500;
+
+    private final HttpClient http;
+    private final long timeoutMs;
+
+    public HttpCloud(HttpClient http, long timeoutMs) {
+        this.http = http;
+        this.timeoutMs = timeoutMs;
+    }
+
+    private static <T> T read(byte[] body, Function<Object, T> reading) {
+        try {
+            return reading.apply(Pack.value(body));
+        } catch (Malformed e) {
+            LOG.warn("cloud answered with a body that can't be read: {}", e.getMessage());
+            return null;
+        }
+    }
+
+    private static Outcome failed(int status) {
+        return status == 429 || status == 503 ? Outcome.REFUSED : Outcome.UNKNOWN;
+    }
+
+    @Override
+    public void types(BiConsumer<Outcome, List<MachineType>> answer) {
+        http.call("GET", "/machine_types", null, timeoutMs, (status, body) -> {
+            List<MachineType> types = status == 200 ? read(body, Wire::types) : null;
+            answer.accept(types != null ? Outcome.OK : failed(status), types == null ? List.of() : types);
+        });
+    }
+
+    @Override
+    public void rent(String name, String type, String zone, boolean spot, int count,
+            BiConsumer<Outcome, List<String>> answer) {
+        http.call("POST", "/rentals", Wire.rental(name, type, zone, spot, count), timeoutMs, (status, body) -> {
+            if (status == 200) {
+                List<String> names = read(body, Wire::machineNames);
+                answer.accept(names != null ? Outcome.OK : Outcome.UNKNOWN, names == null ? List.of() : names);
+            } else if (status == 503 && !outage(body) || status == 400) {
+                answer.accept(Outcome.NO, List.of());
+            } else {
+                answer.accept(failed(status), List.of());
+            }
+        });
+    }
+
+    private static boolean outage(byte[] body) {
+        String why = read(body, b -> io.kitepath.core.Tree.of(b).textOr("error", ""));
+        return why == null || !why.equals("no capacity");
+    }
+
+    @Override
+    public void release(List<String> machines, Consumer<Outcome> answer) {
+        http.call("POST", "/rentals/release", Wire.machines(machines), timeoutMs, (status, body) ->
+                answer.accept(status == 200 ? Outcome.OK : failed(status)));
+    }
+
+    @Override
+    public void list(BiConsumer<Outcome, List<Listed>> answer) {
+        page("", new ArrayList<>(), answer);
+    }
+
+    private void page(String from, List<Listed> read, BiConsumer<Outcome, List<Listed>> answer) {
+        http.call("GET", "/rentals?" + (from.isEmpty() ? "" : "from=" + from + "&") + "limit=" + PAGE, null, timeoutMs,
+                (status, body) -> {
+                    List<Listed> page = status == 200 ? read(body, Wire::listed) : null;
+                    if (page == null) {
+                        answer.accept(status == 200 ? Outcome.UNKNOWN : failed(status), List.of());
+                        return;
+                    }
+                    read.addAll(page);
+                    if (Wire.truncated(Pack.value(body)) && !page.isEmpty()) {
+                        page(page.get(page.size() - 1).machine(), read, answer);
+                    } else {
+                        answer.accept(Outcome.OK, read);
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Bucket.java
@@ -0,0 +1,29 @@
+package io.kitepath.core;
+
+/** A token bucket with one second's burst, as the outside services count. */
+final class Bucket {
+    private final double perSecond;
+    private double filled;
+    private double at = Double.NaN;
+
+    Bucket(double perSecond) {
+        this.perSecond = perSecond;
+        this.filled = perSecond;
+    }
+
+    double available(double now) {
+        if (!Double.isNaN(at)) {
+            filled = Math.min(perSecond, filled + (now - at) * perSecond);
+        }
+        at = now;
+        return filled;
+    }
+
+    boolean take(double n, double now) {
+        if (available(now) < n) {
+            return false;
+        }
+        filled -= n;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Cloud.java
@@ -0,0 +1,20 @@
+package io.kitepath.core;
+
+import java.util.List;
+import java.util.function.BiConsumer;
+
+/** Rents machines by the second. */
+public interface Cloud {
+    record Listed(String machine, String type, String zone, boolean spot, String status, double heldS) {}
+
+    void types(BiConsumer<Store.Outcome, List<MachineType>> answer);
+
+    /** NO: no capacity. The same name must be used again after an unknown outcome, and never for anything else. */
+    void rent(String name, String type, String zone, boolean spot, int count,
+            BiConsumer<Store.Outcome, List<String>> answer);
+
+    /** OK: the machines and everything on them are gone. */
+    void release(List<String> machines, java.util.function.Consumer<Store.Outcome> answer);
+
+    void list(BiConsumer<Store.Outcome, List<Listed>> answer);
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -0,0 +1,422 @@
+package io.kitepath.core;
+
+import io.kitepath.core.Store.Outcome;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One controller node: puts leadership, the block holder and the users' registry together and runs their loops.
+ * Everything happens on one event loop.
+ */
+public final class Controller implements Leadership.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+
+    /** The answer to a check-in. {@code token} 0: not entitled; report to {@code anchor}, or elsewhere if null. */
+    public record CheckIn(long token, List<Order> orders, String anchor) {
+        static CheckIn elsewhere(String anchor) {
+            return new CheckIn(0, List.of(), anchor);
+        }
+    }
+
+    /** What nodes tell each other. */
+    public interface Siblings {
+        /** To all: this node's view. */
+        void tell(long token, String leader, boolean served);
+
+        void cancelled(String job);
+
+        /** Has the leader answer a check-in. */
+        void relay(String leader, Report report, Consumer<CheckIn> answer);
+    }
+
+    final Facts facts;
+    private final Store store;
+    private final Cloud cloud;
+    private final Timers timers;
+    private final Siblings siblings;
+    final Scheduler scheduler;
+    final Leadership leadership;
+    final Keeper keeper;
+    private final Fleet fleet;
+    private final Registry registry;
+    private double leadingSince;
+    private long lease;
+    private int rentals;
+    private boolean ticking;
+    private boolean typesStored;
+
+    private final Bucket cloudCalls;
+    private boolean listing;
+    private double listedAt = Double.NEGATIVE_INFINITY;
+    private double typesAt = Double.NEGATIVE_INFINITY;
+    private boolean releasing;
+    private boolean renting;
+    private final Deque<Rental> unsettled = new ArrayDeque<>();
+
+    private record Rental(String name, Fleet.Kind kind, int count) {}
+
+    /** When a sibling last said that the store serves it. */
+    private final Map<String, Double> servedSiblings = new HashMap<>();
+    /** Workers that were sent to the leader, and when. */
+    private final Map<String, Double> sentAway = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+            return size() > 2000;
+        }
+    };
+    long checkIns;
+    long relayed;
+
+    public Controller(Facts facts, Store store, Cloud cloud, Timers timers, Siblings siblings, Random random) {
+        this.facts = facts;
+        this.store = store;
+        this.cloud = cloud;
+        this.timers = timers;
+        this.siblings = siblings;
+        this.scheduler = new Scheduler(facts, random);
+        this.leadership = new Leadership(facts, store, timers, random, this);
+        this.keeper = new Keeper(facts, store, timers, scheduler, this::reload);
+        this.fleet = new Fleet(facts, scheduler);
+        this.registry = new Registry(store, timers);
+        this.cloudCalls = new Bucket(facts.cloud().rps() * 0.6);
+        registry.onCancelled(id -> {
+            scheduler.jobOver(id);
+            siblings.cancelled(id);
+        });
+    }
+
+    public void start() {
+        leadership.start();
+        learnTypes();
+        gossip();
+    }
+
+    public Registry registry() {
+        return registry;
+    }
+
+    public Facts facts() {
+        return facts;
+    }
+
+    /** The machine types, empty until they are known. */
+    public Map<String, MachineType> types() {
+        return scheduler.types;
+    }
+
+    // ---- leading --------------------------------------------------------------------------------
+
+    @Override
+    public void won(long token, long leaseId, long blockRevision) {
+        scheduler.token = token;
+        scheduler.machines.values().forEach(m -> m.proven = false);
+        lease = leaseId;
+        rentals = 0;
+        unsettled.clear();
+        leadingSince = timers.now();
+        tell();
+        keeper.start(Keys.BLOCKS + "all", blockRevision, this::soon);
+        if (!ticking) {
+            ticking = true;
+            tick();
+        }
+    }
+
+    @Override
+    public void lost(String why) {
+        keeper.stop();
+        scheduler.forgetJobs();
+        scheduler.machines.clear();
+        tell();
+    }
+
+    /** The memory and the store may differ: read everything again, under the same token. */
+    private void reload(String why) {
+        LOG.warn("reloading: {}", why);
+        if (leadership.leading()) {
+            long revision = keeper.blockRevision();
+            keeper.stop();
+            if (why.contains("no longer ours")) {
+                leadership.stepDown(why);
+            } else {
+                keeper.start(Keys.BLOCKS + "all", revision, this::soon);
+            }
+        }
+    }
+
+    private boolean soonAsked;
+
+    /** Something changed that may let work be placed or written. */
+    private void soon() {
+        if (!soonAsked) {
+            soonAsked = true;
+            timers.after(0.02, () -> {
+                soonAsked = false;
+                round();
+            });
+        }
+    }
+
+    private void tick() {
+        if (!leadership.leading()) {
+            ticking = false;
+            return;
+        }
+        round();
+        tendFleet();
+        timers.after(0.25, this::tick);
+    }
+
+    private void round() {
+        if (!leadership.leading() || !keeper.loaded() || keeper.writing() || !leadership.inTouch()) {
+            return;
+        }
+        scheduler.place(timers.now(), timers.wallMs(), 20 * facts.store().txnOps());
+        keeper.write(this::soon);
+    }
+
+    // ---- workers --------------------------------------------------------------------------------
+
+    public void checkIn(Report report, Consumer<CheckIn> answer) {
+        checkIns++;
+        if (report.token() > leadership.highest()) {
+            leadership.outbid(report.token(), null);
+        }
+        if (leadership.leading()) {
+            answer.accept(answer(report));
+            return;
+        }
+        String leader = leadership.leader();
+        if (leader == null || leader.equals(facts.node())) {
+            answer.accept(CheckIn.elsewhere(null));
+            return;
+        }
+        // A worker that we sent to the leader and that is back did not get through to it: ask on its behalf.
+        Double sent = sentAway.get(report.machine());
+        double now = timers.now();
+        if (sent != null && now - sent < 3 * facts.workers().leaseS()) {
+            relayed++;
+            siblings.relay(leader, report, a -> {
+                if (a.token() > 0) {
+                    sentAway.put(report.machine(), timers.now());
+                } else {
+                    sentAway.remove(report.machine());
+                }
+                answer.accept(a);
+            });
+            return;
+        }
+        sentAway.put(report.machine(), now);
+        answer.accept(CheckIn.elsewhere(leader));
+    }
+
+    /** The holder's answer, to the worker itself or to a sibling that asks for it. */
+    public CheckIn answer(Report report) {
+        if (!leadership.leading() || report.token() > scheduler.token) {
+            return CheckIn.elsewhere(leadership.leading() ? null : leadership.leader());
+        }
+        double now = timers.now();
+        // Without the store nothing new is started; what runs keeps its lease.
+        List<Order> orders = scheduler.checkIn(report, keeper.loaded(), now);
+        if (!leadership.inTouch()) {
+            orders = orders.stream().filter(o -> o.verb() != Order.Verb.START).toList();
+        }
+        soon();
+        return new CheckIn(scheduler.token, orders, null);
+    }
+
+    /** One of the node's figures for operators. */
+    public record Figure(boolean total, String meaning, java.util.function.DoubleSupplier value) {}
+
+    public Map<String, Figure> figures() {
+        Map<String, Figure> f = new LinkedHashMap<>();
+        f.put("leading", new Figure(false, "1 while this node leads", () -> leadership.leading() ? 1 : 0));
+        f.put("token", new Figure(false, "highest token known", leadership::highest));
+        f.put("store.unserved", new Figure(false, "seconds since the state service answered",
+                leadership::unservedS));
+        f.put("jobs", new Figure(false, "jobs in the holder's memory", scheduler.jobs::size));
+        f.put("tasks.waiting", new Figure(false, "tasks without a machine",
+                () -> scheduler.jobs.values().stream().mapToInt(Job::waiting).sum()));
+        f.put("attempts", new Figure(false, "attempts not proven over",
+                () -> scheduler.jobs.values().stream().mapToInt(j -> j.live.size()).sum()));
+        f.put("machines", new Figure(false, "machines known", scheduler.machines::size));
+        f.put("machines.set.aside", new Figure(false, "machines set aside for failing",
+                () -> scheduler.machines.values().stream().filter(m -> m.setAside).count()));
+        f.put("checkins", new Figure(true, "check-ins received", () -> checkIns));
+        f.put("checkins.relayed", new Figure(true, "check-ins relayed to the leader", () -> relayed));
+        f.put("attempts.ended", new Figure(true, "attempts proven over", () -> scheduler.ends));
+        f.put("attempts.lost", new Figure(true, "attempts lost with machine or session", () -> scheduler.lost));
+        f.put("probes", new Figure(true, "machines probed", () -> scheduler.placement.probes));
+        f.put("probes.passed", new Figure(true, "probes that passed", () -> scheduler.placement.passed));
+        f.put("scans", new Figure(true, "scans of the block", () -> scheduler.placement.scans));
+        f.put("store.rounds", new Figure(true, "transactions written by the holder", () -> keeper.rounds));
+        return f;
+    }
+
+    // ---- siblings -------------------------------------------------------------------------------
+
+    private void gossip() {
+        tell();
+        timers.after(1, this::gossip);
+    }
+
+    private boolean served() {
+        return leadership.unservedS() < leadership.lifeS() + 1;
+    }
+
+    private void tell() {
+        siblings.tell(leadership.leading() ? scheduler.token : leadership.highest(),
+                leadership.leading() ? facts.node() : null, served());
+    }
+
+    public void told(String by, long token, boolean leads, boolean served) {
+        if (served) {
+            servedSiblings.put(by, timers.now());
+        }
+        leadership.outbid(token, leads ? by : null);
+    }
+
+    public void toldCancelled(String job) {
+        scheduler.jobOver(job);
+    }
+
+    /** Whether users are better off here: not if the store serves a sibling and not us. */
+    public boolean healthy() {
+        if (served()) {
+            return true;
+        }
+        double now = timers.now();
+        return servedSiblings.values().stream().noneMatch(t -> now - t < 3);
+    }
+
+    // ---- the cloud ------------------------------------------------------------------------------
+
+    private void learnTypes() {
+        if (!scheduler.types.isEmpty()) {
+            return;
+        }
+        store.get(Keys.TYPES, (outcome, entry) -> {
+            if (outcome == Outcome.OK) {
+                List<MachineType> known = new ArrayList<>();
+                for (Tree t : Tree.of(entry.value()).children("types")) {
+                    known.add(MachineType.fromRecord(t));
+                }
+                if (scheduler.types.isEmpty()) {
+                    known.forEach(t -> scheduler.types.put(t.name(), t));
+                }
+                typesStored = true;
+            } else {
+                fetchTypes();
+                timers.after(1, this::learnTypes);
+            }
+        });
+    }
+
+    private void fetchTypes() {
+        if (!cloudCalls.take(1, timers.now())) {
+            return;
+        }
+        cloud.types((outcome, list) -> {
+            if (outcome == Outcome.OK && !list.isEmpty()) {
+                scheduler.types.clear();
+                list.forEach(t -> scheduler.types.put(t.name(), t));
+                typesAt = timers.now();
+                if (!typesStored) {
+                    typesStored = true;
+                    store.commit(new Store.Transaction().put(Keys.TYPES,
+                            Map.of("types", list.stream().map(MachineType::toRecord).toList())), c -> {
+                        if (c.outcome() != Outcome.OK) {
+                            typesStored = false;
+                        }
+                    });
+                }
+            }
+        });
+    }
+
+    private void tendFleet() {
+        double now = timers.now();
+        if (!listing && now - listedAt > facts.cloud().listLagS() / 2 && cloudCalls.take(1, now)) {
+            listing = true;
+            long mine = scheduler.token;
+            cloud.list((outcome, list) -> {
+                listing = false;
+                listedAt = timers.now();
+                if (outcome == Outcome.OK && leadership.leading() && scheduler.token == mine) {
+                    scheduler.listed(list, timers.now());
+                }
+            });
+        }
+        if (now - typesAt > 20 * facts.workers().reportS()) {
+            typesAt = now;
+            fetchTypes();
+        }
+        if (!keeper.loaded() || !leadership.inTouch() || scheduler.types.isEmpty()
+                || listedAt < leadingSince) {
+            return;
+        }
+        Fleet.Plan plan = fleet.plan(now, timers.wallMs(), leadingSince);
+        if (!plan.release().isEmpty() && !releasing && cloudCalls.take(1, now)) {
+            release(plan.release().subList(0, Math.min(100, plan.release().size())));
+        }
+        if (!renting && cloudCalls.available(now) >= 1) {
+            Rental next = unsettled.poll();
+            if (next == null && !plan.rent().isEmpty()) {
+                Map.Entry<Fleet.Kind, Integer> e = plan.rent().entrySet().iterator().next();
+                // The lease is ours alone, and the store never gives out its id again: so is the name.
+                next = new Rental("r-" + lease + "-" + ++rentals, e.getKey(), Math.min(50, e.getValue()));
+            }
+            if (next != null && cloudCalls.take(1, now)) {
+                rent(next);
+            }
+        }
+    }
+
+    private void release(List<String> machines) {
+        releasing = true;
+        long mine = scheduler.token;
+        cloud.release(machines, outcome -> {
+            releasing = false;
+            if (outcome == Outcome.OK && leadership.leading() && scheduler.token == mine) {
+                machines.forEach(m -> scheduler.machineGone(m, timers.now()));
+                soon();
+            }
+        });
+    }
+
+    private void rent(Rental r) {
+        renting = true;
+        long mine = scheduler.token;
+        Fleet.Kind k = r.kind;
+        cloud.rent(r.name, k.type(), k.zone(), k.spot(), r.count, (outcome, machines) -> {
+            renting = false;
+            if (!leadership.leading() || scheduler.token != mine) {
+                return; // Whoever leads now finds the machines in the list.
+            }
+            switch (outcome) {
+                case OK -> {
+                    LOG.info("rented {} of {} {} in {}{}", machines.size(), r.count, k.type(), k.zone(),
+                            k.spot() ? ", spot" : "");
+                    machines.forEach(m -> scheduler.rented(m, k.type(), k.zone(), k.spot(), timers.now()));
+                    if (machines.size() < r.count) {
+                        fleet.refused(k, timers.now());
+                    } else {
+                        fleet.granted(k);
+                    }
+                }
+                case NO -> fleet.refused(k, timers.now());
+                // The same name again, until it is settled.
+                default -> unsettled.add(r);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Facts.java
@@ -0,0 +1,43 @@
+package io.kitepath.core;
+
+import java.util.List;
+import java.util.Map;
+
+/** What the settings say about the world; every waiting time and bound in the core is a ratio to these. */
+public record Facts(
+        String node,
+        String zone,
+        List<String> siblings,
+        List<String> zones,
+        Map<String, Team> teams,
+        List<Objective> objectives,
+        Workers workers,
+        StoreLimits store,
+        CloudLimits cloud,
+        Limits limits,
+        double clockErrorMs) {
+
+    /** Guarantees and limits; 0 means none. */
+    public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+    public record Objective(String kind, String jobClass, double withinS, double share) {}
+
+    public record Workers(double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
+
+    public record StoreLimits(double rps, double writeRps, double valueKb, int txnOps) {}
+
+    public record CloudLimits(double rps, double listLagS) {}
+
+    public record Limits(double cpu, double ramMb, int sockets) {}
+
+    /** How many tasks one part record holds: at most 32 bytes each, so that a part stays under the value limit. */
+    public int tasksPerPart() {
+        return Math.max(8, (int) (store.valueKb * 1024 / 32));
+    }
+
+    /** The shortest time within which the class's jobs are expected to finish; {@code absent} if nothing is said. */
+    public double finishWithinS(String jobClass, double absent) {
+        return objectives.stream().filter(o -> o.kind.equals("finished") && o.jobClass.equals(jobClass))
+                .mapToDouble(Objective::withinS).min().orElse(absent);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Job.java
@@ -0,0 +1,113 @@
+package io.kitepath.core;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** A job in the holder's memory: its tasks' progress, and what of that the store knows already. */
+final class Job {
+    /** A slice of the job's tasks, which is one record in the store; revision 0: not written yet. */
+    static final class Part {
+        long revision;
+        int changed;
+        int written;
+    }
+
+    final JobSpec spec;
+    final double submittedMs;
+    /** Revision of the job's open record, on which every write about it depends. */
+    final long revision;
+    final Part[] parts;
+    private final int partSize;
+    final BitSet done = new BitSet();
+    final TreeMap<Integer, Attempt> live = new TreeMap<>();
+    long nextAttempt = 1;
+    int version = 1;
+    /** Done or cancelled; kept only until all attempts are proven over. */
+    boolean over;
+    boolean guaranteed;
+    double notBefore;
+    /** Machines on which this job's tasks failed, and how often in all. */
+    final Set<String> failedOn = new HashSet<>();
+    int failures;
+    int successes;
+
+    Job(JobSpec spec, double submittedMs, long revision, int partSize) {
+        this.spec = spec;
+        this.submittedMs = submittedMs;
+        this.revision = revision;
+        this.partSize = partSize;
+        this.parts = new Part[(spec.tasks() + partSize - 1) / partSize];
+        for (int i = 0; i < parts.length; i++) {
+            parts[i] = new Part();
+        }
+    }
+
+    int partOf(int task) {
+        return task / partSize;
+    }
+
+    void touch(int task) {
+        parts[partOf(task)].changed = ++version;
+    }
+
+    boolean complete() {
+        return spec.shape() != JobSpec.Shape.SERVICE && done.cardinality() == spec.tasks();
+    }
+
+    int waiting() {
+        return over ? 0 : spec.tasks() - done.cardinality() - live.size();
+    }
+
+    /** The first task from {@code from} on that is neither done nor placed, or -1. */
+    int nextWaiting(int from) {
+        for (int t = done.nextClearBit(from); t < spec.tasks(); t = done.nextClearBit(t + 1)) {
+            if (!live.containsKey(t)) {
+                return t;
+            }
+        }
+        return -1;
+    }
+
+    List<Attempt> liveIn(int part) {
+        return new ArrayList<>(live.subMap(part * partSize, (part + 1) * partSize).values());
+    }
+
+    Map<String, Object> partRecord(int part) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("next", nextAttempt);
+        int from = part * partSize;
+        BitSet bits = done.get(from, Math.min(spec.tasks(), from + partSize));
+        m.put("done", Base64.getEncoder().encodeToString(bits.toByteArray()));
+        Map<String, List<Object>> on = new HashMap<>();
+        for (Attempt a : liveIn(part)) {
+            List<Object> l = on.computeIfAbsent(a.machine.id, k -> new ArrayList<>());
+            l.add((long) a.task);
+            l.add(a.number);
+        }
+        Map<String, Object> live = new LinkedHashMap<>();
+        on.keySet().stream().sorted(Comparator.naturalOrder()).forEach(k -> live.put(k, on.get(k)));
+        m.put("live", live);
+        return m;
+    }
+
+    /** Reads a part's done bits and attempt counter; the attempts are for the caller, which knows the machines. */
+    Map<?, ?> readPart(int part, Object record, long partRevision) {
+        Tree t = Tree.of(record);
+        parts[part].revision = partRevision;
+        nextAttempt = Math.max(nextAttempt, t.count("next"));
+        BitSet bits = BitSet.valueOf(Base64.getDecoder().decode(t.text("done")));
+        for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
+            done.set(part * partSize + i);
+        }
+        return t.raw("live") instanceof Map<?, ?> m ? m : Map.of();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/JobSpec.java
@@ -0,0 +1,87 @@
+package io.kitepath.core;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A job as its user described it. */
+public record JobSpec(
+        String id, String jobClass, String team, Shape shape, Priority priority, int tasks,
+        double cpus, double gpus, double memoryGb, List<String> types, String zone, boolean oneZone, boolean spread,
+        boolean spot, String image, double imageGb, double estimateS, double checkpointS, double saveS,
+        Double deadlineS) {
+
+    public enum Shape { ARRAY, GANG, SERVICE }
+
+    /** Highest first. */
+    public enum Priority { PRODUCTION, HIGH, NORMAL, LOW }
+
+    public boolean gang() {
+        return shape == Shape.GANG;
+    }
+
+    /** How many tasks the job may have in one zone. */
+    public int mostPerZone() {
+        return spread ? (tasks + 1) / 2 : tasks;
+    }
+
+    /** The form that is kept in the state service. */
+    public Map<String, Object> toRecord() {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("class", jobClass);
+        m.put("team", team);
+        m.put("shape", shape.name());
+        m.put("priority", priority.name());
+        m.put("tasks", (long) tasks);
+        m.put("cpus", cpus);
+        m.put("gpus", gpus);
+        m.put("memory", memoryGb);
+        m.put("types", types);
+        m.put("zone", zone);
+        m.put("oneZone", oneZone);
+        m.put("spread", spread);
+        m.put("spot", spot);
+        m.put("image", image);
+        m.put("imageGb", imageGb);
+        m.put("estimate", estimateS);
+        m.put("checkpoint", checkpointS);
+        m.put("save", saveS);
+        m.put("deadline", deadlineS);
+        return m;
+    }
+
+    public static JobSpec fromRecord(String id, Object record) {
+        Tree t = Tree.of(record);
+        return new JobSpec(id, t.text("class"), t.text("team"), Shape.valueOf(t.text("shape")),
+                Priority.valueOf(t.text("priority")), (int) t.integer("tasks", 1, Integer.MAX_VALUE),
+                t.number("cpus", 0), t.number("gpus", 0), t.number("memory", 0),
+                t.has("types") ? t.texts("types") : null, t.textOr("zone", null), t.flag("oneZone"), t.flag("spread"),
+                t.flag("spot"), t.text("image"), t.number("imageGb", 0), t.number("estimate", 0),
+                t.number("checkpoint", 0), t.number("save", 0), t.has("deadline") ? t.number("deadline", 0) : null);
+    }
+
+    /** Why the job can never run with these machine types and limits, or null if it can. */
+    public String impossible(Map<String, MachineType> known, Facts facts) {
+        Facts.Team t = facts.teams().get(team);
+        if (t == null) {
+            return "unknown team " + team;
+        }
+        if (known.values().stream().noneMatch(this::fits)) {
+            return "a task fits no allowed machine type";
+        }
+        int atOnce = shape == Shape.ARRAY ? 1 : tasks;
+        if (t.cpusMax() > 0 && atOnce * cpus > t.cpusMax() + 1e-9
+                || t.gpusMax() > 0 && atOnce * gpus > t.gpusMax() + 1e-9) {
+            return "more than the limit of team " + team;
+        }
+        if (spread && oneZone && tasks > 1) {
+            return "one zone and spread exclude each other";
+        }
+        return null;
+    }
+
+    private boolean fits(MachineType type) {
+        return (types == null || types.contains(type.name())) && (zone == null || type.zones().contains(zone))
+                && cpus <= type.cpus() && gpus <= type.gpus() && memoryGb <= type.memoryGb();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -0,0 +1,390 @@
+package io.kitepath.core;
+
+import io.kitepath.core.Store.Committed;
+import io.kitepath.core.Store.Entry;
+import io.kitepath.core.Store.Outcome;
+import io.kitepath.core.Store.Transaction;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the jobs' records equal to what the holder has decided, one transaction at a time, and loads them when a
+ * holder begins. Every write depends on the block's revision, the job's and the part's: none can land late.
+ */
+final class Keeper {
+    private static final Logger LOG = LoggerFactory.getLogger(Keeper.class);
+    /** Of the store's write rate; the rest is for submissions, cancellations and leases. */
+    private static final double WRITE_SHARE = 0.7;
+    /** Of the 64 KiB that a transaction may hold, by an estimate of its JSON form. */
+    private static final int MAX_BYTES = 48 * 1024;
+
+    private final Facts facts;
+    private final Store store;
+    private final Timers timers;
+    private final Scheduler scheduler;
+    private final java.util.function.Consumer<String> fatal;
+    private final Bucket writes;
+    private long epoch;
+    private String blockKey;
+    private long blockRevision;
+    private boolean loaded;
+    private Round round;
+    long rounds;
+
+    private record Written(Job job, int part, int version, boolean removed) {}
+
+    private static final class Round {
+        final Transaction transaction = new Transaction();
+        final List<Written> parts = new ArrayList<>();
+        final Map<String, Job> finishing = new LinkedHashMap<>();
+        boolean unsure;
+        int bytes;
+    }
+
+    Keeper(Facts facts, Store store, Timers timers, Scheduler scheduler,
+            java.util.function.Consumer<String> fatal) {
+        this.facts = facts;
+        this.store = store;
+        this.timers = timers;
+        this.scheduler = scheduler;
+        this.fatal = fatal;
+        this.writes = new Bucket(facts.store().writeRps() * WRITE_SHARE);
+    }
+
+    boolean loaded() {
+        return loaded;
+    }
+
+    long blockRevision() {
+        return blockRevision;
+    }
+
+    boolean writing() {
+        return round != null;
+    }
+
+    void stop() {
+        epoch++;
+        loaded = false;
+        round = null;
+    }
+
+    // ---- loading --------------------------------------------------------------------------------
+
+    void start(String key, long revision, Runnable ready) {
+        blockKey = key;
+        blockRevision = revision;
+        load(++epoch, ready);
+    }
+
+    private void again(long e, Runnable ready) {
+        timers.after(0.3, () -> load(e, ready));
+    }
+
+    private void load(long e, Runnable ready) {
+        if (e != epoch) {
+            return;
+        }
+        loaded = false;
+        round = null;
+        store.list(Keys.OPEN, open -> {
+            if (e != epoch) {
+                return;
+            }
+            if (open.outcome() != Outcome.OK) {
+                again(e, ready);
+                return;
+            }
+            store.list(Keys.PART, parts -> {
+                if (e != epoch) {
+                    return;
+                }
+                if (parts.outcome() != Outcome.OK) {
+                    again(e, ready);
+                    return;
+                }
+                Set<String> closed = new LinkedHashSet<>();
+                Set<String> known = new LinkedHashSet<>();
+                for (Entry x : open.entries()) {
+                    known.add(x.key().substring(Keys.OPEN.length()));
+                }
+                for (Entry x : parts.entries()) {
+                    String id = jobOf(x.key());
+                    if (!known.contains(id)) {
+                        closed.add(id);
+                    }
+                }
+                Map<String, Entry> over = new HashMap<>();
+                readClosed(e, new ArrayList<>(closed), over, () -> {
+                    if (adopt(open, parts.entries(), over)) {
+                        follow(e, open.revision(), ready);
+                        ready.run();
+                    } else {
+                        again(e, ready);
+                    }
+                }, ready);
+            });
+        });
+    }
+
+    /** Jobs that are over but have parts left: something of them may still be on machines. */
+    private void readClosed(long e, List<String> ids, Map<String, Entry> into, Runnable then, Runnable ready) {
+        if (e != epoch) {
+            return;
+        }
+        if (ids.isEmpty()) {
+            then.run();
+            return;
+        }
+        String id = ids.remove(ids.size() - 1);
+        store.get(Keys.OVER + id, (outcome, entry) -> {
+            if (outcome == Outcome.OK) {
+                into.put(id, entry);
+            } else if (outcome != Outcome.NO) {
+                if (e == epoch) {
+                    again(e, ready);
+                }
+                return;
+            }
+            readClosed(e, ids, into, then, ready);
+        });
+    }
+
+    private static String jobOf(String partKey) {
+        return partKey.substring(Keys.PART.length(), partKey.lastIndexOf('/'));
+    }
+
+    private boolean adopt(Store.Listing open, List<Entry> parts, Map<String, Entry> over) {
+        double now = timers.now();
+        scheduler.forgetJobs();
+        for (Entry x : open.entries()) {
+            opened(x);
+        }
+        over.forEach((id, x) -> {
+            try {
+                Job job = job(id, x);
+                job.over = true;
+                scheduler.addJob(job);
+            } catch (Malformed | IllegalArgumentException bad) {
+                LOG.error("record {} is unreadable: {}", x.key(), bad.getMessage());
+            }
+        });
+        for (Entry x : parts) {
+            Job job = scheduler.jobs.get(jobOf(x.key()));
+            if (job == null) {
+                // Created after the list of open jobs was read, or just moved: read everything once more.
+                return false;
+            }
+            int part = Integer.parseInt(x.key().substring(x.key().lastIndexOf('/') + 1));
+            if (part < job.parts.length) {
+                scheduler.adopt(job, job.readPart(part, x.value(), x.revision()), now);
+                if (job.over) {
+                    job.parts[part].changed = ++job.version;
+                }
+            }
+        }
+        loaded = true;
+        LOG.info("loaded {} jobs, {} parts", scheduler.jobs.size(), parts.size());
+        return true;
+    }
+
+    private Job job(String id, Entry x) {
+        return new Job(JobSpec.fromRecord(id, x.value()), Tree.of(x.value()).number("submittedMs", 0), x.revision(),
+                facts.tasksPerPart());
+    }
+
+    private void opened(Entry x) {
+        String id = x.key().substring(Keys.OPEN.length());
+        if (scheduler.jobs.containsKey(id)) {
+            return;
+        }
+        try {
+            scheduler.addJob(job(id, x));
+        } catch (Malformed | IllegalArgumentException bad) {
+            LOG.error("record {} is unreadable: {}", x.key(), bad.getMessage());
+        }
+    }
+
+    private void follow(long e, long after, Runnable ready) {
+        if (e != epoch) {
+            return;
+        }
+        long holdMs = (long) (facts.workers().leaseS() * 500);
+        store.follow(Keys.OPEN, after, holdMs, c -> {
+            if (e != epoch) {
+                return;
+            }
+            if (c.outcome() == Outcome.OK) {
+                for (Entry x : c.events()) {
+                    if (x.value() != null) {
+                        opened(x);
+                    } else {
+                        scheduler.jobOver(x.key().substring(Keys.OPEN.length()));
+                    }
+                }
+                follow(e, Math.max(after, c.revision()), ready);
+                if (!c.events().isEmpty()) {
+                    ready.run();
+                }
+            } else if (c.outcome() == Outcome.NO) {
+                fatal.accept("changes of the jobs were missed");
+            } else {
+                timers.after(0.3, () -> follow(e, after, ready));
+            }
+        });
+    }
+
+    // ---- writing --------------------------------------------------------------------------------
+
+    /** Writes what differs, if anything does and the rate allows; {@code done} runs when it is in the store. */
+    void write(Runnable done) {
+        if (!loaded || round != null) {
+            return;
+        }
+        double now = timers.now();
+        int budget = (int) Math.min(facts.store().txnOps(), writes.available(now));
+        Round r = new Round();
+        r.transaction.when(blockKey, blockRevision);
+        List<Job> dropped = new ArrayList<>();
+        // Jobs that end come first: their users wait for the word.
+        for (Job job : scheduler.jobs.values()) {
+            if (!job.over && job.complete() && r.transaction.writes().size() + 2 + job.parts.length <= budget) {
+                finish(r, job);
+            }
+        }
+        for (Job job : scheduler.jobs.values()) {
+            if (r.finishing.containsKey(job.spec.id()) || !job.over && job.complete()) {
+                continue;
+            }
+            if (!changed(r, job, budget)) {
+                dropped.add(job);
+            }
+        }
+        dropped.forEach(scheduler::dropJob);
+        if (r.transaction.writes().isEmpty()) {
+            return;
+        }
+        writes.take(r.transaction.writes().size(), now);
+        round = r;
+        rounds++;
+        send(epoch, done);
+    }
+
+    private void finish(Round r, Job job) {
+        String id = job.spec.id();
+        Map<String, Object> record = job.spec.toRecord();
+        record.put("submittedMs", job.submittedMs);
+        record.put("status", "done");
+        record.put("done", (long) job.spec.tasks());
+        r.transaction.when(Keys.OPEN + id, job.revision).remove(Keys.OPEN + id).put(Keys.OVER + id, record);
+        r.bytes += 1024;
+        for (int i = 0; i < job.parts.length; i++) {
+            putPart(r, job, i);
+        }
+        r.finishing.put(id, job);
+    }
+
+    /** Returns false if the job is over and nothing of it is left. */
+    private boolean changed(Round r, Job job, int budget) {
+        boolean left = !job.over || !job.live.isEmpty();
+        for (int i = 0; i < job.parts.length; i++) {
+            Job.Part p = job.parts[i];
+            left |= p.revision > 0;
+            if (p.changed > p.written && r.transaction.writes().size() < budget && r.bytes < MAX_BYTES) {
+                if (!job.over && r.transaction.conditions().stream()
+                        .noneMatch(c -> c.key().equals(Keys.OPEN + job.spec.id()))) {
+                    r.transaction.when(Keys.OPEN + job.spec.id(), job.revision);
+                }
+                putPart(r, job, i);
+            }
+        }
+        return left;
+    }
+
+    private void putPart(Round r, Job job, int i) {
+        Job.Part p = job.parts[i];
+        String key = Keys.part(job.spec.id(), i);
+        boolean remove = (job.over || job.complete()) && job.liveIn(i).isEmpty();
+        if (remove && p.revision == 0) {
+            p.written = job.version;
+            return;
+        }
+        r.transaction.when(key, p.revision);
+        if (remove) {
+            r.transaction.remove(key);
+        } else {
+            Map<String, Object> record = job.partRecord(i);
+            r.bytes += 96 + 12 * job.liveIn(i).size() + 32;
+            r.transaction.put(key, record);
+        }
+        r.parts.add(new Written(job, i, job.version, remove));
+    }
+
+    private void send(long e, Runnable done) {
+        Round r = round;
+        store.commit(r.transaction, c -> {
+            if (e != epoch || round != r) {
+                return;
+            }
+            switch (c.outcome()) {
+                case OK -> committed(r, c.revision(), done);
+                case NO -> refused(r, c);
+                case REFUSED -> timers.after(0.2, () -> resend(e, r, done));
+                default -> {
+                    // It may have been executed, or still be: the very same transaction again settles it, since
+                    // its conditions let only one of the two through.
+                    r.unsure = true;
+                    timers.after(0.1, () -> resend(e, r, done));
+                }
+            }
+        });
+    }
+
+    private void resend(long e, Round r, Runnable done) {
+        if (e == epoch && round == r) {
+            send(e, done);
+        }
+    }
+
+    private void committed(Round r, long revision, Runnable done) {
+        round = null;
+        for (Written w : r.parts) {
+            scheduler.recorded(w.job, w.part, w.version, w.removed ? 0 : revision);
+        }
+        for (Job job : r.finishing.values()) {
+            LOG.info("job {} done", job.spec.id());
+            scheduler.jobOver(job.spec.id());
+        }
+        done.run();
+    }
+
+    private void refused(Round r, Committed c) {
+        round = null;
+        if (c.failed().contains(blockKey)) {
+            fatal.accept("the block is no longer ours");
+            return;
+        }
+        if (r.unsure) {
+            fatal.accept("an earlier try of this write may have been executed");
+            return;
+        }
+        for (String key : c.failed()) {
+            if (!key.startsWith(Keys.OPEN)) {
+                fatal.accept("unexpected revision of " + key);
+                return;
+            }
+            // Cancelled just now; the next round goes without it.
+            scheduler.jobOver(key.substring(Keys.OPEN.length()));
+        }
+        if (c.failed().isEmpty()) {
+            fatal.accept("a write was refused without a reason");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Leadership.java
@@ -0,0 +1,270 @@
+package io.kitepath.core;
+
+import io.kitepath.core.Store.Outcome;
+import io.kitepath.core.Store.Transaction;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Who leads, and with which token. The leader's key and its block hang on a lease; taking them raises the
+ * stored token in the same transaction, so two nodes never hold the same one. What a former leader may still
+ * send to the store fails, because its writes depend on the revision of a key that is gone.
+ */
+final class Leadership {
+    private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+
+    interface Listener {
+        void won(long token, long lease, long blockRevision);
+
+        void lost(String why);
+    }
+
+    private final Facts facts;
+    private final Store store;
+    private final Timers timers;
+    private final Random random;
+    private final Listener listener;
+    private final double lifeS;
+    private boolean leading;
+    private long lease;
+    private long revision;
+    private double renewedAt;
+    /** Who leads by the last that we heard, or null. */
+    private String leader;
+    private long highest;
+    private double stayOutUntil;
+    private boolean campaigning;
+    /** When the store last answered us. */
+    private double servedAt;
+
+    Leadership(Facts facts, Store store, Timers timers, Random random, Listener listener) {
+        this.facts = facts;
+        this.store = store;
+        this.timers = timers;
+        this.random = random;
+        this.listener = listener;
+        // Short against the workers' lease, so that a new leader is there well before their work is given up.
+        this.lifeS = Math.max(1.5, 2 * facts.workers().reportS());
+        this.servedAt = timers.now();
+    }
+
+    void start() {
+        look();
+    }
+
+    boolean leading() {
+        return leading;
+    }
+
+    String leader() {
+        return leader;
+    }
+
+    double lifeS() {
+        return lifeS;
+    }
+
+    long highest() {
+        return highest;
+    }
+
+    /** Seconds since the store last answered us. */
+    double unservedS() {
+        return timers.now() - servedAt;
+    }
+
+    /** While the store does not serve us, a leader starts nothing. */
+    boolean inTouch() {
+        return timers.now() - renewedAt < lifeS;
+    }
+
+    /** A worker or sibling has seen a higher token than ours: somebody else leads. */
+    void outbid(long token, String by) {
+        if (token > highest) {
+            highest = token;
+            if (by != null && !leading) {
+                leader = by;
+            }
+        }
+        if (leading && token > this.token()) {
+            stepDown("a higher token " + token + " was seen");
+        }
+    }
+
+    private long token;
+
+    long token() {
+        return token;
+    }
+
+    void resign(String why) {
+        if (leading) {
+            // Stay out for a while, so that a node that is better off can take over.
+            stayOutUntil = timers.now() + 4 * lifeS;
+            store.revoke(lease);
+            stepDown(why);
+        }
+    }
+
+    void stepDown(String why) {
+        if (!leading) {
+            return;
+        }
+        leading = false;
+        leader = null;
+        LOG.info("no longer leader with token {}: {}", token, why);
+        listener.lost(why);
+    }
+
+    // ---- following the leader's key -------------------------------------------------------------
+
+    private void look() {
+        store.get(Keys.LEADER, (outcome, entry) -> {
+            if (outcome == Outcome.OK) {
+                served();
+                heard(entry.value());
+                follow(entry.revision());
+            } else if (outcome == Outcome.NO) {
+                served();
+                absent();
+            } else {
+                timers.after(retryS(), this::look);
+            }
+        });
+    }
+
+    private void follow(long from) {
+        long holdMs = (long) (lifeS * 1000);
+        store.follow(Keys.LEADER, from, holdMs, c -> {
+            if (c.outcome() == Outcome.OK) {
+                served();
+                if (c.events().isEmpty()) {
+                    follow(Math.max(from, c.revision()));
+                } else {
+                    look();
+                }
+            } else {
+                timers.after(retryS(), this::look);
+            }
+        });
+    }
+
+    private void heard(Object value) {
+        Tree t = Tree.of(value);
+        long held = t.count("token");
+        String node = t.text("node");
+        highest = Math.max(highest, held);
+        if (leading && held == token) {
+            leader = facts.node();
+            return;
+        }
+        if (leading) {
+            if (held > token) {
+                stepDown(node + " leads with token " + held);
+            }
+        }
+        leader = node;
+    }
+
+    private void absent() {
+        if (leading) {
+            stepDown("our key is gone");
+        }
+        leader = null;
+        double now = timers.now();
+        double wait = stayOutUntil > now ? stayOutUntil - now : random.nextDouble() * 0.1;
+        timers.after(wait, this::campaign);
+    }
+
+    private double retryS() {
+        return 0.2 + random.nextDouble() * 0.3;
+    }
+
+    private void served() {
+        servedAt = timers.now();
+    }
+
+    // ---- taking and keeping the lease -----------------------------------------------------------
+
+    private void campaign() {
+        if (leading || campaigning) {
+            return;
+        }
+        campaigning = true;
+        double asked = timers.now();
+        store.grant((long) (lifeS * 1000), (outcome, id) -> {
+            if (outcome != Outcome.OK) {
+                campaigning = false;
+                timers.after(retryS(), this::look);
+                return;
+            }
+            store.get(Keys.TOKEN, (got, entry) -> {
+                if (got != Outcome.OK && got != Outcome.NO) {
+                    campaigning = false;
+                    timers.after(retryS(), this::look);
+                    return;
+                }
+                long last = got == Outcome.OK ? Tree.of(entry.value()).count("token") : 0;
+                claim(id, Math.max(last, highest) + 1, got == Outcome.OK ? entry.revision() : 0, asked);
+            });
+        });
+    }
+
+    private void claim(long id, long next, long tokenRevision, double asked) {
+        Map<String, Object> key = new LinkedHashMap<>();
+        key.put("node", facts.node());
+        key.put("token", next);
+        Map<String, Object> block = new LinkedHashMap<>();
+        block.put("machines", "all");
+        block.put("holder", facts.node());
+        block.put("token", next);
+        store.commit(new Transaction().when(Keys.LEADER, 0).when(Keys.TOKEN, tokenRevision)
+                .put(Keys.LEADER, key, id).put(Keys.BLOCKS + "all", block, id)
+                .put(Keys.TOKEN, Map.of("token", next)), c -> {
+            campaigning = false;
+            if (c.outcome() == Outcome.OK) {
+                served();
+                leading = true;
+                lease = id;
+                token = next;
+                highest = Math.max(highest, next);
+                revision = c.revision();
+                renewedAt = asked;
+                leader = facts.node();
+                LOG.info("leader with token {} on lease {}", next, id);
+                listener.won(next, id, revision);
+                renewLater(id);
+                follow(revision);
+            } else {
+                // After an unknown outcome the key may be ours with nobody behind it; ending the lease removes it.
+                store.revoke(id);
+                timers.after(retryS(), this::look);
+            }
+        });
+    }
+
+    private void renewLater(long id) {
+        timers.after(lifeS / 5, () -> {
+            if (!leading || lease != id) {
+                return;
+            }
+            double asked = timers.now();
+            store.renew(id, outcome -> {
+                if (!leading || lease != id) {
+                    return;
+                }
+                if (outcome == Outcome.OK) {
+                    served();
+                    renewedAt = asked;
+                } else if (outcome == Outcome.NO) {
+                    stepDown("our lease ended");
+                    return;
+                }
+                renewLater(id);
+            });
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Malformed.java
@@ -0,0 +1,9 @@
+package io.kitepath.core;
+
+/** Input that is not what its interface promises; the message names the field and the reason. */
+public final class Malformed extends RuntimeException {
+    public Malformed(String reason) {
+        // No stack trace: bad input is an everyday event and must stay cheap.
+        super(reason, null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Registry.java
@@ -0,0 +1,180 @@
+package io.kitepath.core;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import io.kitepath.core.Store.Entry;
+import io.kitepath.core.Store.Outcome;
+import io.kitepath.core.Store.Transaction;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * What users ask of any node, answered from the store: only it knows whether a job is open or over. Only final
+ * states come from memory, because they never change.
+ */
+public final class Registry {
+    public enum Verdict { CREATED, KNOWN, NOT_FOUND, LATER }
+
+    /** {@code status}: pending, running, done or cancelled. */
+    public record JobState(String id, String status, int done, int running) {}
+
+    public record Answer(Verdict verdict, JobState state) {
+        static final Answer LATER = new Answer(Verdict.LATER, null);
+        static final Answer NOT_FOUND = new Answer(Verdict.NOT_FOUND, null);
+    }
+
+    private static final int MAX_TRIES = 4;
+
+    private final Store store;
+    private final Timers timers;
+    private final Cache<String, JobState> over = Caffeine.newBuilder().maximumSize(5000).build();
+    /** Questions about the same job that are under way share one read. */
+    private final Map<String, List<Consumer<Answer>>> asking = new HashMap<>();
+    private Consumer<String> onCancelled = id -> {};
+
+    Registry(Store store, Timers timers) {
+        this.store = store;
+        this.timers = timers;
+    }
+
+    void onCancelled(Consumer<String> listener) {
+        onCancelled = listener;
+    }
+
+    /** Accepts a job that neither is nor was there. */
+    public void submit(JobSpec spec, Consumer<Answer> answer) {
+        String id = spec.id();
+        JobState known = over.getIfPresent(id);
+        if (known != null) {
+            answer.accept(new Answer(Verdict.KNOWN, known));
+            return;
+        }
+        Map<String, Object> record = spec.toRecord();
+        record.put("submittedMs", timers.wallMs());
+        store.commit(new Transaction().when(Keys.OPEN + id, 0).when(Keys.OVER + id, 0)
+                .put(Keys.OPEN + id, record), c -> {
+            if (c.outcome() == Outcome.OK) {
+                answer.accept(new Answer(Verdict.CREATED, new JobState(id, "pending", 0, 0)));
+            } else if (c.outcome() == Outcome.NO) {
+                status(id, answer);
+            } else {
+                answer.accept(Answer.LATER);
+            }
+        });
+    }
+
+    public void status(String id, Consumer<Answer> answer) {
+        JobState known = over.getIfPresent(id);
+        if (known != null) {
+            answer.accept(new Answer(Verdict.KNOWN, known));
+            return;
+        }
+        List<Consumer<Answer>> waiting = asking.get(id);
+        if (waiting != null) {
+            // Joining a read that began earlier would be wrong if something was told since; so only joins made
+            // before the read is sent share it, and these wait for the next one.
+            waiting.add(answer);
+            return;
+        }
+        asking.put(id, new ArrayList<>());
+        read(id, a -> {
+            answer.accept(a);
+            List<Consumer<Answer>> joined = asking.remove(id);
+            if (joined != null && !joined.isEmpty()) {
+                status(id, b -> joined.forEach(j -> j.accept(b)));
+            }
+        });
+    }
+
+    private void read(String id, Consumer<Answer> answer) {
+        store.get(Keys.OPEN + id, (outcome, open) -> {
+            if (outcome == Outcome.OK) {
+                progress(id, open, answer);
+            } else if (outcome == Outcome.NO) {
+                // A job moves from open to over and never back, so what is in neither was never accepted.
+                readOver(id, answer);
+            } else {
+                answer.accept(Answer.LATER);
+            }
+        });
+    }
+
+    private void readOver(String id, Consumer<Answer> answer) {
+        store.get(Keys.OVER + id, (outcome, entry) -> {
+            if (outcome == Outcome.OK) {
+                Tree t = Tree.of(entry.value());
+                JobState s = new JobState(id, t.text("status"), (int) t.count("done"), 0);
+                over.put(id, s);
+                answer.accept(new Answer(Verdict.KNOWN, s));
+            } else {
+                answer.accept(outcome == Outcome.NO ? Answer.NOT_FOUND : Answer.LATER);
+            }
+        });
+    }
+
+    private void progress(String id, Entry open, Consumer<Answer> answer) {
+        store.list(Keys.PART + id + "/", parts -> {
+            int done = 0;
+            int running = 0;
+            if (parts.outcome() == Outcome.OK) {
+                for (Entry p : parts.entries()) {
+                    Tree t = Tree.of(p.value());
+                    done += BitSet.valueOf(Base64.getDecoder().decode(t.text("done"))).cardinality();
+                    for (Object on : ((Map<?, ?>) t.raw("live")).values()) {
+                        running += ((List<?>) on).size() / 2;
+                    }
+                }
+            }
+            answer.accept(new Answer(Verdict.KNOWN,
+                    new JobState(id, running > 0 ? "running" : "pending", done, running)));
+        });
+    }
+
+    public void cancel(String id, Consumer<Answer> answer) {
+        cancel(id, MAX_TRIES, answer);
+    }
+
+    private void cancel(String id, int tries, Consumer<Answer> answer) {
+        JobState known = over.getIfPresent(id);
+        if (known != null) {
+            answer.accept(new Answer(Verdict.KNOWN, known));
+            return;
+        }
+        if (tries == 0) {
+            answer.accept(Answer.LATER);
+            return;
+        }
+        store.get(Keys.OPEN + id, (outcome, open) -> {
+            if (outcome == Outcome.NO) {
+                readOver(id, answer);
+                return;
+            }
+            if (outcome != Outcome.OK) {
+                answer.accept(Answer.LATER);
+                return;
+            }
+            Map<String, Object> record = new java.util.LinkedHashMap<>();
+            ((Map<?, ?>) open.value()).forEach((k, v) -> record.put((String) k, v));
+            record.put("status", "cancelled");
+            record.put("done", 0L);
+            store.commit(new Transaction().when(Keys.OPEN + id, open.revision()).when(Keys.OVER + id, 0)
+                    .remove(Keys.OPEN + id).put(Keys.OVER + id, record), c -> {
+                if (c.outcome() == Outcome.OK) {
+                    JobState s = new JobState(id, "cancelled", 0, 0);
+                    over.put(id, s);
+                    onCancelled.accept(id);
+                    answer.accept(new Answer(Verdict.KNOWN, s));
+                } else if (c.outcome() == Outcome.NO) {
+                    cancel(id, tries - 1, answer);
+                } else {
+                    answer.accept(Answer.LATER);
+                }
+            });
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Report.java
@@ -0,0 +1,15 @@
+package io.kitepath.core;
+
+import java.util.List;
+
+/** What a worker says of its machine. The report with the larger (session, sequence) is the newer one. */
+public record Report(String machine, String address, String type, String zone, boolean spot, long session,
+        long sequence, long token, Double noticeS, List<TaskReport> tasks) {
+
+    /** A task on the machine; {@code cause} is null unless it ended. */
+    public record TaskReport(String job, int task, long attempt, State state, Cause cause) {}
+
+    public enum State { FETCHING, WAITING, RUNNING, SAVING, ENDED }
+
+    public enum Cause { DONE, STOPPED, PEERS, ALONE, ERROR, NO_ROOM, BUSY, UNKNOWN }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -0,0 +1,656 @@
+package io.kitepath.core;
+
+import io.kitepath.core.Report.Cause;
+import io.kitepath.core.Report.State;
+import io.kitepath.core.Report.TaskReport;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The block holder's mind: jobs, machines, and which task is where. Without input or output; the
+ * {@link Keeper} writes down what it decides before anything is launched.
+ */
+final class Scheduler {
+    private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
+    /** Commands in one answer; keeps it far below the 64 KiB limit. */
+    private static final int MAX_ORDERS = 300;
+
+    final Facts facts;
+    final Map<String, MachineType> types = new LinkedHashMap<>();
+    final Map<String, Job> jobs = new LinkedHashMap<>();
+    final TreeMap<String, Machine> machines = new TreeMap<>();
+    final Placement placement;
+    private final Map<String, double[]> teamUse = new HashMap<>();
+    /** Names of machines that are gone for certain; lists may show them a while longer. */
+    private final Set<String> tombstones = Collections.newSetFromMap(new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > 5000;
+        }
+    });
+    long token;
+    long starts;
+    long ends;
+    long lost;
+
+    Scheduler(Facts facts, Random random) {
+        this.facts = facts;
+        this.placement = new Placement(random, types);
+    }
+
+    // ---- jobs -----------------------------------------------------------------------------------
+
+    void forgetJobs() {
+        jobs.clear();
+        teamUse.clear();
+        for (Machine m : machines.values()) {
+            m.attempts.clear();
+            m.recount();
+        }
+    }
+
+    void addJob(Job job) {
+        jobs.put(job.spec.id(), job);
+    }
+
+    /** Takes over what a part record says is, or may be, on machines. */
+    void adopt(Job job, Map<?, ?> live, double now) {
+        for (Map.Entry<?, ?> e : live.entrySet()) {
+            Machine m = machine((String) e.getKey(), now);
+            List<?> l = (List<?>) e.getValue();
+            for (int i = 0; i + 1 < l.size(); i += 2) {
+                Attempt a = new Attempt(job, ((Number) l.get(i)).intValue(), ((Number) l.get(i + 1)).longValue(), m,
+                        now, 0);
+                a.durable = true;
+                a.launched = true;
+                attach(a);
+                job.nextAttempt = Math.max(job.nextAttempt, a.number + 1);
+            }
+        }
+    }
+
+    /** The job is done or cancelled in the store; whatever of it is still on machines has to go. */
+    void jobOver(String id) {
+        Job job = jobs.get(id);
+        if (job == null || job.over) {
+            return;
+        }
+        job.over = true;
+        for (Attempt a : new ArrayList<>(job.live.values())) {
+            if (!a.durable) {
+                withdraw(a);
+            }
+        }
+        LOG.info("job {} over, {} attempts to end", id, job.live.size());
+    }
+
+    // ---- attempts -------------------------------------------------------------------------------
+
+    private void attach(Attempt a) {
+        a.job.live.put(a.task, a);
+        a.machine.attempts.add(a);
+        use(a.job.spec, 1);
+        a.machine.recount();
+    }
+
+    /**
+     * Takes back a placing that is not known to be written, so was never launched. Its write may be under way all
+     * the same, hence the part counts as changed.
+     */
+    private void withdraw(Attempt a) {
+        use(a.job.spec, -1);
+        a.job.live.remove(a.task, a);
+        a.job.touch(a.task);
+        a.machine.attempts.remove(a);
+        a.machine.recount();
+    }
+
+    private void use(JobSpec s, int sign) {
+        double[] u = teamUse.computeIfAbsent(s.team(), k -> new double[2]);
+        u[0] += sign * s.cpus();
+        u[1] += sign * s.gpus();
+    }
+
+    /** The attempt is proven over. It stays on the machine's list until that is written, and is cleared after. */
+    private void end(Attempt a, Cause cause, double now) {
+        if (a.ended) {
+            return;
+        }
+        Job job = a.job;
+        use(job.spec, -1);
+        a.ended = true;
+        a.state = State.ENDED;
+        job.live.remove(a.task, a);
+        ends++;
+        Machine m = a.machine;
+        if (!a.durable) {
+            m.attempts.remove(a);
+        }
+        if (!m.busy()) {
+            m.idleSince = now;
+        }
+        if (!job.over) {
+            judge(a, cause, now);
+        }
+        job.touch(a.task);
+        a.endedVersion = job.version;
+        m.recount();
+    }
+
+    private void judge(Attempt a, Cause cause, double now) {
+        Job job = a.job;
+        Machine m = a.machine;
+        switch (cause == null ? Cause.STOPPED : cause) {
+            case DONE -> {
+                m.failuresInRow = 0;
+                job.successes++;
+                if (job.spec.shape() == JobSpec.Shape.SERVICE) {
+                    break;
+                }
+                if (job.spec.gang()) {
+                    // The tasks of a gang complete together.
+                    job.done.set(0, job.spec.tasks());
+                    for (int i = 0; i < job.parts.length; i++) {
+                        job.parts[i].changed = job.version + 1;
+                    }
+                } else {
+                    job.done.set(a.task);
+                }
+            }
+            case ERROR -> {
+                job.failures++;
+                job.failedOn.add(m.id);
+                LOG.info("attempt {} failed", a);
+                // A job that fails on several machines and succeeds nowhere is at fault itself: it is retried ever
+                // more slowly, and its machines are not blamed for it.
+                boolean jobsFault = job.successes == 0 && job.failedOn.size() >= 3;
+                if (jobsFault) {
+                    job.notBefore = now + facts.workers().reportS() * Math.min(32, 1 << Math.min(5, job.failures / 4));
+                } else if (++m.failuresInRow >= Placement.THRESHOLD && !m.setAside) {
+                    m.setAside = true;
+                    LOG.info("machine {} set aside: starts fail on it", m.id);
+                }
+                if (job.failedOn.size() > 16) {
+                    job.failedOn.clear();
+                }
+            }
+            case NO_ROOM, BUSY, UNKNOWN -> {
+                LOG.info("attempt {} refused: {}", a, cause);
+                job.notBefore = Math.max(job.notBefore, now + facts.workers().reportS());
+            }
+            default -> LOG.debug("attempt {} ended: {}", a, cause);
+        }
+        if (job.spec.gang() && cause != Cause.DONE && !job.live.isEmpty()) {
+            // One task of a gang is gone: the rest can't finish. They restart together once all are proven over.
+            for (Attempt other : job.live.values()) {
+                stop(other, 0);
+            }
+        }
+    }
+
+    void stop(Attempt a, double graceS) {
+        if (a.ended) {
+            return;
+        }
+        if (!a.durable) {
+            withdraw(a);
+            return;
+        }
+        if (Double.isNaN(a.stopGraceS) || graceS < a.stopGraceS) {
+            a.stopGraceS = graceS;
+        }
+    }
+
+    // ---- machines -------------------------------------------------------------------------------
+
+    Machine machine(String id, double now) {
+        return machines.computeIfAbsent(id, k -> new Machine(k, now));
+    }
+
+    /** The machine and all on it are gone for certain: released, taken, or unknown to the cloud. */
+    void machineGone(String id, double now) {
+        tombstones.add(id);
+        Machine m = machines.remove(id);
+        if (m == null) {
+            return;
+        }
+        m.gone = true;
+        for (Attempt a : new ArrayList<>(m.attempts)) {
+            if (!a.ended) {
+                lost++;
+            }
+            end(a, Cause.STOPPED, now);
+        }
+        LOG.info("machine {} gone", id);
+    }
+
+    boolean isGone(String id) {
+        return tombstones.contains(id);
+    }
+
+    /** What the cloud says exists. A list can be old, so it never proves a machine gone. */
+    void listed(Collection<Cloud.Listed> list, double now) {
+        for (Cloud.Listed l : list) {
+            if (tombstones.contains(l.machine())) {
+                continue;
+            }
+            boolean fresh = !machines.containsKey(l.machine());
+            Machine m = machine(l.machine(), now);
+            if (fresh) {
+                m.knownSince = now - l.heldS();
+            }
+            m.type = l.type();
+            m.zone = l.zone();
+            m.spot = l.spot();
+            m.listed = true;
+            if (l.status().equals("failed")) {
+                m.releasing = true;
+            }
+        }
+    }
+
+    void rented(String id, String type, String zone, boolean spot, double now) {
+        if (tombstones.contains(id)) {
+            return;
+        }
+        Machine m = machine(id, now);
+        m.type = type;
+        m.zone = zone;
+        m.spot = spot;
+    }
+
+    // ---- check-ins ------------------------------------------------------------------------------
+
+    /** Takes in a report and says what the worker shall do; {@code loaded} is false until the jobs are known. */
+    List<Order> checkIn(Report r, boolean loaded, double now) {
+        Machine m = machine(r.machine(), now);
+        if (m.gone || tombstones.contains(r.machine())) {
+            return List.of();
+        }
+        if (r.session() < m.session || r.session() == m.session && r.sequence() <= m.sequence) {
+            return List.of(); // Late: a newer report has been read already.
+        }
+        m.session = r.session();
+        m.sequence = r.sequence();
+        m.type = r.type();
+        m.zone = r.zone();
+        m.spot = r.spot();
+        if (!m.reported()) {
+            m.idleSince = now;
+        }
+        m.lastReport = now;
+        if (r.noticeS() != null) {
+            if (Double.isNaN(m.takenAt)) {
+                LOG.info("machine {} will be taken in {} s", m.id, r.noticeS());
+            }
+            m.takenAt = now + r.noticeS();
+        } else {
+            m.takenAt = Double.NaN;
+        }
+        // Guards against a report that was sent before the worker knew us: an earlier holder's launch might still
+        // have been on its way to it then. Only a report that carries our token proves what is not on the machine.
+        if (!loaded || r.token() != token) {
+            return List.of();
+        }
+        m.proven = true;
+        return reconcile(m, r, now);
+    }
+
+    private List<Order> reconcile(Machine m, Report r, double now) {
+        Map<String, TaskReport> reported = new HashMap<>();
+        for (TaskReport t : r.tasks()) {
+            reported.put(key(t.job(), t.task(), t.attempt()), t);
+        }
+        List<Order> orders = new ArrayList<>();
+        for (Attempt a : new ArrayList<>(m.attempts)) {
+            TaskReport t = reported.remove(key(a.job.spec.id(), a.task, a.number));
+            if (a.ended) {
+                continue; // Not written yet; it is cleared once it is.
+            }
+            if (t == null) {
+                absent(a, now);
+            } else {
+                present(a, t, now);
+            }
+        }
+        m.strangers = 0;
+        for (TaskReport t : reported.values()) {
+            stray(m, t, orders, now);
+        }
+        m.recount();
+        for (Attempt a : new ArrayList<>(m.attempts)) {
+            if (a.ended) {
+                continue;
+            }
+            if (a.job.over || !Double.isNaN(a.stopGraceS)) {
+                if (a.seen && orders.size() < MAX_ORDERS) {
+                    double grace = a.job.over ? 0 : a.stopGraceS;
+                    orders.add(new Order(Order.Verb.STOP, a.job.spec.id(), a.task, a.number, grace));
+                }
+            } else if (a.durable && !a.seen && orders.size() < MAX_ORDERS && startable(a)) {
+                if (!a.launched) {
+                    starts++;
+                }
+                a.launched = true;
+                orders.add(new Order(Order.Verb.START, a.job.spec.id(), a.task, a.number, 0));
+            }
+        }
+        return orders;
+    }
+
+    /** A gang is launched only when every one of its tasks has a machine, and that is written down. */
+    private static boolean startable(Attempt a) {
+        if (!a.job.spec.gang()) {
+            return true;
+        }
+        return a.job.live.size() == a.job.spec.tasks()
+                && a.job.live.values().stream().allMatch(x -> x.durable && x.number == a.number);
+    }
+
+    private void present(Attempt a, TaskReport t, double now) {
+        a.seen = true;
+        a.launched = true;
+        if (t.state() != a.state) {
+            a.state = t.state();
+            if (t.state() == State.RUNNING) {
+                a.runningSince = now;
+                a.machine.images.add(a.job.spec.image());
+            }
+        }
+        if (t.state() == State.ENDED) {
+            end(a, t.cause(), now);
+        }
+    }
+
+    /** A report newer than any launch of this attempt does not show it. */
+    private void absent(Attempt a, double now) {
+        boolean unwanted = a.job.over || !Double.isNaN(a.stopGraceS);
+        if (a.seen) {
+            lost++;
+            LOG.info("attempt {} lost with its session", a);
+            end(a, Cause.STOPPED, now);
+        } else if (a.durable && unwanted) {
+            end(a, Cause.STOPPED, now);
+        } else if (a.launched && a.job.spec.gang()
+                && a.job.live.values().stream().anyMatch(x -> x.state == State.RUNNING || x.state == State.SAVING)) {
+            // A gang that ran without this task has lost it; starting it again would not bring the others back.
+            end(a, Cause.PEERS, now);
+        }
+        // Otherwise it was never executed, and this very answer launches it (again).
+    }
+
+    /** The worker has a task that we have not placed there. */
+    private void stray(Machine m, TaskReport t, List<Order> orders, double now) {
+        if (t.state() == State.ENDED) {
+            orders.add(new Order(Order.Verb.FORGET, t.job(), t.task(), t.attempt(), 0));
+            return;
+        }
+        Job job = jobs.get(t.job());
+        if (job != null && t.task() >= 0 && t.task() < job.spec.tasks() && !job.live.containsKey(t.task())
+                && !job.done.get(t.task())) {
+            // Should not be: count it in and write it down before it is stopped, so the task can't run elsewhere.
+            LOG.error("machine {} has {}/{} which was not placed there", m.id, t.job(), t.task());
+            job.touch(t.task());
+            Attempt a = new Attempt(job, t.task(), t.attempt(), m, now, job.version);
+            a.durable = true;
+            a.launched = true;
+            a.seen = true;
+            a.state = t.state();
+            a.stopGraceS = 0;
+            job.nextAttempt = Math.max(job.nextAttempt, t.attempt() + 1);
+            attach(a);
+            return;
+        }
+        m.strangers++;
+        orders.add(new Order(Order.Verb.STOP, t.job(), t.task(), t.attempt(), 0));
+    }
+
+    private static String key(String job, int task, long attempt) {
+        return job + "/" + task + "#" + attempt;
+    }
+
+    // ---- placing --------------------------------------------------------------------------------
+
+    /** Unfinished jobs with work to place, in the order in which they are served. */
+    List<Job> queue(double wallMs) {
+        markGuaranteed();
+        List<Job> q = new ArrayList<>();
+        for (Job j : jobs.values()) {
+            if (!j.over && j.waiting() > 0) {
+                q.add(j);
+            }
+        }
+        q.sort(Comparator.<Job>comparingInt(j -> j.guaranteed ? 0 : 1).thenComparing(j -> j.spec.priority())
+                .thenComparingDouble(j -> j.spec.deadlineS() == null ? 0 : j.submittedMs + j.spec.deadlineS() * 1000)
+                .thenComparingDouble(j -> j.submittedMs).thenComparing(j -> j.spec.id()));
+        return q;
+    }
+
+    /** A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs. */
+    private void markGuaranteed() {
+        List<Job> bySubmission = new ArrayList<>(jobs.values());
+        bySubmission.sort(Comparator.comparingDouble(j -> j.submittedMs));
+        Map<String, double[]> claimed = new HashMap<>();
+        for (Job j : bySubmission) {
+            Facts.Team t = facts.teams().get(j.spec.team());
+            if (j.over || t == null) {
+                j.guaranteed = false;
+                continue;
+            }
+            double[] c = claimed.computeIfAbsent(t.name(), k -> new double[2]);
+            int left = j.spec.tasks() - j.done.cardinality();
+            c[0] += left * j.spec.cpus();
+            c[1] += left * j.spec.gpus();
+            j.guaranteed = (t.cpus() > 0 || t.gpus() > 0) && c[0] <= t.cpus() + 1e-6
+                    && (j.spec.gpus() == 0 || c[1] <= t.gpus() + 1e-6);
+        }
+    }
+
+    /** How many more tasks of this kind the team's limit allows. */
+    int quotaLeft(JobSpec s) {
+        Facts.Team t = facts.teams().get(s.team());
+        if (t == null) {
+            return 0;
+        }
+        double[] u = teamUse.getOrDefault(s.team(), new double[2]);
+        double n = Integer.MAX_VALUE;
+        if (t.cpusMax() > 0 && s.cpus() > 0) {
+            n = Math.min(n, (t.cpusMax() - u[0] + 1e-6) / s.cpus());
+        }
+        if (t.gpusMax() > 0 && s.gpus() > 0) {
+            n = Math.min(n, (t.gpusMax() - u[1] + 1e-6) / s.gpus());
+        }
+        return (int) Math.max(0, n);
+    }
+
+    /** Places what it can, at most {@code most} tasks; the placings take effect once they are written. */
+    int place(double now, double wallMs, int most) {
+        for (Machine m : machines.values()) {
+            m.reservedFor = null;
+        }
+        int placed = 0;
+        for (Job job : queue(wallMs)) {
+            if (placed >= most) {
+                break;
+            }
+            if (now < job.notBefore) {
+                continue;
+            }
+            int n = job.spec.gang() ? placeGang(job, now) : placeTasks(job, now, most - placed);
+            placed += n;
+            if (job.waiting() > 0 && quotaLeft(job.spec) >= (job.spec.gang() ? job.spec.tasks() : 1)) {
+                reserve(job);
+            }
+        }
+        return placed;
+    }
+
+    private List<Machine> candidates(Job job) {
+        JobSpec s = job.spec;
+        List<Machine> out = new ArrayList<>();
+        List<Machine> failed = new ArrayList<>();
+        String onlyZone = s.oneZone() && !job.live.isEmpty() ? job.live.firstEntry().getValue().machine.zone : null;
+        for (Machine m : machines.values()) {
+            if (m.open() && placement.allowed(m, s) && (m.reservedFor == null || m.reservedFor == job)
+                    && (onlyZone == null || onlyZone.equals(m.zone))) {
+                (job.failedOn.contains(m.id) ? failed : out).add(m);
+            }
+        }
+        // Guards against retries that land where they failed: such machines come only when there is no other.
+        return out.isEmpty() ? failed : out;
+    }
+
+    private int placeTasks(Job job, double now, int most) {
+        int n = Math.min(most, quotaLeft(job.spec));
+        int placed = 0;
+        List<Machine> candidates = candidates(job);
+        Map<String, Integer> perZone = new HashMap<>();
+        if (job.spec.spread()) {
+            for (Attempt a : job.live.values()) {
+                perZone.merge(a.machine.zone, 1, Integer::sum);
+            }
+        }
+        for (int t = job.nextWaiting(0); t >= 0 && placed < n; t = job.nextWaiting(t + 1)) {
+            List<Machine> from = candidates;
+            if (job.spec.spread()) {
+                from = candidates.stream()
+                        .filter(m -> perZone.getOrDefault(m.zone, 0) < job.spec.mostPerZone()).toList();
+            }
+            Machine m = placement.choose(job.spec, from);
+            if (m == null) {
+                break;
+            }
+            if (job.spec.oneZone()) {
+                candidates = candidates.stream().filter(x -> x.zone.equals(m.zone)).toList();
+            }
+            perZone.merge(m.zone, 1, Integer::sum);
+            assign(job, t, m, job.nextAttempt, now);
+            placed++;
+        }
+        if (placed > 0) {
+            job.nextAttempt++;
+        }
+        return placed;
+    }
+
+    private int placeGang(Job job, double now) {
+        // Until every task of the old attempt is proven over, the gang can't start anew.
+        if (!job.live.isEmpty() || quotaLeft(job.spec) < job.spec.tasks()) {
+            return 0;
+        }
+        List<Machine> found = placement.chooseGang(job.spec, candidates(job));
+        if (found == null) {
+            return 0;
+        }
+        for (int t = 0; t < found.size(); t++) {
+            assign(job, t, found.get(t), job.nextAttempt, now);
+        }
+        job.nextAttempt++;
+        return found.size();
+    }
+
+    private void assign(Job job, int task, Machine m, long number, double now) {
+        job.touch(task);
+        attach(new Attempt(job, task, number, m, now, job.version));
+        LOG.debug("placed {}/{}#{} on {}", job.spec.id(), task, number, m.id);
+    }
+
+    /**
+     * Keeps machines for a job that found no room, so that smaller work behind it does not take every gap: as many
+     * as it would need if they were empty, those with the most room first.
+     */
+    private void reserve(Job job) {
+        JobSpec s = job.spec;
+        if (!s.gang() && s.cpus() * 2 <= smallestMachine()) {
+            return; // Small tasks find gaps by themselves.
+        }
+        Map<String, List<Machine>> byZone = new LinkedHashMap<>();
+        for (Machine m : machines.values()) {
+            if (m.open() && placement.allowed(m, s) && m.reservedFor == null) {
+                byZone.computeIfAbsent(s.oneZone() ? m.zone : "", k -> new ArrayList<>()).add(m);
+            }
+        }
+        int need = job.waiting();
+        List<Machine> best = null;
+        double bestUsed = Double.MAX_VALUE;
+        for (List<Machine> in : byZone.values()) {
+            in.sort(Comparator.comparingDouble((Machine m) -> m.usedCpus - types.get(m.type).cpus())
+                    .thenComparing(m -> m.id));
+            List<Machine> take = new ArrayList<>();
+            int slots = 0;
+            double used = 0;
+            for (Machine m : in) {
+                if (slots >= need) {
+                    break;
+                }
+                slots += (int) Math.min(need, slots(s, types.get(m.type)));
+                used += m.usedCpus;
+                take.add(m);
+            }
+            if (slots >= need && used < bestUsed) {
+                best = take;
+                bestUsed = used;
+            }
+        }
+        if (best != null) {
+            for (Machine m : best) {
+                m.reservedFor = job;
+            }
+        }
+    }
+
+    double smallestMachine() {
+        return types.values().stream().mapToDouble(MachineType::cpus).min().orElse(0);
+    }
+
+    /** How many such tasks an empty machine of the type holds. */
+    static double slots(JobSpec s, MachineType t) {
+        double n = Integer.MAX_VALUE;
+        if (s.cpus() > 0) {
+            n = Math.min(n, Math.floor((t.cpus() + 1e-6) / s.cpus()));
+        }
+        if (s.gpus() > 0) {
+            n = Math.min(n, Math.floor((t.gpus() + 1e-6) / s.gpus()));
+        }
+        if (s.memoryGb() > 0) {
+            n = Math.min(n, Math.floor((t.memoryGb() + 1e-6) / s.memoryGb()));
+        }
+        return n;
+    }
+
+    // ---- what was written -----------------------------------------------------------------------
+
+    /** Everything about this part up to {@code version} is in the store now. */
+    void recorded(Job job, int part, int version, long revision) {
+        job.parts[part].revision = revision;
+        job.parts[part].written = version;
+        for (Attempt a : job.liveIn(part)) {
+            if (a.placedVersion <= version) {
+                a.durable = true;
+            }
+        }
+        for (Machine m : machines.values()) {
+            m.attempts.removeIf(a -> a.job == job && a.ended && job.partOf(a.task) == part
+                    && a.endedVersion <= version);
+        }
+    }
+
+    /** A job that is over, with nothing of it left anywhere. */
+    void dropJob(Job job) {
+        jobs.remove(job.spec.id());
+        for (Machine m : machines.values()) {
+            m.attempts.removeIf(a -> a.job == job && a.ended);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Store.java
@@ -0,0 +1,72 @@
+package io.kitepath.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** The state service, the only place where anything lasts. Answers come later, on the event loop. */
+public interface Store {
+    /** NO is a definite answer; REFUSED means it was not executed; UNKNOWN that it may have been, or still will. */
+    enum Outcome { OK, NO, REFUSED, UNKNOWN }
+
+    record Entry(String key, Object value, long revision) {}
+
+    /** An entry with a null value was removed at that revision. */
+    record Changes(Outcome outcome, long revision, List<Entry> events) {}
+
+    record Listing(Outcome outcome, List<Entry> entries, long revision) {}
+
+    /** {@code failed} names the keys whose conditions did not hold. */
+    record Committed(Outcome outcome, long revision, List<String> failed, boolean leaseGone) {}
+
+    record Condition(String key, long revision) {}
+
+    /** A null value removes the key; lease 0: none. */
+    record Write(String key, Object value, long lease) {}
+
+    /** All or nothing, if every condition holds. */
+    record Transaction(List<Condition> conditions, List<Write> writes) {
+        public Transaction() {
+            this(new ArrayList<>(), new ArrayList<>());
+        }
+
+        public Transaction when(String key, long revision) {
+            conditions.add(new Condition(key, revision));
+            return this;
+        }
+
+        public Transaction put(String key, Object value) {
+            return put(key, value, 0);
+        }
+
+        public Transaction put(String key, Object value, long lease) {
+            writes.add(new Write(key, value, lease));
+            return this;
+        }
+
+        public Transaction remove(String key) {
+            writes.add(new Write(key, null, 0));
+            return this;
+        }
+    }
+
+    /** OK with the entry, or NO if there is none. */
+    void get(String key, BiConsumer<Outcome, Entry> answer);
+
+    /** Everything under the prefix; the revision is from before the first page was read. */
+    void list(String prefix, Consumer<Listing> answer);
+
+    void commit(Transaction transaction, Consumer<Committed> answer);
+
+    /** OK with the lease's id. */
+    void grant(long lifeMs, BiConsumer<Outcome, Long> answer);
+
+    /** NO: the lease is over. */
+    void renew(long lease, Consumer<Outcome> answer);
+
+    void revoke(long lease);
+
+    /** Waits for changes after the revision; NO if it is too old to follow from. */
+    void follow(String prefix, long after, long holdMs, Consumer<Changes> answer);
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/net/LoopTimers.java
@@ -0,0 +1,39 @@
+package io.kitepath.net;
+
+import io.kitepath.core.Timers;
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Time as the machine's clocks tell it, and timers of the event loop. */
+public final class LoopTimers implements Timers {
+    private static final Logger LOG = LoggerFactory.getLogger(LoopTimers.class);
+
+    private final EventLoop loop;
+
+    public LoopTimers(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public double now() {
+        return System.nanoTime() / 1e9;
+    }
+
+    @Override
+    public double wallMs() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
+    public void after(double seconds, Runnable run) {
+        loop.schedule(() -> {
+            try {
+                run.run();
+            } catch (RuntimeException e) {
+                LOG.error("a timer's task failed", e);
+            }
+        }, (long) (seconds * 1000), TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/peers/Messages.java
@@ -0,0 +1,69 @@
+package io.kitepath.peers;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import io.kitepath.core.Controller.CheckIn;
+import io.kitepath.core.Malformed;
+import io.kitepath.core.Order;
+import io.kitepath.core.Report;
+import java.util.ArrayList;
+
+/** What goes between controller nodes, in Kryo's notation with registered classes only. */
+final class Messages {
+    /** A frame's size cap; the largest message is a worker's report. */
+    static final int MAX_FRAME = 256 * 1024;
+
+    /** A node's view: the highest token it knows, whether it leads with it, whether the store serves it. */
+    record View(String by, long token, boolean leads, boolean served) {}
+
+    record Cancelled(String job) {}
+
+    /** Asks the leader to answer a check-in; the number ties the answer to it. */
+    record Ask(long number, Report report) {}
+
+    record Answer(long number, CheckIn checkIn) {}
+
+    private final Kryo kryo = new Kryo();
+    private final Output output = new Output(1024, MAX_FRAME);
+
+    Messages() {
+        kryo.setRegistrationRequired(true);
+        kryo.setReferences(false);
+        int id = 20;
+        for (Class<?> c : new Class<?>[] {View.class, Cancelled.class, Ask.class, Answer.class, Report.class,
+            Report.TaskReport.class, Report.State.class, Report.Cause.class, CheckIn.class, Order.class,
+            Order.Verb.class, ArrayList.class}) {
+            kryo.register(c, id++);
+        }
+    }
+
+    byte[] bytes(Object message) {
+        output.reset();
+        kryo.writeClassAndObject(output, plain(message));
+        return output.toBytes();
+    }
+
+    /** Kryo knows one kind of list here. */
+    private static Object plain(Object message) {
+        if (message instanceof Ask a) {
+            Report r = a.report;
+            return new Ask(a.number, new Report(r.machine(), r.address(), r.type(), r.zone(), r.spot(), r.session(),
+                    r.sequence(), r.token(), r.noticeS(), new ArrayList<>(r.tasks())));
+        }
+        if (message instanceof Answer a) {
+            CheckIn c = a.checkIn;
+            return new Answer(a.number, new CheckIn(c.token(), new ArrayList<>(c.orders()), c.anchor()));
+        }
+        return message;
+    }
+
+    Object value(byte[] frame) {
+        try {
+            return kryo.readClassAndObject(new Input(frame));
+        } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException | NegativeArraySizeException e) {
+            throw new Malformed("message: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -0,0 +1,176 @@
+package io.kitepath.peers;
+
+import io.kitepath.core.Controller;
+import io.kitepath.core.Controller.CheckIn;
+import io.kitepath.core.Malformed;
+import io.kitepath.core.Report;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The nodes' own channel: one kept connection to each sibling, length-prefixed frames. */
+public final class Peers implements Controller.Siblings {
+    private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
+    /** A worker drops answers after 4 s; a relayed one has to be back well before. */
+    private static final long RELAY_MS = 2500;
+    /** Views come every second; a connection that stays mute this long is dead. */
+    private static final int MUTE_S = 4;
+    private static final int MAX_ASKS = 256;
+
+    private final EventLoopGroup loop;
+    private final Messages messages = new Messages();
+    private final String node;
+    private final Map<String, InetSocketAddress> addresses;
+    private final Map<String, Channel> channels = new HashMap<>();
+    private final Map<Long, Consumer<CheckIn>> asks = new LinkedHashMap<>();
+    private Controller controller;
+    private long asked;
+
+    public Peers(EventLoopGroup loop, String node, Map<String, InetSocketAddress> addresses) {
+        this.loop = loop;
+        this.node = node;
+        this.addresses = addresses;
+    }
+
+    public ChannelFuture start(Controller c, InetSocketAddress listen) {
+        controller = c;
+        addresses.keySet().forEach(s -> connect(s, 0));
+        return new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Setup()).bind(listen);
+    }
+
+    private final class Setup extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel ch) {
+            ch.pipeline().addLast(new LengthFieldBasedFrameDecoder(Messages.MAX_FRAME, 0, 4, 0, 4),
+                    new LengthFieldPrepender(4), new IdleStateHandler(MUTE_S, 0, 0), new Connection());
+        }
+    }
+
+    private void connect(String sibling, int failures) {
+        Bootstrap b = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+                .handler(new Setup());
+        ChannelFuture connecting = b.connect(addresses.get(sibling));
+        connecting.addListener(f -> {
+            if (f.isSuccess()) {
+                channels.put(sibling, connecting.channel());
+                connecting.channel().closeFuture().addListener(x -> {
+                    channels.remove(sibling);
+                    reconnect(sibling, 0);
+                });
+            } else {
+                reconnect(sibling, failures + 1);
+            }
+        });
+    }
+
+    private void reconnect(String sibling, int failures) {
+        long ms = Math.min(3000, 250L << Math.min(4, failures)) + Math.floorMod(System.nanoTime() / 1000, 200);
+        loop.schedule(() -> connect(sibling, failures), ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void send(Channel ch, Object message) {
+        // A sibling that does not read must not fill our memory.
+        if (ch != null && ch.isActive() && ch.isWritable()) {
+            ch.writeAndFlush(Unpooled.wrappedBuffer(messages.bytes(message)));
+        }
+    }
+
+    @Override
+    public void tell(long token, String leader, boolean served) {
+        view = new Messages.View(node, token, leader != null, served);
+        channels.values().forEach(ch -> send(ch, view));
+    }
+
+    private Messages.View view;
+
+    @Override
+    public void cancelled(String job) {
+        channels.values().forEach(ch -> send(ch, new Messages.Cancelled(job)));
+    }
+
+    @Override
+    public void relay(String leader, Report report, Consumer<CheckIn> answer) {
+        Channel ch = channels.get(leader);
+        if (ch == null || !ch.isActive() || asks.size() >= MAX_ASKS) {
+            answer.accept(new CheckIn(0, List.of(), null));
+            return;
+        }
+        long number = ++asked;
+        asks.put(number, answer);
+        send(ch, new Messages.Ask(number, report));
+        loop.schedule(() -> settle(number, new CheckIn(0, List.of(), null)), RELAY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void settle(long number, CheckIn checkIn) {
+        Consumer<CheckIn> answer = asks.remove(number);
+        if (answer != null) {
+            answer.accept(checkIn);
+        }
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+            Object message;
+            try {
+                message = messages.value(ByteBufUtil.getBytes(frame));
+            } catch (Malformed e) {
+                LOG.warn("a sibling's message can't be read: {}", e.getMessage());
+                ctx.close();
+                return;
+            }
+            if (message instanceof Messages.View v) {
+                controller.told(v.by(), v.token(), v.leads(), v.served());
+                if (!channels.containsValue(ctx.channel()) && view != null) {
+                    // Answer on the connection it came by, so that the other side sees that it lives.
+                    send(ctx.channel(), view);
+                }
+            } else if (message instanceof Messages.Cancelled c) {
+                controller.toldCancelled(c.job());
+            } else if (message instanceof Messages.Ask a) {
+                send(ctx.channel(), new Messages.Answer(a.number(), controller.answer(a.report())));
+            } else if (message instanceof Messages.Answer a) {
+                settle(a.number(), a.checkIn());
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            ctx.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOG.debug("sibling connection failed: {}", cause.toString());
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/settings/Settings.java
@@ -0,0 +1,153 @@
+package io.kitepath.settings;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import io.kitepath.core.Facts;
+import io.kitepath.core.Malformed;
+import io.kitepath.core.Tree;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The settings file that the platform hands over, checked. */
+public record Settings(Facts facts, InetSocketAddress listen, InetSocketAddress internal,
+        Map<String, InetSocketAddress> siblings, InetSocketAddress cloud, InetSocketAddress state) {
+
+    /** Complains with a {@link Malformed} that names file, field and reason. */
+    public static Settings read(Path file) {
+        byte[] bytes;
+        try {
+            bytes = Files.readAllBytes(file);
+        } catch (NoSuchFileException e) {
+            throw new Malformed(file + ": no such file");
+        } catch (IOException e) {
+            throw new Malformed(file + ": can't be read: " + e.getMessage());
+        }
+        try {
+            return of(Tree.of(document(bytes)));
+        } catch (JsonProcessingException e) {
+            throw new Malformed(file + ": not JSON: " + e.getOriginalMessage() + ", line "
+                    + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()));
+        } catch (IOException e) {
+            throw new Malformed(file + ": not JSON: " + e.getMessage());
+        } catch (Malformed e) {
+            throw new Malformed(file + ": " + e.getMessage());
+        }
+    }
+
+    private static Settings of(Tree t) {
+        String node = t.text("label");
+        Map<String, InetSocketAddress> siblings = new LinkedHashMap<>();
+        for (Tree s : t.children("siblings")) {
+            siblings.put(s.text("label"), address(s, "addr"));
+        }
+        Tree f = t.child("facts");
+        Map<String, Facts.Team> teams = new LinkedHashMap<>();
+        for (Tree x : f.children("teams")) {
+            teams.put(x.text("name"), new Facts.Team(x.text("name"), x.numberOr("cpus", 0, 0),
+                    x.numberOr("cpus_max", 0, 0), x.numberOr("gpus", 0, 0), x.numberOr("gpus_max", 0, 0)));
+        }
+        List<Facts.Objective> objectives = new ArrayList<>();
+        if (f.has("objectives")) {
+            for (Tree x : f.children("objectives")) {
+                objectives.add(new Facts.Objective(x.text("kind"), x.textOr("class", ""),
+                        x.numberOr("within_s", 0, 0), x.numberOr("share", 0, 0)));
+            }
+        }
+        Tree w = f.child("workers");
+        Tree s = f.child("state");
+        Tree c = f.child("cloud");
+        Tree l = f.child("limits");
+        Facts facts = new Facts(node, t.text("domain"), List.copyOf(siblings.keySet()), f.texts("zones"), teams,
+                objectives,
+                new Facts.Workers(w.number("report_s", 0.001), w.number("lease_s", 0.001),
+                        w.number("gang_wait_s", 0), w.number("gang_peer_s", 0), w.number("cancel_s", 0)),
+                new Facts.StoreLimits(s.number("rps", 1), s.number("write_rps", 1), s.number("value_kb", 1),
+                        (int) s.integer("txn_ops", 4, 1_000_000)),
+                new Facts.CloudLimits(c.number("rps", 0.001), c.number("list_lag_s", 0)),
+                new Facts.Limits(l.number("cpu", 0.001), l.number("ram_mb", 1),
+                        (int) l.integer("sockets", 16, Integer.MAX_VALUE)),
+                f.numberOr("clock_error_ms", 0, t.numberOr("clock_error_ms", 0, 0)));
+        Tree e = t.child("endpoints");
+        return new Settings(facts, address(t, "listen"), address(t, "internal_addr"), siblings, address(e, "cloud"),
+                address(e, "state"));
+    }
+
+    /** A numeric IPv4 address and a port; names are not looked up. */
+    private static InetSocketAddress address(Tree t, String field) {
+        String s = t.text(field);
+        int colon = s.lastIndexOf(':');
+        try {
+            String host = s.substring(0, Math.max(0, colon));
+            int port = Integer.parseInt(s.substring(colon + 1));
+            if (host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}") && port > 0 && port < 65536) {
+                return new InetSocketAddress(InetAddress.getByName(host), port);
+            }
+        } catch (NumberFormatException | UnknownHostException e) {
+            // Said below.
+        }
+        throw new Malformed(field + ": must be an address such as 10.0.0.1:8080, not \"" + s + "\"");
+    }
+
+    /** A JSON document as plain maps, lists, text, numbers, booleans and null. */
+    public static Object document(byte[] bytes) throws IOException {
+        try (JsonParser p = new JsonFactory().createParser(bytes)) {
+            if (p.nextToken() == null) {
+                throw new Malformed("is empty");
+            }
+            Object value = value(p);
+            if (p.nextToken() != null) {
+                throw new Malformed("has more than one value");
+            }
+            return value;
+        }
+    }
+
+    private static Object value(JsonParser p) throws IOException {
+        JsonToken t = p.currentToken();
+        switch (t) {
+            case START_OBJECT: {
+                Map<String, Object> m = new LinkedHashMap<>();
+                while (p.nextToken() != JsonToken.END_OBJECT) {
+                    String name = p.currentName();
+                    p.nextToken();
+                    m.put(name, value(p));
+                }
+                return m;
+            }
+            case START_ARRAY: {
+                List<Object> l = new ArrayList<>();
+                while (p.nextToken() != JsonToken.END_ARRAY) {
+                    l.add(value(p));
+                }
+                return l;
+            }
+            case VALUE_NUMBER_INT:
+                try {
+                    return p.getLongValue();
+                } catch (JsonProcessingException tooLarge) {
+                    return p.getDoubleValue();
+                }
+            case VALUE_NUMBER_FLOAT:
+                return p.getDoubleValue();
+            case VALUE_TRUE:
+                return true;
+            case VALUE_FALSE:
+                return false;
+            case VALUE_NULL:
+                return null;
+            default:
+                return p.getText();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/store/HttpStore.java
@@ -0,0 +1,146 @@
+package io.kitepath.store;
+
+import io.kitepath.core.Malformed;
+import io.kitepath.core.Store;
+import io.kitepath.net.HttpClient;
+import io.kitepath.wire.Pack;
+import io.kitepath.wire.Wire;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The state service over its published protocol. */
+public final class HttpStore implements Store {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpStore.class);
+    private static final int PAGE = 200;
+
+    private final HttpClient calls;
+    /** Renewals have a connection of their own, so that a queue of other calls can't cost us the lease. */
+    private final HttpClient renewals;
+    private final HttpClient follows;
+    private final long timeoutMs;
+
+    public HttpStore(HttpClient calls, HttpClient renewals, HttpClient follows, long timeoutMs) {
+        this.calls = calls;
+        this.renewals = renewals;
+        this.follows = follows;
+        this.timeoutMs = timeoutMs;
+    }
+
+    @FunctionalInterface
+    private interface Reading<T> {
+        T of(Object body);
+    }
+
+    /** Reads an answer's body; bytes that are not what they should be count as no answer. */
+    private static <T> T read(int status, byte[] body, Reading<T> reading) {
+        try {
+            return reading.of(Pack.value(body));
+        } catch (Malformed e) {
+            LOG.warn("state service answered {} with a body that can't be read: {}", status, e.getMessage());
+            return null;
+        }
+    }
+
+    private static Outcome other(int status) {
+        return status == 429 || status == 503 ? Outcome.REFUSED : Outcome.UNKNOWN;
+    }
+
+    @Override
+    public void get(String key, BiConsumer<Outcome, Entry> answer) {
+        calls.call("GET", "/keys/" + key, null, timeoutMs, (status, body) -> {
+            if (status == 200) {
+                Entry e = read(status, body, Wire::entry);
+                answer.accept(e == null ? Outcome.UNKNOWN : Outcome.OK, e);
+            } else {
+                answer.accept(status == 404 ? Outcome.NO : other(status), null);
+            }
+        });
+    }
+
+    @Override
+    public void list(String prefix, Consumer<Listing> answer) {
+        page(prefix, "", new ArrayList<>(), -1, answer);
+    }
+
+    private void page(String prefix, String from, List<Entry> read, long first, Consumer<Listing> answer) {
+        String path = "/keys?prefix=" + text(prefix) + (from.isEmpty() ? "" : "&from=" + text(from))
+                + "&limit=" + PAGE;
+        calls.call("GET", path, null, 2 * timeoutMs, (status, body) -> {
+            List<Entry> entries = status == 200 ? read(status, body, Wire::entries) : null;
+            if (entries == null) {
+                answer.accept(new Listing(status == 200 ? Outcome.UNKNOWN : other(status), List.of(), 0));
+                return;
+            }
+            Object all = Pack.value(body);
+            long revision = first >= 0 ? first : Wire.revision(all);
+            read.addAll(entries);
+            if (Wire.truncated(all) && !entries.isEmpty()) {
+                page(prefix, entries.get(entries.size() - 1).key(), read, revision, answer);
+            } else {
+                answer.accept(new Listing(Outcome.OK, read, revision));
+            }
+        });
+    }
+
+    private static String text(String s) {
+        return URLEncoder.encode(s, StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public void commit(Transaction t, Consumer<Committed> answer) {
+        calls.call("POST", "/multi", Wire.transaction(t), timeoutMs, (status, body) -> {
+            if (status == 200) {
+                Long revision = read(status, body, Wire::revision);
+                answer.accept(revision == null ? new Committed(Outcome.UNKNOWN, 0, List.of(), false)
+                        : new Committed(Outcome.OK, revision, List.of(), false));
+            } else if (status == 409) {
+                List<String> failed = read(status, body, Wire::failed);
+                answer.accept(new Committed(Outcome.NO, 0, failed == null ? List.of() : failed, false));
+            } else if (status == 400) {
+                LOG.warn("state service refused a transaction of {} writes", t.writes().size());
+                answer.accept(new Committed(Outcome.NO, 0, List.of(), true));
+            } else {
+                answer.accept(new Committed(other(status), 0, List.of(), false));
+            }
+        });
+    }
+
+    @Override
+    public void grant(long lifeMs, BiConsumer<Outcome, Long> answer) {
+        renewals.call("POST", "/holds", Wire.leaseLife(lifeMs), timeoutMs, (status, body) -> {
+            Long id = status == 200 ? read(status, body, Wire::lease) : null;
+            answer.accept(id != null ? Outcome.OK : status == 200 ? Outcome.UNKNOWN : other(status), id);
+        });
+    }
+
+    @Override
+    public void renew(long lease, Consumer<Outcome> answer) {
+        renewals.call("POST", "/holds/" + lease + "/renew", new byte[0], timeoutMs, (status, body) ->
+                answer.accept(status == 200 ? Outcome.OK : status == 404 ? Outcome.NO : other(status)));
+    }
+
+    @Override
+    public void revoke(long lease) {
+        renewals.call("DELETE", "/holds/" + lease, null, timeoutMs, (status, body) -> { });
+    }
+
+    @Override
+    public void follow(String prefix, long after, long holdMs, Consumer<Changes> answer) {
+        String path = "/follow?prefix=" + text(prefix) + "&from=" + after + "&holdMs=" + holdMs;
+        follows.call("GET", path, null, holdMs + timeoutMs, (status, body) -> {
+            Changes c = status == 200 ? read(status, body, b ->
+                    new Changes(Outcome.OK, Wire.revision(b), Wire.events(b))) : null;
+            if (c == null) {
+                c = new Changes(status == 410 ? Outcome.NO : status == 200 ? Outcome.UNKNOWN : other(status), 0,
+                        List.of());
+            }
+            answer.accept(c);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/users/UsersApi.java
@@ -0,0 +1,102 @@
+package io.kitepath.users;
+
+import io.kitepath.core.Controller;
+import io.kitepath.core.JobSpec;
+import io.kitepath.core.Malformed;
+import io.kitepath.core.Registry;
+import io.kitepath.core.Registry.Answer;
+import io.kitepath.net.HttpServer.Request;
+import io.kitepath.net.HttpServer.Responder;
+import io.kitepath.wire.Pack;
+import io.kitepath.wire.Wire;
+
+/** What users may ask over HTTP. */
+public final class UsersApi {
+    public static final String JOBS = "/submissions";
+    private static final String CANCEL = "/withdraw";
+    /** When to come back after a 503, in seconds. */
+    private static final int RETRY_S = 1;
+
+    private final Controller controller;
+
+    public UsersApi(Controller controller) {
+        this.controller = controller;
+    }
+
+    public void handle(Request r, Responder out) {
+        String path = r.path();
+        if (path.equals(JOBS)) {
+            if (!r.method().equals("POST")) {
+                out.reply(405, null);
+                return;
+            }
+            submit(r.body(), out);
+            return;
+        }
+        String rest = path.substring(JOBS.length() + 1);
+        boolean cancel = rest.endsWith(CANCEL);
+        String id = cancel ? rest.substring(0, rest.length() - CANCEL.length()) : rest;
+        if (id.indexOf('/') >= 0) {
+            out.reply(404, null);
+        } else if (!r.method().equals(cancel ? "POST" : "GET")) {
+            out.reply(405, null);
+        } else if (!Wire.isJobId(id)) {
+            out.reply(404, null);
+        } else if (cancel) {
+            controller.registry().cancel(id, a -> answer(a, true, out));
+        } else {
+            controller.registry().status(id, a -> answer(a, false, out));
+        }
+    }
+
+    private void submit(byte[] bytes, Responder out) {
+        Object body;
+        String id;
+        try {
+            body = Pack.value(bytes);
+            id = Wire.submittedId(body);
+        } catch (Malformed e) {
+            out.reply(400, Wire.error(e.getMessage()));
+            return;
+        }
+        String wrong;
+        int status;
+        try {
+            JobSpec spec = Wire.submission(body);
+            if (controller.types().isEmpty()) {
+                known(id, 503, "the machine types are not known yet", out);
+                return;
+            }
+            wrong = spec.impossible(controller.types(), controller.facts());
+            if (wrong == null) {
+                controller.registry().submit(spec, a -> answer(a, a.verdict() == Registry.Verdict.CREATED, out));
+                return;
+            }
+            status = 422;
+        } catch (Malformed e) {
+            wrong = e.getMessage();
+            status = 400;
+        }
+        known(id, status, wrong, out);
+    }
+
+    /** A known id gets its state whatever else the body says, so the store is asked before anything is refused. */
+    private void known(String id, int status, String why, Responder out) {
+        controller.registry().status(id, a -> {
+            if (a.verdict() == Registry.Verdict.NOT_FOUND) {
+                out.reply(status, Wire.error(why), status == 503 ? RETRY_S : 0);
+            } else {
+                answer(a, false, out);
+            }
+        });
+    }
+
+    private static void answer(Answer a, boolean brief, Responder out) {
+        switch (a.verdict()) {
+            case CREATED -> out.reply(201, Wire.jobState(a.state(), true));
+            case KNOWN -> out.reply(200, Wire.jobState(a.state(), brief));
+            case NOT_FOUND -> out.reply(404, Wire.error("no such job"));
+            default -> out.reply(503, Wire.error("the state service can't be asked now"), RETRY_S);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/wire/Wire.java
@@ -0,0 +1,286 @@
+package io.kitepath.wire;
+
+import io.kitepath.core.Cloud;
+import io.kitepath.core.JobSpec;
+import io.kitepath.core.MachineType;
+import io.kitepath.core.Malformed;
+import io.kitepath.core.Order;
+import io.kitepath.core.Registry.JobState;
+import io.kitepath.core.Report;
+import io.kitepath.core.Store;
+import io.kitepath.core.Tree;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/** The protocol's names. Nothing outside this package knows them. */
+public final class Wire {
+    private static final int MAX_TASKS = 100_000;
+    private static final int MAX_JSON = 64 * 1024;
+    private static final Pattern JOB_ID = Pattern.compile("j-[0-9]{1,18}");
+
+    private Wire() {}
+
+    // ---- users ----------------------------------------------------------------------------------
+
+    public static boolean isJobId(String id) {
+        return JOB_ID.matcher(id).matches();
+    }
+
+    /** The job id in a submission; everything else may still be wrong. */
+    public static String submittedId(Object body) {
+        if (Pack.jsonSize(body) > MAX_JSON) {
+            throw new Malformed("body: over 64 KiB");
+        }
+        String id = Tree.of(body).text("nameId");
+        if (!isJobId(id)) {
+            throw new Malformed("nameId: must look like j-000412");
+        }
+        return id;
+    }
+
+    public static JobSpec submission(Object body) {
+        Tree t = Tree.of(body);
+        return new JobSpec(submittedId(body), name(t, "lane"), name(t, "crew"), shape(t.text("shape")),
+                priority(t.text("urgency")), (int) t.integer("sheets", 1, MAX_TASKS), t.number("vcpus", 0),
+                t.number("cards", 0), t.number("ramGb", 0), t.has("frames") ? t.texts("frames") : null,
+                t.textOr("field", null), t.flag("oneZone"), t.flag("spread"), t.flag("loaners"), t.text("kit"),
+                t.number("sizeGb", 0), t.number("expectS", 0), t.number("markEveryS", 0), t.number("markCostS", 0),
+                t.has("dueS") ? t.number("dueS", 0) : null);
+    }
+
+    private static String name(Tree t, String field) {
+        String s = t.text(field);
+        if (s.isEmpty() || s.length() > 200) {
+            throw new Malformed(field + ": must have 1 to 200 characters");
+        }
+        return s;
+    }
+
+    private static JobSpec.Shape shape(String s) {
+        return switch (s) {
+            case "array" -> JobSpec.Shape.ARRAY;
+            case "group" -> JobSpec.Shape.GANG;
+            case "service" -> JobSpec.Shape.SERVICE;
+            default -> throw new Malformed("shape: must be array, group or service");
+        };
+    }
+
+    private static JobSpec.Priority priority(String s) {
+        return switch (s) {
+            case "production" -> JobSpec.Priority.PRODUCTION;
+            case "high" -> JobSpec.Priority.HIGH;
+            case "standard" -> JobSpec.Priority.NORMAL;
+            case "low" -> JobSpec.Priority.LOW;
+            default -> throw new Malformed("urgency: must be production, high, standard or low");
+        };
+    }
+
+    public static byte[] jobState(JobState s, boolean brief) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("nameId", s.id());
+        m.put("status", s.status().equals("cancelled") ? "withdrawn" : s.status());
+        if (!brief) {
+            m.put("done", (long) s.done());
+            m.put("running", (long) s.running());
+        }
+        return Pack.bytes(m);
+    }
+
+    public static byte[] error(String why) {
+        return Pack.bytes(Map.of("error", why));
+    }
+
+    // ---- workers --------------------------------------------------------------------------------
+
+    public static Report report(Object body) {
+        Tree t = Tree.of(body);
+        List<Report.TaskReport> tasks = new ArrayList<>();
+        for (Tree x : t.children("sheets")) {
+            String sheet = x.text("sheet");
+            int slash = sheet.lastIndexOf('/');
+            int task;
+            try {
+                task = Integer.parseInt(sheet.substring(slash + 1));
+            } catch (NumberFormatException e) {
+                throw new Malformed("sheet: must look like j-000412/3");
+            }
+            if (slash < 1) {
+                throw new Malformed("sheet: must look like j-000412/3");
+            }
+            Report.State state = state(x.text("status"));
+            tasks.add(new Report.TaskReport(sheet.substring(0, slash), task, x.count("try"), state,
+                    state == Report.State.ENDED ? cause(x.textOr("cause", "")) : null));
+        }
+        return new Report(t.text("host"), t.textOr("addr", ""), t.text("frame"), t.text("field"), t.flag("loaners"),
+                t.count("tenure"), t.count("tick"), t.count("baton"),
+                t.has("recallS") ? t.number("recallS", 0) : null, tasks);
+    }
+
+    private static Report.State state(String s) {
+        return switch (s) {
+            case "pulling" -> Report.State.FETCHING;
+            case "waiting" -> Report.State.WAITING;
+            case "saving" -> Report.State.SAVING;
+            case "ended" -> Report.State.ENDED;
+            // A state that we don't know is never taken as proof that the task is gone.
+            default -> Report.State.RUNNING;
+        };
+    }
+
+    private static Report.Cause cause(String s) {
+        return switch (s) {
+            case "done" -> Report.Cause.DONE;
+            case "halted" -> Report.Cause.STOPPED;
+            case "peers" -> Report.Cause.PEERS;
+            case "alone" -> Report.Cause.ALONE;
+            case "full" -> Report.Cause.NO_ROOM;
+            case "in_use" -> Report.Cause.BUSY;
+            case "unknown" -> Report.Cause.UNKNOWN;
+            default -> Report.Cause.ERROR;
+        };
+    }
+
+    public static byte[] orders(long token, List<Order> orders) {
+        List<Object> list = new ArrayList<>(orders.size());
+        for (Order o : orders) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("verb", switch (o.verb()) {
+                case START -> "launch";
+                case STOP -> "halt";
+                case FORGET -> "clear";
+            });
+            m.put("sheet", o.job() + "/" + o.task());
+            m.put("try", o.attempt());
+            if (o.verb() == Order.Verb.STOP) {
+                m.put("windDownS", o.graceS());
+            }
+            list.add(m);
+        }
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("baton", token);
+        m.put("orders", list);
+        return Pack.bytes(m);
+    }
+
+    public static byte[] anchor(String node) {
+        return Pack.bytes(node == null ? Map.of() : Map.of("anchor", node));
+    }
+
+    // ---- cloud ----------------------------------------------------------------------------------
+
+    public static List<MachineType> types(Object body) {
+        List<MachineType> out = new ArrayList<>();
+        for (Tree t : Tree.of(body).children("frames")) {
+            out.add(new MachineType(t.text("name"), t.number("vcpus", 0), t.numberOr("cards", 0, 0),
+                    t.number("ramGb", 0), t.numberOr("localGb", 0, 0), t.numberOr("pullGbPerS", 0, 0),
+                    t.number("rate", 0), t.numberOr("spotPrice", 0, t.number("rate", 0)), t.number("readyS", 0),
+                    t.texts("fields")));
+        }
+        return out;
+    }
+
+    public static byte[] rental(String name, String type, String zone, boolean spot, int count) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("hire", name);
+        m.put("frame", type);
+        m.put("field", zone);
+        m.put("loaners", spot);
+        m.put("count", (long) count);
+        return Pack.bytes(m);
+    }
+
+    public static byte[] machines(List<String> names) {
+        return Pack.bytes(Map.of("hosts", names));
+    }
+
+    public static List<String> machineNames(Object body) {
+        return Tree.of(body).texts("hosts");
+    }
+
+    public static List<Cloud.Listed> listed(Object body) {
+        List<Cloud.Listed> out = new ArrayList<>();
+        for (Tree t : Tree.of(body).children("hosts")) {
+            out.add(new Cloud.Listed(t.text("nameId"), t.text("frame"), t.text("field"), t.flag("loaners"),
+                    t.text("status"), t.numberOr("heldS", 0, 0)));
+        }
+        return out;
+    }
+
+    public static boolean truncated(Object body) {
+        return Tree.of(body).has("truncated") && Tree.of(body).flag("truncated");
+    }
+
+    // ---- state service --------------------------------------------------------------------------
+
+    public static Store.Entry entry(Object body) {
+        return entry(Tree.of(body));
+    }
+
+    private static Store.Entry entry(Tree t) {
+        return new Store.Entry(t.text("path"), t.raw("value"), t.count("stamp"));
+    }
+
+    public static List<Store.Entry> entries(Object body) {
+        List<Store.Entry> out = new ArrayList<>();
+        for (Tree t : Tree.of(body).children("entries")) {
+            out.add(entry(t));
+        }
+        return out;
+    }
+
+    public static long revision(Object body) {
+        return Tree.of(body).count("epoch");
+    }
+
+    public static long lease(Object body) {
+        return Tree.of(body).count("tether");
+    }
+
+    public static byte[] leaseLife(long ms) {
+        return Pack.bytes(Map.of("lifeMs", ms));
+    }
+
+    public static List<String> failed(Object body) {
+        return Tree.of(body).texts("failed");
+    }
+
+    public static List<Store.Entry> events(Object body) {
+        List<Store.Entry> out = new ArrayList<>();
+        for (Tree t : Tree.of(body).children("events")) {
+            out.add(t.has("remove") ? new Store.Entry(t.text("remove"), null, t.count("stamp"))
+                    : new Store.Entry(t.text("write"), t.raw("value"), t.count("stamp")));
+        }
+        return out;
+    }
+
+    public static byte[] transaction(Store.Transaction t) {
+        List<Object> when = new ArrayList<>();
+        for (Store.Condition c : t.conditions()) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("path", c.key());
+            m.put("stamp", c.revision());
+            when.add(m);
+        }
+        List<Object> then = new ArrayList<>();
+        for (Store.Write w : t.writes()) {
+            Map<String, Object> m = new LinkedHashMap<>();
+            if (w.value() == null) {
+                m.put("remove", w.key());
+            } else {
+                m.put("write", w.key());
+                m.put("value", w.value());
+                if (w.lease() != 0) {
+                    m.put("tether", w.lease());
+                }
+            }
+            then.add(m);
+        }
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("when", when);
+        m.put("then", then);
+        return Pack.bytes(m);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/workers/WorkersApi.java
@@ -0,0 +1,45 @@
+package io.kitepath.workers;
+
+import io.kitepath.core.Controller;
+import io.kitepath.core.Malformed;
+import io.kitepath.core.Report;
+import io.kitepath.net.HttpServer.Request;
+import io.kitepath.net.HttpServer.Responder;
+import io.kitepath.wire.Pack;
+import io.kitepath.wire.Wire;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Check-ins of workers over HTTP. */
+public final class WorkersApi {
+    public static final String CHECK_IN = "/checkin";
+    private static final Logger LOG = LoggerFactory.getLogger(WorkersApi.class);
+
+    private final Controller controller;
+
+    public WorkersApi(Controller controller) {
+        this.controller = controller;
+    }
+
+    public void handle(Request r, Responder out) {
+        if (!r.method().equals("POST")) {
+            out.reply(405, null);
+            return;
+        }
+        Report report;
+        try {
+            report = Wire.report(Pack.value(r.body()));
+        } catch (Malformed e) {
+            LOG.debug("a report can't be read: {}", e.getMessage());
+            out.reply(400, Wire.error(e.getMessage()));
+            return;
+        }
+        controller.checkIn(report, a -> {
+            if (a.token() > 0) {
+                out.reply(200, Wire.orders(a.token(), a.orders()));
+            } else {
+                out.reply(421, Wire.anchor(a.anchor()));
+            }
+        });
+    }
+}
