--- a/src/main/java/io/kitepath/net/HttpClient.java
+++ b/src/main/java/io/kitepath/net/HttpClient.java
@@ -120,7 +120,7 @@
         private ScheduledFuture<?> timeout;
 
         @Override
-        public void channelActive(ChannelHandlerContext ctx) {
+        public void handlerAdded(ChannelHandlerContext ctx) {
             channel = ctx.channel();
         }
 
