--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -255,6 +255,8 @@
         f.put("checkins.relayed", new Figure(true, "check-ins relayed to the leader", () -> relayed));
         f.put("attempts.ended", new Figure(true, "attempts proven over", () -> scheduler.ends));
         f.put("attempts.lost", new Figure(true, "attempts lost with machine or session", () -> scheduler.lost));
+        f.put("attempts.evicted", new Figure(true, "attempts stopped for work of more right",
+                () -> scheduler.evictions));
         f.put("probes", new Figure(true, "machines probed", () -> scheduler.placement.probes));
         f.put("probes.passed", new Figure(true, "probes that passed", () -> scheduler.placement.passed));
         f.put("scans", new Figure(true, "scans of the block", () -> scheduler.placement.scans));
--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -147,7 +147,7 @@
         }
         for (Machine m : scheduler.machines.values()) {
             if (m.open() && scheduler.placement.allowed(m, s)) {
-                score.merge(m.zone, Math.max(0, Scheduler.slots(s, scheduler.types.get(m.type))), Double::sum);
+                score.merge(m.zone, (double) Placement.slots(s, scheduler.types.get(m.type)), Double::sum);
             }
         }
         for (Room r : rooms) {
@@ -162,7 +162,7 @@
         Kind best = null;
         double bestPrice = 0;
         for (MachineType t : scheduler.types.values()) {
-            if (Scheduler.slots(s, t) < 1) {
+            if (Placement.slots(s, t) < 1) {
                 continue;
             }
             for (String z : t.zones()) {
@@ -173,7 +173,7 @@
                         continue;
                     }
                     // Zones share: the one with the least of this kind.
-                    double price = (spot == 1 ? t.spotPrice() : t.price()) / Scheduler.slots(s, t)
+                    double price = (spot == 1 ? t.spotPrice() : t.price()) / Placement.slots(s, t)
                             * (1 + 1e-4 * (count(k) + rent.getOrDefault(k, 0)));
                     if (best == null || price < bestPrice) {
                         best = k;
--- a/src/main/java/io/kitepath/core/Placement.java
+++ b/src/main/java/io/kitepath/core/Placement.java
@@ -40,6 +40,18 @@
 
     /** A machine for one task out of the candidates, all of which are allowed; null if there is none now. */
     Machine choose(JobSpec s, List<Machine> candidates) {
+        if (s.spot()) {
+            // Work that may use spot machines leaves the others to work that may not.
+            List<Machine> cheap = candidates.stream().filter(m -> m.spot).toList();
+            Machine m = pick(s, cheap);
+            if (m != null || cheap.size() == candidates.size()) {
+                return m;
+            }
+        }
+        return pick(s, candidates);
+    }
+
+    private Machine pick(JobSpec s, List<Machine> candidates) {
         // Machines in use come first, so that idle ones stay whole for gangs and large tasks, or empty to return.
         List<Machine> used = new ArrayList<>();
         for (Machine m : candidates) {
@@ -90,8 +102,14 @@
         if (!s.oneZone()) {
             return whole(s, candidates, m -> true);
         }
-        List<String> zones = new ArrayList<>(candidates.stream().map(m -> m.zone).distinct().sorted().toList());
-        java.util.Collections.shuffle(zones, random);
+        // The zone with the least room that still suffices, so that larger gangs find theirs.
+        Map<String, Integer> slots = new java.util.TreeMap<>();
+        for (Machine m : candidates) {
+            slots.merge(m.zone, freeSlots(m, s, 0, 0, 0), Integer::sum);
+        }
+        List<String> zones = new ArrayList<>(slots.keySet());
+        zones.removeIf(z -> slots.get(z) < s.tasks());
+        zones.sort(java.util.Comparator.comparing(slots::get));
         for (String z : zones) {
             List<Machine> found = whole(s, candidates, m -> m.zone.equals(z));
             if (found != null) {
@@ -121,6 +139,32 @@
         return found.size() == s.tasks() ? found : null;
     }
 
+    /** How many such tasks fit on the machine if that much of its load were gone. */
+    int freeSlots(Machine m, JobSpec s, double lessCpus, double lessGpus, double lessMemory) {
+        MachineType t = types.get(m.type);
+        return slots(s, t.cpus() - m.usedCpus + lessCpus, t.gpus() - m.usedGpus + lessGpus,
+                t.memoryGb() - m.usedMemory + lessMemory);
+    }
+
+    /** How many such tasks an empty machine of the type holds. */
+    static int slots(JobSpec s, MachineType t) {
+        return slots(s, t.cpus(), t.gpus(), t.memoryGb());
+    }
+
+    private static int slots(JobSpec s, double cpus, double gpus, double memoryGb) {
+        double n = s.tasks();
+        if (s.cpus() > 0) {
+            n = Math.min(n, Math.floor((cpus + 1e-6) / s.cpus()));
+        }
+        if (s.gpus() > 0) {
+            n = Math.min(n, Math.floor((gpus + 1e-6) / s.gpus()));
+        }
+        if (s.memoryGb() > 0) {
+            n = Math.min(n, Math.floor((memoryGb + 1e-6) / s.memoryGb()));
+        }
+        return (int) Math.max(0, n);
+    }
+
     private static void take(Machine m, JobSpec s, int sign) {
         m.usedCpus += sign * s.cpus();
         m.usedGpus += sign * s.gpus();
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -43,6 +43,7 @@
     long starts;
     long ends;
     long lost;
+    long evictions;
 
     Scheduler(Facts facts, Random random) {
         this.facts = facts;
@@ -490,7 +491,7 @@
             int n = job.spec.gang() ? placeGang(job, now) : placeTasks(job, now, most - placed);
             placed += n;
             if (job.waiting() > 0 && quotaLeft(job.spec) >= (job.spec.gang() ? job.spec.tasks() : 1)) {
-                reserve(job);
+                makeRoom(job);
             }
         }
         return placed;
@@ -566,67 +567,143 @@
         LOG.debug("placed {}/{}#{} on {}", job.spec.id(), task, number, m.id);
     }
 
+    /** A machine that a job might be given room on: tasks that fit now, with others stopped, and if it were empty. */
+    private record Offer(Machine machine, int now, int stopping, int empty, double loss) {}
+
     /**
-     * Keeps machines for a job that found no room, so that smaller work behind it does not take every gap: as many
-     * as it would need if they were empty, those with the most room first.
+     * For a job that found no room: stops lesser work where that is enough, and keeps machines for it, so that
+     * smaller work behind it does not take every gap.
      */
-    private void reserve(Job job) {
+    private void makeRoom(Job job) {
         JobSpec s = job.spec;
-        if (!s.gang() && s.cpus() * 2 <= smallestMachine()) {
-            return; // Small tasks find gaps by themselves.
-        }
-        Map<String, List<Machine>> byZone = new LinkedHashMap<>();
+        int need = s.gang() ? job.waiting() : Math.min(job.waiting(), quotaLeft(s));
+        Map<String, List<Offer>> byZone = new LinkedHashMap<>();
         for (Machine m : machines.values()) {
             if (m.open() && placement.allowed(m, s) && m.reservedFor == null) {
-                byZone.computeIfAbsent(s.oneZone() ? m.zone : "", k -> new ArrayList<>()).add(m);
-            }
-        }
-        int need = job.waiting();
-        List<Machine> best = null;
-        double bestUsed = Double.MAX_VALUE;
-        for (List<Machine> in : byZone.values()) {
-            in.sort(Comparator.comparingDouble((Machine m) -> m.usedCpus - types.get(m.type).cpus())
-                    .thenComparing(m -> m.id));
-            List<Machine> take = new ArrayList<>();
-            int slots = 0;
-            double used = 0;
-            for (Machine m : in) {
-                if (slots >= need) {
-                    break;
-                }
-                slots += (int) Math.min(need, slots(s, types.get(m.type)));
-                used += m.usedCpus;
-                take.add(m);
+                byZone.computeIfAbsent(s.oneZone() ? m.zone : "", k -> new ArrayList<>()).add(offer(job, m));
             }
-            if (slots >= need && used < bestUsed) {
+        }
+        List<Offer> best = null;
+        double bestLoss = Double.MAX_VALUE;
+        for (List<Offer> in : byZone.values()) {
+            List<Offer> take = cheapest(in, need, Offer::stopping);
+            double loss = take == null ? 0 : take.stream().mapToDouble(Offer::loss).sum();
+            if (take != null && loss < bestLoss) {
                 best = take;
-                bestUsed = used;
+                bestLoss = loss;
             }
         }
         if (best != null) {
-            for (Machine m : best) {
-                m.reservedFor = job;
+            for (Offer o : best) {
+                o.machine.reservedFor = job;
+                need -= evict(job, o, need);
+            }
+            return;
+        }
+        if (!s.gang() && s.cpus() * 2 <= smallestMachine()) {
+            return; // Small tasks find gaps by themselves.
+        }
+        for (List<Offer> in : byZone.values()) {
+            List<Offer> take = cheapest(in, need, Offer::empty);
+            if (take != null) {
+                take.forEach(o -> o.machine.reservedFor = job);
+                return;
             }
         }
     }
 
-    double smallestMachine() {
-        return types.values().stream().mapToDouble(MachineType::cpus).min().orElse(0);
+    /** Offers that together hold the tasks, those that lose least first; null if they don't suffice. */
+    private static List<Offer> cheapest(List<Offer> in, int need, java.util.function.ToIntFunction<Offer> slots) {
+        List<Offer> sorted = new ArrayList<>(in);
+        sorted.sort(Comparator.comparingDouble((Offer o) -> o.loss / Math.max(1, slots.applyAsInt(o)))
+                .thenComparing(o -> -o.now).thenComparing(o -> o.machine.id));
+        List<Offer> take = new ArrayList<>();
+        for (Offer o : sorted) {
+            if (need <= 0) {
+                break;
+            }
+            int n = slots.applyAsInt(o);
+            if (n > 0) {
+                need -= n;
+                take.add(o);
+            }
+        }
+        return need <= 0 ? take : null;
+    }
+
+    private Offer offer(Job job, Machine m) {
+        double cpus = 0;
+        double gpus = 0;
+        double memory = 0;
+        double loss = 0;
+        for (Attempt a : m.attempts) {
+            if (!a.ended && mayEvict(job, a)) {
+                JobSpec v = a.job.spec;
+                cpus += v.cpus();
+                gpus += v.gpus();
+                memory += v.memoryGb();
+                loss += Double.isNaN(a.stopGraceS) ? v.cpus() : 0;
+            }
+        }
+        return new Offer(m, placement.freeSlots(m, job.spec, 0, 0, 0),
+                placement.freeSlots(m, job.spec, cpus, gpus, memory),
+                Placement.slots(job.spec, types.get(m.type)), loss);
     }
 
-    /** How many such tasks an empty machine of the type holds. */
-    static double slots(JobSpec s, MachineType t) {
-        double n = Integer.MAX_VALUE;
-        if (s.cpus() > 0) {
-            n = Math.min(n, Math.floor((t.cpus() + 1e-6) / s.cpus()));
+    /** Work gives way to work of higher priority, and what a team borrows to the guarantee of another. */
+    private boolean mayEvict(Job job, Attempt victim) {
+        JobSpec v = victim.job.spec;
+        if (victim.job.over || !Double.isNaN(victim.stopGraceS)) {
+            return true; // It goes anyway.
         }
-        if (s.gpus() > 0) {
-            n = Math.min(n, Math.floor((t.gpus() + 1e-6) / s.gpus()));
+        if (v.gang() || v.shape() == JobSpec.Shape.SERVICE) {
+            return false;
         }
-        if (s.memoryGb() > 0) {
-            n = Math.min(n, Math.floor((t.memoryGb() + 1e-6) / s.memoryGb()));
+        if (v.priority().compareTo(job.spec.priority()) > 0) {
+            return true;
+        }
+        Facts.Team t = facts.teams().get(v.team());
+        return job.guaranteed && !victim.job.guaranteed && !v.team().equals(job.spec.team()) && t != null
+                && teamUse.getOrDefault(v.team(), new double[2])[0] - v.cpus() >= t.cpus();
+    }
+
+    /** Stops just enough on the machine, the latest placed first; returns how many tasks of the job it will hold. */
+    private int evict(Job job, Offer o, int need) {
+        List<Attempt> victims = new ArrayList<>();
+        double[] less = new double[3];
+        for (Attempt a : o.machine.attempts) {
+            if (!a.ended && mayEvict(job, a)) {
+                if (a.job.over || !Double.isNaN(a.stopGraceS)) {
+                    less(less, a);
+                } else {
+                    victims.add(a);
+                }
+            }
         }
-        return n;
+        victims.sort(Comparator.comparingDouble((Attempt a) -> -a.placedAt).thenComparing(a -> -a.task));
+        int want = Math.min(need, o.stopping);
+        for (Attempt a : victims) {
+            if (placement.freeSlots(o.machine, job.spec, less[0], less[1], less[2]) >= want) {
+                break;
+            }
+            boolean written = a.durable;
+            stop(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+            evictions++;
+            if (written) {
+                less(less, a);
+            }
+        }
+        return want;
+    }
+
+    private static void less(double[] sum, Attempt a) {
+        sum[0] += a.job.spec.cpus();
+        sum[1] += a.job.spec.gpus();
+        sum[2] += a.job.spec.memoryGb();
+    }
+
+    double smallestMachine() {
+        return types.values().stream().mapToDouble(MachineType::cpus).min().orElse(0);
     }
 
     // ---- what was written -----------------------------------------------------------------------
