--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -1,10 +1,13 @@
 package io.kitepath.core;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** How many machines are wanted: what to rent for the work that waits, and what to give back. */
 final class Fleet {
@@ -21,21 +24,32 @@
         double gpus;
         double memory;
 
-        Room(MachineType type, Kind kind) {
+        final Machine machine;
+
+        Room(MachineType type, Kind kind, Machine machine) {
             this.type = type;
             this.kind = kind;
+            this.machine = machine;
             this.cpus = type.cpus();
             this.gpus = type.gpus();
             this.memory = type.memoryGb();
         }
 
-        boolean take(JobSpec s) {
-            if (s.cpus() > cpus + 1e-6 || s.gpus() > gpus + 1e-6 || s.memoryGb() > memory + 1e-6) {
-                return false;
-            }
+        void less(JobSpec s) {
             cpus -= s.cpus();
             gpus -= s.gpus();
             memory -= s.memoryGb();
+        }
+
+        boolean holds(JobSpec s) {
+            return s.cpus() <= cpus + 1e-6 && s.gpus() <= gpus + 1e-6 && s.memoryGb() <= memory + 1e-6;
+        }
+
+        boolean take(JobSpec s) {
+            if (!holds(s)) {
+                return false;
+            }
+            less(s);
             return true;
         }
     }
@@ -62,19 +76,135 @@
 
     /** {@code leadingSince}: silence is counted from then at the earliest. */
     Plan plan(double now, double wallMs, double leadingSince) {
-        List<String> release = returns(now, leadingSince);
         Map<Kind, Integer> rent = new LinkedHashMap<>();
+        List<Room> rooms = rooms(now, null);
+        List<Job> queue = scheduler.queue(wallMs);
+        for (Job job : queue) {
+            want(job, rooms, rent, now, wallMs);
+        }
+        Set<Machine> kept = reserve(queue, rent, now);
+        floor(rent, now);
+        return new Plan(rent, returns(now, leadingSince, kept));
+    }
+
+    /**
+     * The room of all machines that are up or coming: as it will be by the time a new machine could be up, or, for a
+     * job that may come at any moment, as it is now with lesser work stopped.
+     */
+    private List<Room> rooms(double now, JobSpec forNow) {
         List<Room> rooms = new ArrayList<>();
         for (Machine m : scheduler.machines.values()) {
             MachineType t = m.type == null ? null : scheduler.types.get(m.type);
-            if (t != null && !m.proven && !m.releasing && !m.gone && !overdue(m, t, now)) {
-                rooms.add(new Room(t, new Kind(m.type, m.zone, m.spot)));
+            if (t == null || m.releasing || m.gone || m.setAside || !Double.isNaN(m.takenAt) || overdue(m, t, now)) {
+                continue;
+            }
+            Room r = new Room(t, new Kind(m.type, m.zone, m.spot), m);
+            for (Attempt a : m.attempts) {
+                if (!a.ended && Double.isNaN(a.stopGraceS) && !a.job.over && (forNow == null
+                        ? remaining(a, now) > t.bootS()
+                        : a.job.spec.gang() || a.job.spec.priority().compareTo(forNow.priority()) <= 0)) {
+                    r.less(a.job.spec);
+                }
             }
+            rooms.add(r);
         }
-        for (Job job : scheduler.queue(wallMs)) {
-            want(job, rooms, rent, now, wallMs);
+        return rooms;
+    }
+
+    /** How long the attempt will probably still run, by its owner's estimate. */
+    private static double remaining(Attempt a, double now) {
+        double estimate = a.job.spec.estimateS();
+        if (a.job.spec.shape() == JobSpec.Shape.SERVICE) {
+            return Double.MAX_VALUE;
+        }
+        double ran = Double.isNaN(a.runningSince) ? 0 : now - a.runningSince;
+        return Math.max(estimate - ran, estimate / 5);
+    }
+
+    /**
+     * Classes that are expected to start sooner than a machine boots need room that is there already: enough for
+     * all but the largest of the gangs that came lately, by the share that the objective names.
+     */
+    private Set<Machine> reserve(List<Job> queue, Map<Kind, Integer> rent, double now) {
+        Set<Machine> kept = new HashSet<>();
+        double boot = scheduler.types.values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
+        for (Facts.Objective o : facts.objectives()) {
+            if (!o.kind().equals("wait") || o.withinS() >= boot
+                    || queue.stream().anyMatch(j -> j.spec.jobClass().equals(o.jobClass()))) {
+                continue;
+            }
+            JobSpec typical = scheduler.typical(o.jobClass(), o.share());
+            if (typical == null) {
+                continue;
+            }
+            List<Room> rooms = rooms(now, typical);
+            String zone = typical.zone() != null ? typical.zone()
+                    : typical.oneZone() ? bestZone(typical, rooms, now) : null;
+            for (int i = 0; i < typical.tasks(); i++) {
+                Room r = rooms.stream().filter(x -> allowed(x.kind, typical, zone) && x.holds(typical))
+                        .max(Comparator.comparingDouble((Room x) -> x.type.cpus() - x.cpus)).orElse(null);
+                if (r == null) {
+                    Kind k = cheapest(typical, zone, rent, now);
+                    if (k == null) {
+                        break;
+                    }
+                    r = new Room(scheduler.types.get(k.type), k, null);
+                    rooms.add(r);
+                    rent.merge(k, 1, Integer::sum);
+                }
+                r.less(typical);
+                if (r.machine != null) {
+                    kept.add(r.machine);
+                }
+            }
+        }
+        return kept;
+    }
+
+    private double guaranteedCpus() {
+        return facts.teams().values().stream().mapToDouble(Facts.Team::cpus).sum();
+    }
+
+    private double cpus(boolean usableOnly) {
+        double sum = 0;
+        for (Machine m : scheduler.machines.values()) {
+            MachineType t = m.type == null ? null : scheduler.types.get(m.type);
+            if (t != null && !m.releasing && !m.gone && !(usableOnly && (m.setAside || !Double.isNaN(m.takenAt)))) {
+                sum += t.cpus();
+            }
+        }
+        return sum;
+    }
+
+    /** What teams are guaranteed must not wait for a boot: all guarantees together are kept rented. */
+    private void floor(Map<Kind, Integer> rent, double now) {
+        double missing = guaranteedCpus() - cpus(true);
+        for (Map.Entry<Kind, Integer> e : rent.entrySet()) {
+            missing -= e.getValue() * scheduler.types.get(e.getKey().type).cpus();
+        }
+        while (missing > 0) {
+            Kind best = null;
+            double bestPrice = 0;
+            for (MachineType t : scheduler.types.values()) {
+                for (String z : t.zones()) {
+                    for (boolean spot : new boolean[] {true, false}) {
+                        Kind k = new Kind(t.name(), z, spot);
+                        double[] r = refused.get(k);
+                        double price = (spot ? t.spotPrice() : t.price()) / t.cpus()
+                                * (1 + 1e-4 * (count(k) + rent.getOrDefault(k, 0)));
+                        if ((r == null || now >= r[0]) && t.cpus() > 0 && (best == null || price < bestPrice)) {
+                            best = k;
+                            bestPrice = price;
+                        }
+                    }
+                }
+            }
+            if (best == null) {
+                return;
+            }
+            rent.merge(best, 1, Integer::sum);
+            missing -= scheduler.types.get(best.type).cpus();
         }
-        return new Plan(rent, release);
     }
 
     private void want(Job job, List<Room> rooms, Map<Kind, Integer> rent, double now, double wallMs) {
@@ -120,7 +250,7 @@
             if (k == null) {
                 return;
             }
-            Room r = new Room(scheduler.types.get(k.type), k);
+            Room r = new Room(scheduler.types.get(k.type), k, null);
             if (!r.take(s)) {
                 return;
             }
@@ -145,14 +275,9 @@
                 score.put(z, 0.0);
             }
         }
-        for (Machine m : scheduler.machines.values()) {
-            if (m.open() && scheduler.placement.allowed(m, s)) {
-                score.merge(m.zone, (double) Placement.slots(s, scheduler.types.get(m.type)), Double::sum);
-            }
-        }
         for (Room r : rooms) {
-            if (allowed(r.kind, s, null) && r.cpus >= s.cpus()) {
-                score.merge(r.kind.zone, 1.0, Double::sum);
+            if (allowed(r.kind, s, null) && s.cpus() > 0) {
+                score.merge(r.kind.zone, Math.floor(r.cpus / s.cpus()), Double::sum);
             }
         }
         return score.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse(null);
@@ -197,7 +322,7 @@
 
     // ---- giving back ----------------------------------------------------------------------------
 
-    private List<String> returns(double now, double leadingSince) {
+    private List<String> returns(double now, double leadingSince, Set<Machine> kept) {
         double lease = facts.workers().leaseS();
         double silence = Math.min(lease, 5 * facts.workers().reportS() + 4);
         int up = 0;
@@ -217,6 +342,7 @@
         // hardly theirs.
         boolean trust = silent * 2 <= up;
         List<String> out = new ArrayList<>();
+        double spare = cpus(true) - guaranteedCpus();
         for (Machine m : scheduler.machines.values()) {
             MachineType t = m.type == null ? null : scheduler.types.get(m.type);
             boolean give = m.releasing;
@@ -225,7 +351,11 @@
             } else if (t != null && overdue(m, t, now)) {
                 give = true;
             } else if (m.proven && !m.busy() && m.attempts.isEmpty()) {
-                give |= m.setAside || idleTooLong(m, t, now);
+                give |= m.setAside;
+                if (!give && t != null && spare >= t.cpus() && !kept.contains(m) && idleTooLong(m, t, now)) {
+                    give = true;
+                    spare -= t.cpus();
+                }
             }
             if (give) {
                 if (!m.releasing) {
@@ -242,11 +372,7 @@
     private static final org.slf4j.Logger LOG = org.slf4j.LoggerFactory.getLogger(Fleet.class);
 
     private boolean idleTooLong(Machine m, MachineType t, double now) {
-        if (t == null || m.reservedFor != null) {
-            return false;
-        }
-        // Worth keeping about as long as a new one would take to come, ordinary ones longer: gangs need them at once.
-        double keep = m.spot ? t.bootS() * 0.7 : t.bootS() * 2;
-        return now - m.idleSince > keep;
+        // Worth keeping about as long as a new one would take to come.
+        return m.reservedFor == null && now - m.idleSince > t.bootS();
     }
 }
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -3,6 +3,7 @@
 import io.kitepath.core.Report.Cause;
 import io.kitepath.core.Report.State;
 import io.kitepath.core.Report.TaskReport;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -39,6 +40,8 @@
             return size() > 5000;
         }
     });
+    /** The jobs that came last, newest last: what the next ones may be like. */
+    private final ArrayDeque<JobSpec> lately = new ArrayDeque<>();
     long token;
     long starts;
     long ends;
@@ -63,6 +66,17 @@
 
     void addJob(Job job) {
         jobs.put(job.spec.id(), job);
+        lately.addLast(job.spec);
+        if (lately.size() > 200) {
+            lately.removeFirst();
+        }
+    }
+
+    /** Of the class's jobs that came lately, the one than which that share of them are not larger; null if none. */
+    JobSpec typical(String jobClass, double share) {
+        List<JobSpec> of = lately.stream().filter(s -> s.jobClass().equals(jobClass))
+                .sorted(Comparator.comparingDouble(s -> s.tasks() * s.cpus())).toList();
+        return of.isEmpty() ? null : of.get((int) Math.min(of.size() - 1, Math.floor(share * of.size())));
     }
 
     /** Takes over what a part record says is, or may be, on machines. */
