--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -153,6 +153,7 @@
         }
     }
 
+    private long ticks;
     private boolean soonAsked;
 
     /** Something changed that may let work be placed or written. */
@@ -173,6 +174,9 @@
         }
         round();
         tendFleet();
+        if (LOG.isDebugEnabled() && ++ticks % 20 == 0) {
+            LOG.debug("{}", scheduler.summary(timers.now()));
+        }
         timers.after(0.25, this::tick);
     }
 
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -737,6 +737,33 @@
         }
     }
 
+    /** One line for the log. */
+    String summary(double now) {
+        Map<String, int[]> classes = new TreeMap<>();
+        for (Job j : jobs.values()) {
+            int[] c = classes.computeIfAbsent(j.spec.jobClass(), k -> new int[3]);
+            c[0]++;
+            c[1] += j.waiting();
+            c[2] += j.live.size();
+        }
+        StringBuilder b = new StringBuilder("block:");
+        classes.forEach((k, c) -> b.append(' ').append(k).append(" jobs=").append(c[0]).append(" waiting=")
+                .append(c[1]).append(" placed=").append(c[2]).append(';'));
+        int[] n = new int[6];
+        double used = 0;
+        for (Machine m : machines.values()) {
+            n[m.spot ? 1 : 0]++;
+            n[2] += m.proven ? 0 : 1;
+            n[3] += m.setAside ? 1 : 0;
+            n[4] += m.busy() ? 0 : 1;
+            n[5] += m.reservedFor != null ? 1 : 0;
+            used += m.usedCpus;
+        }
+        return b.append(" machines ordinary=").append(n[0]).append(" spot=").append(n[1]).append(" unproven=")
+                .append(n[2]).append(" aside=").append(n[3]).append(" idle=").append(n[4]).append(" reserved=")
+                .append(n[5]).append(" cpus=").append(Math.round(used)).toString();
+    }
+
     /** A job that is over, with nothing of it left anywhere. */
     void dropJob(Job job) {
         jobs.remove(job.spec.id());
