--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -129,18 +129,21 @@
         Set<Machine> kept = new HashSet<>();
         double boot = scheduler.types.values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
         for (Facts.Objective o : facts.objectives()) {
-            if (!o.kind().equals("wait") || o.withinS() >= boot
-                    || queue.stream().anyMatch(j -> j.spec.jobClass().equals(o.jobClass()))) {
-                continue;
-            }
-            JobSpec typical = scheduler.typical(o.jobClass(), o.share());
+            boolean wait = o.kind().equals("wait") && o.withinS() < boot
+                    && queue.stream().noneMatch(j -> j.spec.jobClass().equals(o.jobClass()));
+            JobSpec typical = wait || o.kind().equals("deadline") ? scheduler.typical(o.jobClass(), o.share()) : null;
             if (typical == null) {
                 continue;
             }
+            int atOnce = typical.tasks();
+            if (typical.shape() == JobSpec.Shape.ARRAY && typical.deadlineS() != null) {
+                double rounds = Math.max(1, typical.deadlineS() / 2 / Math.max(1, typical.estimateS()));
+                atOnce = (int) Math.min(scheduler.quotaLeft(typical), Math.ceil(typical.tasks() / rounds));
+            }
             List<Room> rooms = rooms(now, typical);
             String zone = typical.zone() != null ? typical.zone()
                     : typical.oneZone() ? bestZone(typical, rooms, now) : null;
-            for (int i = 0; i < typical.tasks(); i++) {
+            for (int i = 0; i < atOnce; i++) {
                 Room r = rooms.stream().filter(x -> allowed(x.kind, typical, zone) && x.holds(typical))
                         .max(Comparator.comparingDouble((Room x) -> x.type.cpus() - x.cpus)).orElse(null);
                 if (r == null) {
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -447,11 +447,22 @@
             }
         }
         q.sort(Comparator.<Job>comparingInt(j -> j.guaranteed ? 0 : 1).thenComparing(j -> j.spec.priority())
-                .thenComparingDouble(j -> j.spec.deadlineS() == null ? 0 : j.submittedMs + j.spec.deadlineS() * 1000)
+                .thenComparing(j -> latestStartMs(j) < wallMs).thenComparingDouble(this::latestStartMs)
                 .thenComparingDouble(j -> j.submittedMs).thenComparing(j -> j.spec.id()));
         return q;
     }
 
+    /**
+     * When the job's tasks have to start so that it is done when it should be, by its deadline or its class's
+     * objective. Jobs for which that is past come after those that can still make it.
+     */
+    private double latestStartMs(Job j) {
+        JobSpec s = j.spec;
+        double due = s.deadlineS() != null ? s.deadlineS()
+                : facts.finishWithinS(s.jobClass(), 10 * facts.workers().leaseS() + s.estimateS());
+        return j.submittedMs + (due - s.estimateS()) * 1000;
+    }
+
     /** A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs. */
     private void markGuaranteed() {
         List<Job> bySubmission = new ArrayList<>(jobs.values());
