--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -136,6 +136,7 @@
         keeper.stop();
         scheduler.forgetJobs();
         scheduler.machines.clear();
+        new ArrayList<>(held.keySet()).forEach(this::release);
         tell();
     }
 
@@ -185,7 +186,7 @@
             return;
         }
         scheduler.place(timers.now(), timers.wallMs(), 20 * facts.store().txnOps());
-        keeper.write(this::soon);
+        keeper.write(this::written);
     }
 
     // ---- workers --------------------------------------------------------------------------------
@@ -196,7 +197,7 @@
             leadership.outbid(report.token(), null);
         }
         if (leadership.leading()) {
-            answer.accept(answer(report));
+            answer(report, answer);
             return;
         }
         String leader = leadership.leader();
@@ -223,21 +224,69 @@
         answer.accept(CheckIn.elsewhere(leader));
     }
 
-    /** The holder's answer, to the worker itself or to a sibling that asks for it. */
+    /** The holder's answer to a report that a sibling asks about: at once, for the worker's time is running. */
     public CheckIn answer(Report report) {
-        if (!leadership.leading() || report.token() > scheduler.token) {
+        if (!entitled(report)) {
             return CheckIn.elsewhere(leadership.leading() ? null : leadership.leader());
         }
-        double now = timers.now();
-        // Without the store nothing new is started; what runs keeps its lease.
-        List<Order> orders = scheduler.checkIn(report, keeper.loaded(), now);
-        if (!leadership.inTouch()) {
-            orders = orders.stream().filter(o -> o.verb() != Order.Verb.START).toList();
-        }
+        List<Order> orders = new ArrayList<>(scheduler.checkIn(report, keeper.loaded(), timers.now()));
+        orders.addAll(scheduler.commands(report.machine(), leadership.inTouch()));
         soon();
         return new CheckIn(scheduler.token, orders, null);
     }
 
+    private boolean entitled(Report report) {
+        return leadership.leading() && report.token() <= scheduler.token;
+    }
+
+    /** A check-in whose answer waits a moment, so that work placed meanwhile starts at once. */
+    private record Held(Consumer<CheckIn> answer, List<Order> orders, long token) {}
+
+    private final Map<String, Held> held = new LinkedHashMap<>();
+
+    private void answer(Report report, Consumer<CheckIn> answer) {
+        String machine = report.machine();
+        release(machine);
+        CheckIn now = answer(report);
+        boolean idle = now.token() > 0 && now.orders().stream().allMatch(o -> o.verb() == Order.Verb.FORGET);
+        double patience = idle && keeper.loaded() && leadership.inTouch() ? scheduler.patience(machine) : 0;
+        if (patience == 0) {
+            answer.accept(now);
+            return;
+        }
+        Held h = new Held(answer, now.orders(), now.token());
+        held.put(machine, h);
+        timers.after(patience, () -> {
+            if (held.get(machine) == h) {
+                release(machine);
+            }
+        });
+    }
+
+    private void release(String machine) {
+        Held h = held.remove(machine);
+        if (h == null) {
+            return;
+        }
+        if (!leadership.leading() || scheduler.token != h.token) {
+            h.answer.accept(CheckIn.elsewhere(leadership.leader()));
+            return;
+        }
+        List<Order> orders = new ArrayList<>(h.orders);
+        orders.addAll(scheduler.commands(machine, leadership.inTouch()));
+        h.answer.accept(new CheckIn(h.token, orders, null));
+    }
+
+    /** What was just written may be launched. */
+    private void written() {
+        for (String machine : new ArrayList<>(held.keySet())) {
+            if (scheduler.hasCommands(machine)) {
+                release(machine);
+            }
+        }
+        soon();
+    }
+
     /** One of the node's figures for operators. */
     public record Figure(boolean total, String meaning, java.util.function.DoubleSupplier value) {}
 
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -1,7 +1,9 @@
 package io.kitepath.core;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** A rented machine as the holder knows it: from the cloud's list, its worker's reports and the jobs' records. */
 final class Machine {
@@ -27,13 +29,14 @@
     /** Tasks on the machine that belong to no job we know; until they are gone, the machine takes nothing. */
     int strangers;
     double idleSince;
-    final java.util.Set<String> images = new java.util.HashSet<>();
+    final Set<String> images = new HashSet<>();
     double usedCpus;
     double usedGpus;
     double usedMemory;
     int unconfirmed;
     Job reservedFor;
-    boolean listed;
+    /** Whether the last report ended something. */
+    boolean endedLately;
 
     Machine(String id, double now) {
         this.id = id;
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -27,6 +27,9 @@
     /** Commands in one answer; keeps it far below the 64 KiB limit. */
     private static final int MAX_ORDERS = 300;
 
+    /** Half of what a worker waits for an answer. */
+    private static final double MAX_HOLD_S = 2;
+
     final Facts facts;
     final Map<String, MachineType> types = new LinkedHashMap<>();
     final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -268,7 +271,6 @@
             m.type = l.type();
             m.zone = l.zone();
             m.spot = l.spot();
-            m.listed = true;
             if (l.status().equals("failed")) {
                 m.releasing = true;
             }
@@ -287,7 +289,10 @@
 
     // ---- check-ins ------------------------------------------------------------------------------
 
-    /** Takes in a report and says what the worker shall do; {@code loaded} is false until the jobs are known. */
+    /**
+     * Takes in a report; {@code loaded} is false until the jobs are known. Answers what to do about tasks that are
+     * not ours, or no longer; {@link #commands} has the rest.
+     */
     List<Order> checkIn(Report r, boolean loaded, double now) {
         Machine m = machine(r.machine(), now);
         if (m.gone || tombstones.contains(r.machine())) {
@@ -328,6 +333,7 @@
             reported.put(key(t.job(), t.task(), t.attempt()), t);
         }
         List<Order> orders = new ArrayList<>();
+        long before = m.attempts.stream().filter(a -> !a.ended).count();
         for (Attempt a : new ArrayList<>(m.attempts)) {
             TaskReport t = reported.remove(key(a.job.spec.id(), a.task, a.number));
             if (a.ended) {
@@ -339,21 +345,32 @@
                 present(a, t, now);
             }
         }
+        m.endedLately = before > m.attempts.stream().filter(a -> !a.ended).count();
         m.strangers = 0;
         for (TaskReport t : reported.values()) {
             stray(m, t, orders, now);
         }
         m.recount();
-        for (Attempt a : new ArrayList<>(m.attempts)) {
-            if (a.ended) {
+        return orders;
+    }
+
+    /** What the machine's worker shall start and stop, to be sent only as the answer to its latest report. */
+    List<Order> commands(String machine, boolean mayStart) {
+        Machine m = machines.get(machine);
+        List<Order> orders = new ArrayList<>();
+        if (m == null || !m.proven) {
+            return orders;
+        }
+        for (Attempt a : m.attempts) {
+            if (a.ended || orders.size() >= MAX_ORDERS) {
                 continue;
             }
             if (a.job.over || !Double.isNaN(a.stopGraceS)) {
-                if (a.seen && orders.size() < MAX_ORDERS) {
+                if (a.seen) {
                     double grace = a.job.over ? 0 : a.stopGraceS;
                     orders.add(new Order(Order.Verb.STOP, a.job.spec.id(), a.task, a.number, grace));
                 }
-            } else if (a.durable && !a.seen && orders.size() < MAX_ORDERS && startable(a)) {
+            } else if (mayStart && a.durable && !a.seen && startable(a)) {
                 if (!a.launched) {
                     starts++;
                 }
@@ -364,6 +381,30 @@
         return orders;
     }
 
+    /** Whether something is to be started or stopped on the machine. */
+    boolean hasCommands(String machine) {
+        Machine m = machines.get(machine);
+        return m != null && m.attempts.stream().anyMatch(a -> !a.ended && (a.job.over
+                || !Double.isNaN(a.stopGraceS) ? a.seen : a.durable && !a.seen && startable(a)));
+    }
+
+    /**
+     * How long the answer to the machine's report is worth holding back for work that may come: on an idle machine,
+     * which has nothing to report meanwhile, until its next report is due; on one where something just ended while
+     * other work waits, for the moment that placing and writing takes.
+     */
+    double patience(String machine) {
+        Machine m = machines.get(machine);
+        if (m == null || !m.open()) {
+            return 0;
+        }
+        double report = facts.workers().reportS();
+        if (!m.busy()) {
+            return Math.min(report, MAX_HOLD_S);
+        }
+        return m.endedLately && jobs.values().stream().anyMatch(j -> j.waiting() > 0) ? report / 10 : 0;
+    }
+
     /** A gang is launched only when every one of its tasks has a machine, and that is written down. */
     private static boolean startable(Attempt a) {
         if (!a.job.spec.gang()) {
