--- /dev/null
+++ b/src/main/java/io/kitepath/cli/ArchiveTraining.java
@@ -0,0 +1,186 @@
+package io.kitepath.cli;
+
+import io.kitepath.net.HttpClient;
+import io.kitepath.net.HttpServer;
+import io.kitepath.settings.Settings;
+import io.kitepath.wire.Pack;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs a node for a moment on loopback, against stand-ins that answer by the published protocols, so that the JVM
+ * can archive the classes that a start needs (see deploy/service.toml). The smoke test uses it too.
+ */
+public final class ArchiveTraining {
+    private final Map<String, Object> keys = new LinkedHashMap<>();
+    private long revision = 1;
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+
+    public static void main(String[] args) throws Exception {
+        Main.properties();
+        ArchiveTraining t = new ArchiveTraining();
+        t.start();
+        System.err.println("trained with " + t.play().size() + " requests");
+        System.exit(0);
+    }
+
+    private InetSocketAddress node;
+
+    /** Starts the stand-ins and a node. */
+    void start() throws IOException, InterruptedException {
+        InetSocketAddress outside = free();
+        new HttpServer(this::standIn, 1 << 20, 100, 60).listen(group, outside).sync();
+        node = free();
+        String json = """
+                {"label":"kite-0","domain":"a","listen":"%s","internal_addr":"%s","siblings":[],
+                 "endpoints":{"cloud":"%s","state":"%s"},
+                 "facts":{"nodes":1,"zones":["a"],"teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":0,"gpus_max":0}],
+                  "objectives":[],"workers":{"report_s":0.5,"lease_s":5,"gang_wait_s":9,"gang_peer_s":5,"cancel_s":9},
+                  "state":{"rps":200,"write_rps":100,"value_kb":8,"txn_ops":40},"cloud":{"rps":9,"list_lag_s":1},
+                  "limits":{"cpu":1,"ram_mb":200,"sockets":1000},"clock_error_ms":5}}
+                """.formatted(text(node), text(free()), text(outside), text(outside));
+        new Node(Settings.of(json.getBytes(StandardCharsets.UTF_8))).start();
+    }
+
+    /** A user's and a worker's requests; returns the answers' status codes. */
+    List<Integer> play() throws Exception {
+        EventLoop loop = group.next();
+        HttpClient client = new HttpClient(loop, node, 2, 1 << 20);
+        List<Integer> statuses = new ArrayList<>();
+        Map<String, Object> job = new LinkedHashMap<>();
+        job.put("nameId", "j-1");
+        job.put("lane", "work");
+        job.put("crew", "t");
+        job.put("shape", "array");
+        job.put("urgency", "high");
+        job.put("sheets", 2L);
+        job.put("vcpus", 1.0);
+        job.put("cards", 0.0);
+        job.put("ramGb", 1.0);
+        job.put("kit", "img");
+        job.put("sizeGb", 1.0);
+        job.put("oneZone", false);
+        job.put("spread", false);
+        job.put("loaners", true);
+        job.put("expectS", 1.0);
+        job.put("markEveryS", 0.0);
+        job.put("markCostS", 0.0);
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        int submitted;
+        do {
+            TimeUnit.MILLISECONDS.sleep(100);
+            submitted = call(loop, client, "POST", "/submissions", Pack.bytes(job));
+        } while (submitted == 503 && System.nanoTime() < end);
+        statuses.add(submitted);
+        statuses.add(call(loop, client, "GET", "/submissions/j-1", null));
+        statuses.add(call(loop, client, "GET", "/submissions/j-2", null));
+        statuses.add(call(loop, client, "GET", "/healthz", null));
+        for (long tick = 1; tick <= 6; tick++) {
+            Map<String, Object> report = new LinkedHashMap<>();
+            report.put("host", "i-000001");
+            report.put("addr", "127.0.0.1:1");
+            report.put("frame", "m");
+            report.put("field", "a");
+            report.put("loaners", true);
+            report.put("tenure", 1L);
+            report.put("tick", tick);
+            report.put("baton", tick == 1 ? 0L : 1L);
+            report.put("sheets", tick < 4 ? List.of()
+                    : List.of(Map.of("sheet", "j-1/0", "try", 1L, "status", "running")));
+            statuses.add(call(loop, client, "POST", "/checkin", Pack.bytes(report)));
+        }
+        statuses.add(call(loop, client, "POST", "/submissions/j-1/withdraw", Pack.bytes(Map.of())));
+        statuses.add(call(loop, client, "POST", "/submissions", new byte[] {1}));
+        statuses.add(call(loop, client, "GET", "/metrics", null));
+        statuses.add(call(loop, client, "GET", "/nowhere", null));
+        return statuses;
+    }
+
+    private static int call(EventLoop loop, HttpClient client, String method, String path, byte[] body)
+            throws Exception {
+        CompletableFuture<Integer> status = new CompletableFuture<>();
+        loop.execute(() -> client.call(method, path, body, 5000, (s, b) -> status.complete(s)));
+        return status.get(6, TimeUnit.SECONDS);
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return new InetSocketAddress("127.0.0.1", s.getLocalPort());
+        }
+    }
+
+    private static String text(InetSocketAddress a) {
+        return a.getAddress().getHostAddress() + ":" + a.getPort();
+    }
+
+    /** Just enough of the state service and the cloud for one node. */
+    private void standIn(HttpServer.Request r, HttpServer.Responder out) {
+        String path = r.path();
+        if (path.equals("/holds") || path.endsWith("/renew")) {
+            out.reply(200, Pack.bytes(Map.of("tether", 1L)));
+        } else if (path.equals("/multi")) {
+            multi(Pack.value(r.body()), out);
+        } else if (path.equals("/keys")) {
+            List<Object> entries = new ArrayList<>();
+            keys.forEach((k, v) -> {
+                if (k.startsWith("jobs/open/")) {
+                    entries.add(v);
+                }
+            });
+            out.reply(200, Pack.bytes(Map.of("entries", entries, "truncated", false, "epoch", revision)));
+        } else if (path.startsWith("/keys/")) {
+            Object v = keys.get(path.substring("/keys/".length()));
+            out.reply(v == null ? 404 : 200, Pack.bytes(v == null ? Map.of("epoch", revision) : v));
+        } else if (path.equals("/follow")) {
+            long now = revision;
+            group.schedule(() -> out.reply(200, Pack.bytes(Map.of("epoch", now, "events", List.of()))), 200,
+                    TimeUnit.MILLISECONDS);
+        } else if (path.equals("/machine_types")) {
+            out.reply(200, Pack.bytes(Map.of("frames", List.of(Map.of("name", "m", "vcpus", 4.0, "ramGb", 16.0,
+                    "rate", 1.0, "spotPrice", 0.5, "readyS", 5.0, "fields", List.of("a"))))));
+        } else if (path.equals("/rentals") && r.method().equals("GET")) {
+            out.reply(200, Pack.bytes(Map.of("hosts", List.of(), "truncated", false)));
+        } else {
+            out.reply(503, Pack.bytes(Map.of("error", "no capacity")));
+        }
+    }
+
+    private void multi(Object body, HttpServer.Responder out) {
+        Map<?, ?> m = (Map<?, ?>) body;
+        List<String> failed = new ArrayList<>();
+        for (Object o : (List<?>) m.get("when")) {
+            Map<?, ?> c = (Map<?, ?>) o;
+            Map<?, ?> entry = (Map<?, ?>) keys.get(c.get("path"));
+            long stamp = entry == null ? 0 : (Long) entry.get("stamp");
+            if (stamp != (Long) c.get("stamp")) {
+                failed.add((String) c.get("path"));
+            }
+        }
+        if (!failed.isEmpty()) {
+            out.reply(409, Pack.bytes(Map.of("failed", failed, "epoch", revision)));
+            return;
+        }
+        revision++;
+        for (Object o : (List<?>) m.get("then")) {
+            Map<?, ?> w = (Map<?, ?>) o;
+            if (w.containsKey("remove")) {
+                keys.remove(w.get("remove"));
+            } else {
+                keys.put((String) w.get("write"),
+                        Map.of("path", w.get("write"), "value", w.get("value"), "stamp", revision));
+            }
+        }
+        out.reply(200, Pack.bytes(Map.of("epoch", revision)));
+    }
+}
--- a/src/main/java/io/kitepath/cli/Main.java
+++ b/src/main/java/io/kitepath/cli/Main.java
@@ -9,7 +9,7 @@
     private Main() {}
 
     public static void main(String[] args) {
-        logging();
+        properties();
         // The platform starts every node as "--config FILE", on a sliver of a core: that way must not load the
         // command line's library first. Everything else goes through it.
         if (args.length == 2 && args[0].equals("--config")) {
@@ -22,8 +22,8 @@
         CommandLineEntry.run(args);
     }
 
-    /** LOG_LEVEL sets the amount; everything goes to standard error. */
-    private static void logging() {
+    /** LOG_LEVEL sets the amount of logging, all of it to standard error; small arenas for small machines. */
+    static void properties() {
         String level = System.getenv("LOG_LEVEL");
         String known = level != null && (level.equals("error") || level.equals("debug")) ? level : "info";
         System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", known);
@@ -36,6 +36,9 @@
         System.setProperty("io.netty.allocator.numDirectArenas", "1");
         System.setProperty("io.netty.allocator.maxOrder", "3");
         System.setProperty("io.netty.tryReflectionSetAccessible", "false");
+        // Netty's channel ids need none; looking for a hardware address costs a start time.
+        System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01");
+        System.setProperty("io.netty.processId", "1");
     }
 
     /** Starts a node; returns 2 for bad settings, 1 if it can't listen, 0 if it runs. */
--- a/src/main/java/io/kitepath/settings/Settings.java
+++ b/src/main/java/io/kitepath/settings/Settings.java
@@ -34,17 +34,17 @@
             throw new Malformed(file + ": can't be read: " + e.getMessage());
         }
         try {
-            return of(Tree.of(document(bytes)));
-        } catch (JsonProcessingException e) {
-            throw new Malformed(file + ": not JSON: " + e.getOriginalMessage() + ", line "
-                    + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()));
-        } catch (IOException e) {
-            throw new Malformed(file + ": not JSON: " + e.getMessage());
+            return of(bytes);
         } catch (Malformed e) {
             throw new Malformed(file + ": " + e.getMessage());
         }
     }
 
+    /** Complains with a {@link Malformed} that names field and reason. */
+    public static Settings of(byte[] json) {
+        return of(Tree.of(document(json)));
+    }
+
     private static Settings of(Tree t) {
         String node = t.text("label");
         Map<String, InetSocketAddress> siblings = new LinkedHashMap<>();
@@ -100,7 +100,7 @@
     }
 
     /** A JSON document as plain maps, lists, text, numbers, booleans and null. */
-    public static Object document(byte[] bytes) throws IOException {
+    public static Object document(byte[] bytes) {
         try (JsonParser p = new JsonFactory().createParser(bytes)) {
             if (p.nextToken() == null) {
                 throw new Malformed("is empty");
@@ -110,6 +110,11 @@
                 throw new Malformed("has more than one value");
             }
             return value;
+        } catch (JsonProcessingException e) {
+            throw new Malformed("not JSON: " + e.getOriginalMessage() + ", line "
+                    + (e.getLocation() == null ? "?" : e.getLocation().getLineNr()));
+        } catch (IOException e) {
+            throw new Malformed("not JSON: " + e.getMessage());
         }
     }
 
