--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -236,7 +236,7 @@
         }
         List<Room> mine = new ArrayList<>();
         for (Room r : rooms) {
-            if (allowed(r.kind, s, zone)) {
+            if (allowed(r.kind, s, zone) && !(s.spot() && r.machine != null && r.machine.draining)) {
                 mine.add(r);
             }
         }
@@ -366,10 +366,21 @@
                 give = true;
             } else if (m.proven && !m.busy() && m.attempts.isEmpty()) {
                 give |= m.setAside;
-                if (!give && t != null && spare >= t.cpus() && !kept.contains(m) && idleTooLong(m, t, now)) {
+                if (!give && t != null && spare >= t.cpus() && !kept.contains(m)
+                        && (m.draining || idleTooLong(m, t, now))) {
                     give = true;
                     spare -= t.cpus();
                 }
+            } else if (m.proven && !m.spot && t != null) {
+                boolean needed = m.attempts.stream().anyMatch(a -> !a.ended && !a.job.spec.spot());
+                if (needed) {
+                    m.neededAt = now;
+                }
+                m.draining = !needed && spare >= t.cpus() && !kept.contains(m) && m.reservedFor == null
+                        && now - m.neededAt > t.bootS() && cheaperToBeHad(t, now);
+                if (m.draining) {
+                    spare -= t.cpus();
+                }
             }
             if (give) {
                 if (!m.releasing) {
@@ -385,6 +396,17 @@
 
     private static final org.slf4j.Logger LOG = org.slf4j.LoggerFactory.getLogger(Fleet.class);
 
+    /**
+     * Guards against work that could run on spot machines keeping ordinary ones rented: it fills them up again
+     * and again, so they never idle.
+     */
+    private boolean cheaperToBeHad(MachineType t, double now) {
+        return t.spotPrice() < t.price() && t.zones().stream().anyMatch(z -> {
+            double[] r = refused.get(new Kind(t.name(), z, true));
+            return r == null || now >= r[0];
+        });
+    }
+
     private boolean idleTooLong(Machine m, MachineType t, double now) {
         // Worth keeping about as long as a new one would take to come.
         return m.reservedFor == null && now - m.idleSince > t.bootS();
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -29,6 +29,10 @@
     /** Tasks on the machine that belong to no job we know; until they are gone, the machine takes nothing. */
     int strangers;
     double idleSince;
+    /** When it last had work that could not have run on a spot machine. */
+    double neededAt;
+    /** To be given back once empty: takes no work that a cheaper machine could do. */
+    boolean draining;
     final Set<String> images = new HashSet<>();
     double usedCpus;
     double usedGpus;
@@ -42,6 +46,7 @@
         this.id = id;
         this.knownSince = now;
         this.idleSince = now;
+        this.neededAt = now;
     }
 
     boolean reported() {
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -570,7 +570,7 @@
         String onlyZone = s.oneZone() && !job.live.isEmpty() ? job.live.firstEntry().getValue().machine.zone : null;
         for (Machine m : machines.values()) {
             if (m.open() && placement.allowed(m, s) && (m.reservedFor == null || m.reservedFor == job)
-                    && (onlyZone == null || onlyZone.equals(m.zone))) {
+                    && (onlyZone == null || onlyZone.equals(m.zone)) && !(m.draining && s.spot())) {
                 (job.failedOn.contains(m.id) ? failed : out).add(m);
             }
         }
