--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -66,6 +66,8 @@
 
     /** When a sibling last said that the store serves it. */
     private final Map<String, Double> servedSiblings = new HashMap<>();
+    /** When a sibling last said that the store does not serve it. */
+    private final Map<String, Double> unservedSiblings = new HashMap<>();
     /** Workers that were sent to the leader, and when. */
     private final Map<String, Double> sentAway = new LinkedHashMap<>() {
         @Override
@@ -236,7 +238,21 @@
     }
 
     private boolean entitled(Report report) {
-        return leadership.leading() && report.token() <= scheduler.token;
+        return leadership.leading() && report.token() <= scheduler.token && hearsOfCancellations();
+    }
+
+    /**
+     * Guards against a holder that is cut off from the store and its siblings but not from workers: jobs may be
+     * cancelled behind its back, while its answers keep their tasks alive. It goes on for as long as a cancellation
+     * leaves time beyond the workers' lease, and longer only while every sibling says that the store is out for it too.
+     */
+    private boolean hearsOfCancellations() {
+        Facts.Workers w = facts.workers();
+        if (leadership.unservedS() < Math.max(w.reportS(), w.cancelS() - w.leaseS() - 2 * w.reportS() - 1)) {
+            return true;
+        }
+        double now = timers.now();
+        return facts.siblings().stream().allMatch(s -> now - unservedSiblings.getOrDefault(s, -1e9) < 3);
     }
 
     /** A check-in whose answer waits a moment, so that work placed meanwhile starts at once. */
@@ -334,9 +350,8 @@
     }
 
     public void told(String by, long token, boolean leads, boolean served) {
-        if (served) {
-            servedSiblings.put(by, timers.now());
-        }
+        (served ? servedSiblings : unservedSiblings).put(by, timers.now());
+        (served ? unservedSiblings : servedSiblings).remove(by);
         leadership.outbid(token, leads ? by : null);
     }
 
--- a/src/main/java/io/kitepath/net/HttpClient.java
+++ b/src/main/java/io/kitepath/net/HttpClient.java
@@ -25,12 +25,16 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Requests to one address over a few kept connections. A request that fails or times out yields status 0:
  * the other side may or may not have acted on it, and may still do so later.
  */
 public final class HttpClient {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpClient.class);
+
     /** Called once with the status and body, or with 0 and null. */
     public interface Callback {
         void done(int status, byte[] body);
@@ -144,7 +148,16 @@
                 timeout.cancel(false);
             }
             if (p != null) {
+                tell(p, status, body);
+            }
+        }
+
+        /** An odd answer may trip its reader, but must not take the connection's bookkeeping with it. */
+        private void tell(Pending p, int status, byte[] body) {
+            try {
                 p.callback.done(status, body);
+            } catch (RuntimeException e) {
+                LOG.error("the answer {} to {} {} can't be used", status, p.method, p.path, e);
             }
         }
 
@@ -160,7 +173,7 @@
                 idle.addLast(this);
                 next();
                 if (answered != null) {
-                    answered.callback.done(status, body);
+                    tell(answered, status, body);
                 }
             } else {
                 finish(status, body);
--- a/src/main/java/io/kitepath/peers/Messages.java
+++ b/src/main/java/io/kitepath/peers/Messages.java
@@ -1,7 +1,6 @@
 package io.kitepath.peers;
 
 import com.esotericsoftware.kryo.Kryo;
-import com.esotericsoftware.kryo.KryoException;
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import io.kitepath.core.Controller.CheckIn;
@@ -62,7 +61,8 @@
     Object value(byte[] frame) {
         try {
             return kryo.readClassAndObject(new Input(frame));
-        } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException | NegativeArraySizeException e) {
+        } catch (RuntimeException e) {
+            // Kryo throws all kinds on bad bytes.
             throw new Malformed("message: " + e.getMessage());
         }
     }
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -370,6 +370,19 @@
         return names.size() - names.stream().distinct().count();
     }
 
+    @Test
+    void aHolderCutOffFromStoreAndSiblingsStopsAnsweringBeforeCancellationsAreOverdue() {
+        w.siblings.add("elsewhere");
+        World.NodeInWorld cut = settled(1, 0);
+        Report r = new Report("i-000001", "", "m4", "a", false, 1, 1, 0, null, List.of());
+        assertTrue(cut.controller.answer(r).token() > 0);
+        cut.cutFromStore = true;
+        w.run(10);
+        assertTrue(cut.controller.answer(r).token() > 0);
+        w.run(10);
+        assertEquals(0, cut.controller.answer(r).token());
+    }
+
     @Test
     void aWorkerCutOffFromTheLeaderIsAnsweredThroughASibling() {
         settled(2, 1);
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -31,6 +31,8 @@
     double now = 100;
 
     final Map<String, Facts.Team> teams = new LinkedHashMap<>();
+    /** What the settings name as siblings, whether or not they run. */
+    final List<String> siblings = new ArrayList<>();
     final List<Facts.Objective> objectives = new ArrayList<>();
     final FakeStore store = new FakeStore();
     final FakeCloud cloud = new FakeCloud();
@@ -59,7 +61,7 @@
     }
 
     Facts facts(String node) {
-        return new Facts(node, "a", List.of(), List.of("a", "b"), teams, objectives,
+        return new Facts(node, "a", siblings, List.of("a", "b"), teams, objectives,
                 new Facts.Workers(REPORT_S, LEASE_S, 30, 5, 30), new Facts.StoreLimits(1000, 1000, 8, 40),
                 new Facts.CloudLimits(10, 2), new Facts.Limits(1, 200, 1000), 5);
     }
