--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -54,9 +54,6 @@
         }
     }
 
-    /** Owners' estimates are often wrong by half; for how much room a job needs, a task is taken to run this longer. */
-    private static final double DOUBT = 1.25;
-
     private final Facts facts;
     private final Scheduler scheduler;
     /** Kinds that were refused for want of capacity, until when not to ask, and how often in a row. */
@@ -132,7 +129,7 @@
      */
     private Set<Machine> reserve(List<Job> queue, Map<Kind, Integer> rent, double now) {
         Set<Machine> kept = new HashSet<>();
-        double boot = boot();
+        double boot = scheduler.types.values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
         for (Facts.Objective o : facts.objectives()) {
             boolean wait = o.kind().equals("wait") && o.withinS() < boot
                     && queue.stream().noneMatch(j -> j.spec.jobClass().equals(o.jobClass()));
@@ -169,10 +166,6 @@
         return kept;
     }
 
-    private double boot() {
-        return scheduler.types.values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
-    }
-
     private double guaranteedCpus() {
         return facts.teams().values().stream().mapToDouble(Facts.Team::cpus).sum();
     }
@@ -226,9 +219,11 @@
             waiting = waiting == s.tasks() ? waiting : 0;
         } else if (s.shape() == JobSpec.Shape.ARRAY) {
             // Not a place for every task at once: as many as finish the job in good time, one after the other.
-            double each = Math.max(1, s.estimateS() * DOUBT);
-            double aim = s.deadlineS() != null ? s.deadlineS() - (wallMs - job.submittedMs) / 1000
-                    : facts.finishWithinS(s.jobClass(), 10 * facts.workers().leaseS()) - 1.5 * boot() - each;
+            double aim = facts.finishWithinS(s.jobClass(), 10 * facts.workers().leaseS()) / 2.5;
+            if (s.deadlineS() != null) {
+                aim = s.deadlineS() - (wallMs - job.submittedMs) / 1000;
+            }
+            double each = Math.max(1, s.estimateS());
             double atOnce = Math.ceil((job.waiting() + job.live.size()) * each / Math.max(each, aim));
             waiting = (int) Math.max(0, Math.min(waiting, atOnce - job.live.size()));
         }
@@ -413,8 +408,7 @@
     }
 
     private boolean idleTooLong(Machine m, MachineType t, double now) {
-        // Worth keeping about as long as a new one would take to come, and cheap ones by as much longer as they cost less.
-        double keep = m.spot && t.spotPrice() > 0 ? t.bootS() * t.price() / t.spotPrice() : t.bootS();
-        return m.reservedFor == null && now - m.idleSince > keep;
+        // Worth keeping about as long as a new one would take to come.
+        return m.reservedFor == null && now - m.idleSince > t.bootS();
     }
 }
