--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -252,7 +252,7 @@
                 continue;
             }
             Kind k = cheapest(s, zone, rent, now);
-            if (k == null) {
+            if (k == null || s.spot() && !k.spot && inTime(job, now, wallMs)) {
                 return;
             }
             Room r = new Room(scheduler.types.get(k.type), k, null);
@@ -265,6 +265,21 @@
         }
     }
 
+    /**
+     * Whether the job will be done when it should be even if it only gets its turn on what is rented. Guards against
+     * ordinary machines rented at several times the price because spot ones have run out for the moment.
+     */
+    private boolean inTime(Job job, double now, double wallMs) {
+        double backlog = 0;
+        for (Job j : scheduler.jobs.values()) {
+            if (j.spec.spot()) {
+                backlog += j.waiting() * j.spec.cpus() * j.spec.estimateS();
+            }
+        }
+        double left = scheduler.latestStartMs(job) - wallMs;
+        return backlog / Math.max(1, cpus(true)) < left / 1000;
+    }
+
     private boolean allowed(Kind k, JobSpec s, String zone) {
         return (s.types() == null || s.types().contains(k.type)) && (zone == null || zone.equals(k.zone))
                 && (s.spot() || !k.spot);
@@ -360,27 +375,21 @@
         for (Machine m : scheduler.machines.values()) {
             MachineType t = m.type == null ? null : scheduler.types.get(m.type);
             boolean give = m.releasing;
+            boolean surplus = t != null && spare >= t.cpus() && !kept.contains(m) && m.reservedFor == null;
+            if (!m.spot && m.attempts.stream().anyMatch(a -> !a.ended && !a.job.spec.spot())) {
+                m.neededAt = now;
+            }
+            m.draining = surplus && m.proven && !m.spot && m.neededAt < now && cheaperToBeHad(t, now);
             if (mute.contains(m)) {
                 give |= trust || now - leadingSince > 2 * lease && now - m.lastReport > 3 * lease;
             } else if (t != null && overdue(m, t, now)) {
                 give = true;
             } else if (m.proven && !m.busy() && m.attempts.isEmpty()) {
                 give |= m.setAside;
-                if (!give && t != null && spare >= t.cpus() && !kept.contains(m)
-                        && (m.draining || idleTooLong(m, t, now))) {
-                    give = true;
-                    spare -= t.cpus();
-                }
-            } else if (m.proven && !m.spot && t != null) {
-                boolean needed = m.attempts.stream().anyMatch(a -> !a.ended && !a.job.spec.spot());
-                if (needed) {
-                    m.neededAt = now;
-                }
-                m.draining = !needed && spare >= t.cpus() && !kept.contains(m) && m.reservedFor == null
-                        && now - m.neededAt > t.bootS() && cheaperToBeHad(t, now);
-                if (m.draining) {
-                    spare -= t.cpus();
-                }
+                give |= surplus && now - m.neededAt > t.bootS() && (m.draining || idleTooLong(m, t, now));
+            }
+            if (surplus && (give || m.draining)) {
+                spare -= t.cpus();
             }
             if (give) {
                 if (!m.releasing) {
@@ -409,6 +418,6 @@
 
     private boolean idleTooLong(Machine m, MachineType t, double now) {
         // Worth keeping about as long as a new one would take to come.
-        return m.reservedFor == null && now - m.idleSince > t.bootS();
+        return now - m.idleSince > t.bootS();
     }
 }
--- a/src/main/java/io/kitepath/core/Job.java
+++ b/src/main/java/io/kitepath/core/Job.java
@@ -64,7 +64,7 @@
     }
 
     int waiting() {
-        return over ? 0 : spec.tasks() - done.cardinality() - live.size();
+        return over || complete() ? 0 : spec.tasks() - done.cardinality() - live.size();
     }
 
     /** The first task from {@code from} on that is neither done nor placed, or -1. */
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -497,7 +497,7 @@
      * When the job's tasks have to start so that it is done when it should be, by its deadline or its class's
      * objective. Jobs for which that is past come after those that can still make it.
      */
-    private double latestStartMs(Job j) {
+    double latestStartMs(Job j) {
         JobSpec s = j.spec;
         double due = s.deadlineS() != null ? s.deadlineS()
                 : facts.finishWithinS(s.jobClass(), 10 * facts.workers().leaseS() + s.estimateS());
