--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -188,7 +188,6 @@
             return;
         }
         scheduler.place(timers.now(), timers.wallMs(), 20 * facts.store().txnOps());
-        command();
         keeper.write(this::written);
     }
 
@@ -296,17 +295,12 @@
 
     /** What was just written may be launched. */
     private void written() {
-        command();
-        soon();
-    }
-
-    /** Answers the held check-ins of machines for which there is something to do. */
-    private void command() {
         for (String machine : new ArrayList<>(held.keySet())) {
             if (scheduler.hasCommands(machine)) {
                 release(machine);
             }
         }
+        soon();
     }
 
     /** One of the node's figures for operators. */
--- a/src/main/java/io/kitepath/core/Placement.java
+++ b/src/main/java/io/kitepath/core/Placement.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 
 /**
  * Which machine a task goes to: the first of up to {@link #PROBES} random ones that passes, else the best fit
@@ -53,25 +52,14 @@
     }
 
     private Machine pick(JobSpec s, List<Machine> candidates) {
-        // Machines in use come first, so that idle ones stay whole for gangs and large tasks, or empty to return; for
-        // gangs, which are as late as the slowest fetch, those that hold the image come before all others.
+        // Machines in use come first, so that idle ones stay whole for gangs and large tasks, or empty to return.
         List<Machine> used = new ArrayList<>();
-        List<Machine> warm = new ArrayList<>();
         for (Machine m : candidates) {
             if (m.usedCpus > 0) {
                 used.add(m);
             }
-            if (s.gang() && m.images.contains(s.image())) {
-                warm.add(m);
-            }
-        }
-        Machine m = probe(s, warm.stream().filter(x -> x.usedCpus > 0).collect(Collectors.toList()));
-        if (m == null) {
-            m = probe(s, warm);
-        }
-        if (m == null) {
-            m = probe(s, used);
         }
+        Machine m = probe(s, used);
         return m != null ? m : scan(s, candidates);
     }
 
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -389,9 +389,9 @@
     }
 
     /**
-     * How long the answer to the machine's report is worth holding back for work that may come: while nothing waits
-     * that what ends here would make room for, or on an idle machine, until the next report is due; on one where
-     * something just ended while other work waits, for the moment that placing and writing takes.
+     * How long the answer to the machine's report is worth holding back for work that may come: on an idle machine,
+     * which has nothing to report meanwhile, until its next report is due; on one where something just ended while
+     * other work waits, for the moment that placing and writing takes.
      */
     double patience(String machine) {
         Machine m = machines.get(machine);
@@ -399,10 +399,10 @@
             return 0;
         }
         double report = facts.workers().reportS();
-        if (!m.busy() || jobs.values().stream().allMatch(j -> j.waiting() == 0)) {
+        if (!m.busy()) {
             return Math.min(report, MAX_HOLD_S);
         }
-        return m.endedLately ? report / 10 : 0;
+        return m.endedLately && jobs.values().stream().anyMatch(j -> j.waiting() > 0) ? report / 10 : 0;
     }
 
     /** A gang is launched only when every one of its tasks has a machine, and that is written down. */
