--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -207,23 +207,22 @@
             answer.accept(CheckIn.elsewhere(null));
             return;
         }
-        // A worker that we sent to the leader and that is back did not get through to it: ask on its behalf.
-        Double sent = sentAway.get(report.machine());
+        // A worker that we sent to the leader and that is back did not get through to it, and one that has seen the
+        // leader's token and comes here has lost it: ask on its behalf. Sending it away once more would cost it
+        // another 5 s, of a lease that may be 10 s long. From time to time it is sent to try again.
         double now = timers.now();
-        if (sent != null && now - sent < 3 * facts.workers().leaseS()) {
-            relayed++;
-            siblings.relay(leader, report, a -> {
-                if (a.token() > 0) {
-                    sentAway.put(report.machine(), timers.now());
-                } else {
-                    sentAway.remove(report.machine());
-                }
-                answer.accept(a);
-            });
+        double lease = facts.workers().leaseS();
+        Double sent = sentAway.get(report.machine());
+        boolean back = sent != null && now - sent < 2 * lease;
+        boolean lost = sent == null && report.token() == leadership.highest();
+        if (!back && !lost) {
+            sentAway.put(report.machine(), now);
+            answer.accept(CheckIn.elsewhere(leader));
             return;
         }
-        sentAway.put(report.machine(), now);
-        answer.accept(CheckIn.elsewhere(leader));
+        sentAway.putIfAbsent(report.machine(), now);
+        relayed++;
+        siblings.relay(leader, report, answer);
     }
 
     /** The holder's answer to a report that a sibling asks about: at once, for the worker's time is running. */
--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -367,9 +367,11 @@
                 }
             }
         }
-        // Guards against a holder that is cut off from the workers itself: if most of them are silent, the fault is
-        // hardly theirs.
-        boolean trust = silent * 2 <= up;
+        // Guards against a holder that is cut off from workers itself: if several fall silent together, the fault is
+        // hardly theirs, and they may be on their way to another node. Once their leases have run out for certain,
+        // nothing is lost by giving them back, unless it is nearly all of them.
+        boolean few = silent <= Math.max(1, up / 8);
+        boolean some = silent * 2 <= up;
         List<String> out = new ArrayList<>();
         double spare = cpus(true) - guaranteedCpus();
         for (Machine m : scheduler.machines.values()) {
@@ -381,7 +383,8 @@
             }
             m.draining = surplus && m.proven && !m.spot && m.neededAt < now && cheaperToBeHad(t, now);
             if (mute.contains(m)) {
-                give |= trust || now - leadingSince > 2 * lease && now - m.lastReport > 3 * lease;
+                double quiet = now - Math.max(leadingSince, m.reported() ? m.lastReport : leadingSince);
+                give |= few || some && quiet > 1.5 * lease || quiet > 3 * lease;
             } else if (t != null && overdue(m, t, now)) {
                 give = true;
             } else if (m.proven && !m.busy() && m.attempts.isEmpty()) {
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -396,4 +396,31 @@
         w.run(0.1);
         assertEquals(leader.controller.scheduler.token, got[1].token());
     }
+
+    @Test
+    void aWorkerThatLostTheLeaderIsRelayedAtOnce() {
+        settled(2, 1);
+        World.NodeInWorld leader = w.leader();
+        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        long token = leader.controller.scheduler.token;
+        Controller.CheckIn[] got = new Controller.CheckIn[1];
+        other.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of()),
+                c -> got[0] = c);
+        w.run(0.1);
+        assertEquals(token, got[0].token());
+    }
+
+    @Test
+    void severalMachinesSilentTogetherAreNotGivenBackAtOnce() {
+        World.NodeInWorld n = settled(1, 8);
+        w.workers.values().forEach(x -> x.runsFor = 100);
+        w.submit(n, job("j-1", Shape.ARRAY, 8, 4));
+        w.run(2);
+        List.of("i-000000", "i-000001", "i-000002").forEach(m -> w.workers.get(m).cut = true);
+        w.run(13);
+        assertEquals(List.of(), w.cloud.released);
+        w.workers.get("i-000003").cut = true;
+        w.run(25);
+        assertTrue(w.cloud.released.containsAll(List.of("i-000000", "i-000001", "i-000002", "i-000003")));
+    }
 }
