--- a/src/main/java/io/kitepath/cli/ArchiveTraining.java
+++ b/src/main/java/io/kitepath/cli/ArchiveTraining.java
@@ -6,6 +6,7 @@
 import io.kitepath.wire.Pack;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -86,19 +87,13 @@
         statuses.add(call(loop, client, "GET", "/submissions/j-1", null));
         statuses.add(call(loop, client, "GET", "/submissions/j-2", null));
         statuses.add(call(loop, client, "GET", "/healthz", null));
-        for (long tick = 1; tick <= 6; tick++) {
-            Map<String, Object> report = new LinkedHashMap<>();
-            report.put("host", "i-000001");
-            report.put("addr", "127.0.0.1:1");
-            report.put("frame", "m");
-            report.put("field", "a");
-            report.put("loaners", true);
-            report.put("tenure", 1L);
-            report.put("tick", tick);
-            report.put("baton", tick == 1 ? 0L : 1L);
-            report.put("sheets", tick < 4 ? List.of()
-                    : List.of(Map.of("sheet", "j-1/0", "try", 1L, "status", "running")));
-            statuses.add(call(loop, client, "POST", "/checkin", Pack.bytes(report)));
+        long first = 1;
+        while (call(loop, client, "POST", "/checkin", report(first, 0)) == 421 && System.nanoTime() < end) {
+            first++;
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+        for (long tick = first + 1; tick <= first + 6; tick++) {
+            statuses.add(call(loop, client, "POST", "/checkin", report(tick, tick < first + 4 ? 1 : 2)));
         }
         statuses.add(call(loop, client, "POST", "/submissions/j-1/withdraw", Pack.bytes(Map.of())));
         statuses.add(call(loop, client, "POST", "/submissions", new byte[] {1}));
@@ -107,6 +102,22 @@
         return statuses;
     }
 
+    /** A worker's report: phase 0 before it knows the token, 1 idle, 2 with a task. */
+    private static byte[] report(long tick, int phase) {
+        Map<String, Object> report = new LinkedHashMap<>();
+        report.put("host", "i-000001");
+        report.put("addr", "127.0.0.1:1");
+        report.put("frame", "m");
+        report.put("field", "a");
+        report.put("loaners", true);
+        report.put("tenure", 1L);
+        report.put("tick", tick);
+        report.put("baton", phase == 0 ? 0L : 1L);
+        report.put("sheets", phase < 2 ? List.of()
+                : List.of(Map.of("sheet", "j-1/0", "try", 1L, "status", "running")));
+        return Pack.bytes(report);
+    }
+
     private static int call(EventLoop loop, HttpClient client, String method, String path, byte[] body)
             throws Exception {
         CompletableFuture<Integer> status = new CompletableFuture<>();
@@ -133,8 +144,9 @@
             multi(Pack.value(r.body()), out);
         } else if (path.equals("/keys")) {
             List<Object> entries = new ArrayList<>();
+            String prefix = new QueryStringDecoder(r.query(), false).parameters().get("prefix").get(0);
             keys.forEach((k, v) -> {
-                if (k.startsWith("jobs/open/")) {
+                if (k.startsWith(prefix)) {
                     entries.add(v);
                 }
             });
--- a/src/main/java/io/kitepath/core/Tree.java
+++ b/src/main/java/io/kitepath/core/Tree.java
@@ -129,6 +129,11 @@
         return out;
     }
 
+    /** A complaint about the field that names where it is. */
+    public Malformed complaint(String name, String reason) {
+        return new Malformed(at + name + ": " + reason);
+    }
+
     private Malformed wrong(String name, String kind) {
         return new Malformed(at + name + (has(name) ? ": must be " + kind : ": is missing"));
     }
--- a/src/main/java/io/kitepath/net/HttpServer.java
+++ b/src/main/java/io/kitepath/net/HttpServer.java
@@ -37,8 +37,8 @@
         void handle(Request request, Responder out);
     }
 
-    /** {@code path} is as sent, without the query. */
-    public record Request(String method, String path, byte[] body) {}
+    /** {@code path} is as sent, without the query, which is empty if there is none. */
+    public record Request(String method, String path, String query, byte[] body) {}
 
     private final Handler handler;
     private final int maxBody;
@@ -151,7 +151,7 @@
             Responder out = new Responder(ctx.channel(), this, HttpUtil.isKeepAlive(request));
             try {
                 handler.handle(new Request(request.method().name(), query < 0 ? uri : uri.substring(0, query),
-                        ByteBufUtil.getBytes(request.content())), out);
+                        query < 0 ? "" : uri.substring(query + 1), ByteBufUtil.getBytes(request.content())), out);
             } catch (RuntimeException e) {
                 LOG.error("request {} {} failed", request.method(), uri, e);
                 out.reply(500, null);
--- a/src/main/java/io/kitepath/settings/Settings.java
+++ b/src/main/java/io/kitepath/settings/Settings.java
@@ -96,7 +96,7 @@
         } catch (NumberFormatException | UnknownHostException e) {
             // Said below.
         }
-        throw new Malformed(field + ": must be an address such as 10.0.0.1:8080, not \"" + s + "\"");
+        throw t.complaint(field, "must be an address such as 10.0.0.1:8080, not \"" + s + "\"");
     }
 
     /** A JSON document as plain maps, lists, text, numbers, booleans and null. */
