--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -8,9 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** How many machines are wanted: what to rent for the work that waits, and what to give back. */
 final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+
     /** One kind of machine to rent. */
     record Kind(String type, String zone, boolean spot) {}
 
@@ -406,8 +410,6 @@
         return out;
     }
 
-    private static final org.slf4j.Logger LOG = org.slf4j.LoggerFactory.getLogger(Fleet.class);
-
     /**
      * Guards against work that could run on spot machines keeping ordinary ones rented: it fills them up again
      * and again, so they never idle.
--- a/src/main/java/io/kitepath/core/Leadership.java
+++ b/src/main/java/io/kitepath/core/Leadership.java
@@ -29,6 +29,7 @@
     private final Listener listener;
     private final double lifeS;
     private boolean leading;
+    private long token;
     private long lease;
     private long revision;
     private double renewedAt;
@@ -82,20 +83,18 @@
     }
 
     /** A worker or sibling has seen a higher token than ours: somebody else leads. */
-    void outbid(long token, String by) {
-        if (token > highest) {
-            highest = token;
+    void outbid(long seen, String by) {
+        if (seen > highest) {
+            highest = seen;
             if (by != null && !leading) {
                 leader = by;
             }
         }
-        if (leading && token > this.token()) {
-            stepDown("a higher token " + token + " was seen");
+        if (leading && seen > token) {
+            stepDown("a higher token " + seen + " was seen");
         }
     }
 
-    private long token;
-
     long token() {
         return token;
     }
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -11,8 +11,9 @@
     String type;
     String zone;
     boolean spot;
-    /** Seconds since the epoch of the steady clock; NaN if never. */
+    /** Times are seconds on the steady clock. */
     double knownSince;
+    /** NaN until the first report. */
     double lastReport = Double.NaN;
     long session;
     long sequence;
--- a/src/main/java/io/kitepath/core/Placement.java
+++ b/src/main/java/io/kitepath/core/Placement.java
@@ -1,10 +1,12 @@
 package io.kitepath.core;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 
 /**
@@ -103,13 +105,13 @@
             return whole(s, candidates, m -> true);
         }
         // The zone with the least room that still suffices, so that larger gangs find theirs.
-        Map<String, Integer> slots = new java.util.TreeMap<>();
+        Map<String, Integer> slots = new TreeMap<>();
         for (Machine m : candidates) {
             slots.merge(m.zone, freeSlots(m, s, 0, 0, 0), Integer::sum);
         }
         List<String> zones = new ArrayList<>(slots.keySet());
         zones.removeIf(z -> slots.get(z) < s.tasks());
-        zones.sort(java.util.Comparator.comparing(slots::get));
+        zones.sort(Comparator.comparing(slots::get));
         for (String z : zones) {
             List<Machine> found = whole(s, candidates, m -> m.zone.equals(z));
             if (found != null) {
--- a/src/main/java/io/kitepath/core/Registry.java
+++ b/src/main/java/io/kitepath/core/Registry.java
@@ -76,8 +76,8 @@
         }
         List<Consumer<Answer>> waiting = asking.get(id);
         if (waiting != null) {
-            // Joining a read that began earlier would be wrong if something was told since; so only joins made
-            // before the read is sent share it, and these wait for the next one.
+            // The read under way began before this question, so its answer may be older than what was told since:
+            // all that ask meanwhile share the next one.
             waiting.add(answer);
             return;
         }
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -488,21 +488,11 @@
             }
         }
         q.sort(Comparator.<Job>comparingInt(j -> j.guaranteed ? 0 : 1).thenComparing(j -> j.spec.priority())
-                .thenComparing(j -> latestStartMs(j) < wallMs).thenComparingInt(Scheduler::size)
-                .thenComparingDouble(this::latestStartMs)
+                .thenComparing(j -> latestStartMs(j) < wallMs).thenComparingDouble(this::latestStartMs)
                 .thenComparingDouble(j -> j.submittedMs).thenComparing(j -> j.spec.id()));
         return q;
     }
 
-    /**
-     * How much work is left of the job, in steps of four times as much. Of jobs that can all still be in time, small
-     * ones come first: more of them are, for the same room.
-     */
-    private static int size(Job j) {
-        double work = (j.spec.tasks() - j.done.cardinality()) * j.spec.cpus() * Math.max(1, j.spec.estimateS());
-        return (int) Math.max(0, Math.log(work) / Math.log(4));
-    }
-
     /**
      * When the job's tasks have to start so that it is done when it should be, by its deadline or its class's
      * objective. Jobs for which that is past come after those that can still make it.
