--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -88,7 +88,7 @@
         for (Job job : queue) {
             want(job, rooms, rent, now, wallMs);
         }
-        Set<Machine> kept = reserve(queue, rent, now);
+        Set<Machine> kept = idle() ? Set.of() : reserve(queue, rent, now);
         floor(rent, now);
         return new Plan(rent, returns(now, kept));
     }
@@ -170,8 +170,13 @@
         return kept;
     }
 
+    /** Guards against a fleet kept rented for work that may come when none has come for long. */
+    private boolean idle() {
+        return scheduler.jobs.values().stream().allMatch(j -> j.over);
+    }
+
     private double guaranteedCpus() {
-        return facts.teams().values().stream().mapToDouble(Facts.Team::cpus).sum();
+        return idle() ? 0 : facts.teams().values().stream().mapToDouble(Facts.Team::cpus).sum();
     }
 
     private double cpus(boolean usableOnly) {
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -405,4 +405,12 @@
         w.run(25);
         assertTrue(w.cloud.released.containsAll(List.of("i-000000", "i-000001", "i-000002", "i-000003")));
     }
+
+    @Test
+    void withNothingToDoMachinesAreGivenBackWhateverIsGuaranteed() {
+        w.teams.put("blue", new Facts.Team("blue", 8, 8, 0, 0));
+        settled(1, 2);
+        w.run(90);
+        assertTrue(w.cloud.released.containsAll(List.of("i-000000", "i-000001")));
+    }
 }
