One place for what was written several times in fleet, scheduler and keeper; behaviour as before

Whether a kind may be had, its price, whether a machine is usable and an attempt unwanted were each spelled out two to four times; held check-ins repeated the conditions of the commands. The keeper told a lost block from a doubt by the text of a reason; now it says which. Dead: a counter nobody read, isGone, unused parameters. A story compares instead of asserting a bare truth.

--- a/src/main/java/io/kitepath/core/Attempt.java
+++ b/src/main/java/io/kitepath/core/Attempt.java
@@ -39,6 +39,11 @@
         return !ended && !seen;
     }
 
+    /** It has to go, or goes already. */
+    boolean unwanted() {
+        return job.over || !Double.isNaN(stopGraceS);
+    }
+
     @Override
     public String toString() {
         return job.spec.id() + "/" + task + "#" + number + "@" + machine.id;
--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -17,7 +17,7 @@
  * One controller node: puts leadership, the block holder and the users' registry together and runs their loops.
  * Everything happens on one event loop.
  */
-public final class Controller implements Leadership.Listener {
+public final class Controller {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
 
     /** The answer to a check-in. {@code token} 0: not entitled; report to {@code anchor}, or elsewhere if null. */
@@ -85,8 +85,8 @@
         this.timers = timers;
         this.siblings = siblings;
         this.scheduler = new Scheduler(facts, random);
-        this.leadership = new Leadership(facts, store, timers, random, this);
-        this.keeper = new Keeper(facts, store, timers, scheduler, this::reload);
+        this.leadership = new Leadership(facts, store, timers, random, new Leading());
+        this.keeper = new Keeper(facts, store, timers, scheduler, new Keeping());
         this.fleet = new Fleet(facts, scheduler);
         this.registry = new Registry(store, timers);
         this.cloudCalls = new Bucket(facts.cloud().rps() * 0.6);
@@ -117,41 +117,47 @@
 
     // ---- leading --------------------------------------------------------------------------------
 
-    @Override
-    public void won(long token, long leaseId, long blockRevision) {
-        scheduler.token = token;
-        scheduler.machines.values().forEach(m -> m.proven = false);
-        lease = leaseId;
-        rentals = 0;
-        unsettled.clear();
-        leadingSince = timers.now();
-        tell();
-        keeper.start(Keys.BLOCKS + "all", blockRevision, this::soon);
-        if (!ticking) {
-            ticking = true;
-            tick();
+    private final class Leading implements Leadership.Listener {
+        @Override
+        public void won(long token, long leaseId, long blockRevision) {
+            scheduler.token = token;
+            scheduler.machines.values().forEach(m -> m.proven = false);
+            lease = leaseId;
+            rentals = 0;
+            unsettled.clear();
+            leadingSince = timers.now();
+            tell();
+            keeper.start(Keys.BLOCKS + "all", blockRevision, Controller.this::soon);
+            if (!ticking) {
+                ticking = true;
+                tick();
+            }
         }
-    }
 
-    @Override
-    public void lost(String why) {
-        keeper.stop();
-        scheduler.forgetJobs();
-        scheduler.machines.clear();
-        new ArrayList<>(held.keySet()).forEach(this::release);
-        tell();
+        @Override
+        public void lost(String why) {
+            keeper.stop();
+            scheduler.forgetJobs();
+            scheduler.machines.clear();
+            for (String machine : new ArrayList<>(held.keySet())) {
+                release(machine);
+            }
+            tell();
+        }
     }
 
-    /** The memory and the store may differ: read everything again, under the same token. */
-    private void reload(String why) {
-        LOG.warn("reloading: {}", why);
-        if (leadership.leading()) {
-            long revision = keeper.blockRevision();
-            keeper.stop();
-            if (why.contains("no longer ours")) {
-                leadership.stepDown(why);
-            } else {
-                keeper.start(Keys.BLOCKS + "all", revision, this::soon);
+    private final class Keeping implements Keeper.Listener {
+        @Override
+        public void blockLost() {
+            leadership.stepDown("the block is no longer ours");
+        }
+
+        /** Reads everything again, under the same token. */
+        @Override
+        public void outOfStep(String why) {
+            LOG.warn("reloading: {}", why);
+            if (leadership.leading()) {
+                keeper.start(Keys.BLOCKS + "all", keeper.blockRevision(), Controller.this::soon);
             }
         }
     }
@@ -178,7 +184,7 @@
         round();
         tendFleet();
         if (LOG.isDebugEnabled() && ++ticks % 20 == 0) {
-            LOG.debug("{}", scheduler.summary(timers.now()));
+            LOG.debug("{}", scheduler.summary());
         }
         timers.after(0.25, this::tick);
     }
--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -75,6 +75,11 @@
         r[0] = now + facts.cloud().listLagS() * (1 << (int) r[1]) / 2;
     }
 
+    private boolean mayBeHad(Kind k, double now) {
+        double[] r = refused.get(k);
+        return r == null || now >= r[0];
+    }
+
     void granted(Kind k) {
         refused.remove(k);
     }
@@ -101,12 +106,12 @@
         List<Room> rooms = new ArrayList<>();
         for (Machine m : scheduler.machines.values()) {
             MachineType t = m.type == null ? null : scheduler.types.get(m.type);
-            if (t == null || m.releasing || m.gone || m.setAside || !Double.isNaN(m.takenAt) || overdue(m, t, now)) {
+            if (t == null || !usable(m) || overdue(m, t, now)) {
                 continue;
             }
             Room r = new Room(t, new Kind(m.type, m.zone, m.spot), m);
             for (Attempt a : m.attempts) {
-                if (!a.ended && Double.isNaN(a.stopGraceS) && !a.job.over && (forNow == null
+                if (!a.ended && !a.unwanted() && (forNow == null
                         ? remaining(a, now) > t.bootS()
                         : a.job.spec.gang() || a.job.spec.priority().compareTo(forNow.priority()) <= 0)) {
                     r.less(a.job.spec);
@@ -179,11 +184,16 @@
         return idle() ? 0 : facts.teams().values().stream().mapToDouble(Facts.Team::cpus).sum();
     }
 
-    private double cpus(boolean usableOnly) {
+    /** Up or coming, and not on its way out. */
+    private static boolean usable(Machine m) {
+        return !m.releasing && !m.gone && !m.setAside && Double.isNaN(m.takenAt);
+    }
+
+    private double usableCpus() {
         double sum = 0;
         for (Machine m : scheduler.machines.values()) {
             MachineType t = m.type == null ? null : scheduler.types.get(m.type);
-            if (t != null && !m.releasing && !m.gone && !(usableOnly && (m.setAside || !Double.isNaN(m.takenAt)))) {
+            if (t != null && usable(m)) {
                 sum += t.cpus();
             }
         }
@@ -192,7 +202,7 @@
 
     /** What teams are guaranteed must not wait for a boot: all guarantees together are kept rented. */
     private void floor(Map<Kind, Integer> rent, double now) {
-        double missing = guaranteedCpus() - cpus(true);
+        double missing = guaranteedCpus() - usableCpus();
         for (Map.Entry<Kind, Integer> e : rent.entrySet()) {
             missing -= e.getValue() * scheduler.types.get(e.getKey().type).cpus();
         }
@@ -203,10 +213,8 @@
                 for (String z : t.zones()) {
                     for (boolean spot : new boolean[] {true, false}) {
                         Kind k = new Kind(t.name(), z, spot);
-                        double[] r = refused.get(k);
-                        double price = (spot ? t.spotPrice() : t.price()) / t.cpus()
-                                * (1 + 1e-4 * (count(k) + rent.getOrDefault(k, 0)));
-                        if ((r == null || now >= r[0]) && t.cpus() > 0 && (best == null || price < bestPrice)) {
+                        double price = price(k, t, t.cpus(), rent);
+                        if (mayBeHad(k, now) && t.cpus() > 0 && (best == null || price < bestPrice)) {
                             best = k;
                             bestPrice = price;
                         }
@@ -261,7 +269,7 @@
                 continue;
             }
             Kind k = cheapest(s, zone, rent, now);
-            if (k == null || s.spot() && !k.spot && inTime(job, now, wallMs)) {
+            if (k == null || s.spot() && !k.spot && inTime(job, wallMs)) {
                 return;
             }
             Room r = new Room(scheduler.types.get(k.type), k, null);
@@ -278,7 +286,7 @@
      * Whether the job will be done when it should be even if it only gets its turn on what is rented. Guards against
      * ordinary machines rented at several times the price because spot ones have run out for the moment.
      */
-    private boolean inTime(Job job, double now, double wallMs) {
+    private boolean inTime(Job job, double wallMs) {
         double backlog = 0;
         for (Job j : scheduler.jobs.values()) {
             if (j.spec.spot()) {
@@ -286,7 +294,7 @@
             }
         }
         double left = scheduler.latestStartMs(job) - wallMs;
-        return backlog / Math.max(1, cpus(true)) < left / 1000;
+        return backlog / Math.max(1, usableCpus()) < left / 1000;
     }
 
     private boolean allowed(Kind k, JobSpec s, String zone) {
@@ -298,11 +306,7 @@
     private String bestZone(JobSpec s, List<Room> rooms, double now) {
         Map<String, Double> score = new LinkedHashMap<>();
         for (String z : facts.zones()) {
-            if (cheapest(s, z, Map.of(), now) != null) {
-                score.put(z, 0.1);
-            } else {
-                score.put(z, 0.0);
-            }
+            score.put(z, cheapest(s, z, Map.of(), now) != null ? 0.1 : 0);
         }
         for (Room r : rooms) {
             if (allowed(r.kind, s, null) && s.cpus() > 0) {
@@ -322,13 +326,10 @@
             for (String z : t.zones()) {
                 for (int spot = s.spot() ? 1 : 0; spot >= 0; spot--) {
                     Kind k = new Kind(t.name(), z, spot == 1);
-                    double[] r = refused.get(k);
-                    if (!allowed(k, s, zone) || r != null && now < r[0]) {
+                    if (!allowed(k, s, zone) || !mayBeHad(k, now)) {
                         continue;
                     }
-                    // Zones share: the one with the least of this kind.
-                    double price = (spot == 1 ? t.spotPrice() : t.price()) / Placement.slots(s, t)
-                            * (1 + 1e-4 * (count(k) + rent.getOrDefault(k, 0)));
+                    double price = price(k, t, Placement.slots(s, t), rent);
                     if (best == null || price < bestPrice) {
                         best = k;
                         bestPrice = price;
@@ -339,6 +340,11 @@
         return best;
     }
 
+    /** Per unit of what a machine offers. Zones share: of equal ones, the one with the least of this kind. */
+    private double price(Kind k, MachineType t, double units, Map<Kind, Integer> rent) {
+        return (k.spot ? t.spotPrice() : t.price()) / units * (1 + 1e-4 * (count(k) + rent.getOrDefault(k, 0)));
+    }
+
     private long count(Kind k) {
         return scheduler.machines.values().stream()
                 .filter(m -> k.type.equals(m.type) && k.zone.equals(m.zone) && k.spot == m.spot).count();
@@ -382,7 +388,7 @@
         boolean few = silent <= Math.max(1, up / 8);
         boolean some = silent * 2 <= up;
         List<String> out = new ArrayList<>();
-        double spare = cpus(true) - guaranteedCpus();
+        double spare = usableCpus() - guaranteedCpus();
         for (Machine m : scheduler.machines.values()) {
             MachineType t = m.type == null ? null : scheduler.types.get(m.type);
             boolean give = m.releasing;
@@ -420,10 +426,7 @@
      * and again, so they never idle.
      */
     private boolean cheaperToBeHad(MachineType t, double now) {
-        return t.spotPrice() < t.price() && t.zones().stream().anyMatch(z -> {
-            double[] r = refused.get(new Kind(t.name(), z, true));
-            return r == null || now >= r[0];
-        });
+        return t.spotPrice() < t.price() && t.zones().stream().anyMatch(z -> mayBeHad(new Kind(t.name(), z, true), now));
     }
 
     private boolean idleTooLong(Machine m, MachineType t, double now) {
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -29,7 +29,7 @@
     private final Store store;
     private final Timers timers;
     private final Scheduler scheduler;
-    private final java.util.function.Consumer<String> fatal;
+    private final Listener listener;
     private final Bucket writes;
     private long epoch;
     private String blockKey;
@@ -38,6 +38,14 @@
     private Round round;
     long rounds;
 
+    interface Listener {
+        /** Somebody else holds the block, or nobody. */
+        void blockLost();
+
+        /** The memory and the store may differ. */
+        void outOfStep(String why);
+    }
+
     private record Written(Job job, int part, int version, boolean removed) {}
 
     private static final class Round {
@@ -49,12 +57,12 @@
     }
 
     Keeper(Facts facts, Store store, Timers timers, Scheduler scheduler,
-            java.util.function.Consumer<String> fatal) {
+            Listener listener) {
         this.facts = facts;
         this.store = store;
         this.timers = timers;
         this.scheduler = scheduler;
-        this.fatal = fatal;
+        this.listener = listener;
         this.writes = new Bucket(facts.store().writeRps() * WRITE_SHARE);
     }
 
@@ -234,7 +242,7 @@
                     ready.run();
                 }
             } else if (c.outcome() == Outcome.NO) {
-                fatal.accept("changes of the jobs were missed");
+                listener.outOfStep("changes of the jobs were missed");
             } else {
                 timers.after(0.3, () -> follow(e, after, ready));
             }
@@ -368,23 +376,23 @@
     private void refused(Round r, Committed c) {
         round = null;
         if (c.failed().contains(blockKey)) {
-            fatal.accept("the block is no longer ours");
+            listener.blockLost();
             return;
         }
         if (r.unsure) {
-            fatal.accept("an earlier try of this write may have been executed");
+            listener.outOfStep("an earlier try of this write may have been executed");
             return;
         }
         for (String key : c.failed()) {
             if (!key.startsWith(Keys.OPEN)) {
-                fatal.accept("unexpected revision of " + key);
+                listener.outOfStep("unexpected revision of " + key);
                 return;
             }
             // Cancelled just now; the next round goes without it.
             scheduler.jobOver(key.substring(Keys.OPEN.length()));
         }
         if (c.failed().isEmpty()) {
-            fatal.accept("a write was refused without a reason");
+            listener.outOfStep("a write was refused without a reason");
         }
     }
 }
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -46,7 +46,6 @@
     /** The jobs that came last, newest last: what the next ones may be like. */
     private final ArrayDeque<JobSpec> lately = new ArrayDeque<>();
     long token;
-    long starts;
     long ends;
     long lost;
     long evictions;
@@ -253,10 +252,6 @@
         LOG.info("machine {} gone", id);
     }
 
-    boolean isGone(String id) {
-        return tombstones.contains(id);
-    }
-
     /** What the cloud says exists. A list can be old, so it never proves a machine gone. */
     void listed(Collection<Cloud.Listed> list, double now) {
         for (Cloud.Listed l : list) {
@@ -365,15 +360,10 @@
             if (a.ended || orders.size() >= MAX_ORDERS) {
                 continue;
             }
-            if (a.job.over || !Double.isNaN(a.stopGraceS)) {
-                if (a.seen) {
-                    double grace = a.job.over ? 0 : a.stopGraceS;
-                    orders.add(new Order(Order.Verb.STOP, a.job.spec.id(), a.task, a.number, grace));
-                }
-            } else if (mayStart && a.durable && !a.seen && startable(a)) {
-                if (!a.launched) {
-                    starts++;
-                }
+            if (toStop(a)) {
+                double grace = a.job.over ? 0 : a.stopGraceS;
+                orders.add(new Order(Order.Verb.STOP, a.job.spec.id(), a.task, a.number, grace));
+            } else if (mayStart && toStart(a)) {
                 a.launched = true;
                 orders.add(new Order(Order.Verb.START, a.job.spec.id(), a.task, a.number, 0));
             }
@@ -384,8 +374,15 @@
     /** Whether something is to be started or stopped on the machine. */
     boolean hasCommands(String machine) {
         Machine m = machines.get(machine);
-        return m != null && m.attempts.stream().anyMatch(a -> !a.ended && (a.job.over
-                || !Double.isNaN(a.stopGraceS) ? a.seen : a.durable && !a.seen && startable(a)));
+        return m != null && m.attempts.stream().anyMatch(a -> !a.ended && (toStop(a) || toStart(a)));
+    }
+
+    private static boolean toStop(Attempt a) {
+        return a.unwanted() && a.seen;
+    }
+
+    private static boolean toStart(Attempt a) {
+        return !a.unwanted() && a.durable && !a.seen && startable(a);
     }
 
     /**
@@ -431,12 +428,11 @@
 
     /** A report newer than any launch of this attempt does not show it. */
     private void absent(Attempt a, double now) {
-        boolean unwanted = a.job.over || !Double.isNaN(a.stopGraceS);
         if (a.seen) {
             lost++;
             LOG.info("attempt {} lost with its session", a);
             end(a, Cause.STOPPED, now);
-        } else if (a.durable && unwanted) {
+        } else if (a.durable && a.unwanted()) {
             end(a, Cause.STOPPED, now);
         } else if (a.launched && a.job.spec.gang()
                 && a.job.live.values().stream().anyMatch(x -> x.state == State.RUNNING || x.state == State.SAVING)) {
@@ -719,7 +715,7 @@
     /** Work gives way to work of higher priority, and what a team borrows to the guarantee of another. */
     private boolean mayEvict(Job job, Attempt victim) {
         JobSpec v = victim.job.spec;
-        if (victim.job.over || !Double.isNaN(victim.stopGraceS)) {
+        if (victim.unwanted()) {
             return true; // It goes anyway.
         }
         if (v.gang() || v.shape() == JobSpec.Shape.SERVICE) {
@@ -739,7 +735,7 @@
         double[] less = new double[3];
         for (Attempt a : o.machine.attempts) {
             if (!a.ended && mayEvict(job, a)) {
-                if (a.job.over || !Double.isNaN(a.stopGraceS)) {
+                if (a.unwanted()) {
                     less(less, a);
                 } else {
                     victims.add(a);
@@ -790,7 +786,7 @@
     }
 
     /** One line for the log. */
-    String summary(double now) {
+    String summary() {
         Map<String, int[]> classes = new TreeMap<>();
         for (Job j : jobs.values()) {
             int[] c = classes.computeIfAbsent(j.spec.jobClass(), k -> new int[3]);
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -184,7 +184,7 @@
         World.Worker one = w.workers.get("i-000000");
         w.submit(n, job("j-1", Shape.ARRAY, 8, 1));
         w.run(3);
-        assertTrue(w.onMachines("j-1") == 8);
+        assertEquals(8, w.onMachines("j-1"));
         one.tasks.clear();
         one.session++;
         w.run(60);
