--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -163,6 +163,7 @@
     }
 
     private long ticks;
+    private double roundS;
     private boolean soonAsked;
 
     /** Something changed that may let work be placed or written. */
@@ -184,7 +185,8 @@
         round();
         tendFleet();
         if (LOG.isDebugEnabled() && ++ticks % 20 == 0) {
-            LOG.debug("{}", scheduler.summary());
+            LOG.debug("{} rounds={} writes={} checkins={} busy={}", scheduler.summary(), keeper.rounds, keeper.written,
+                    checkIns, String.format("%.1f", roundS));
         }
         timers.after(0.25, this::tick);
     }
@@ -193,8 +195,10 @@
         if (!leadership.leading() || !keeper.loaded() || keeper.writing() || !leadership.inTouch()) {
             return;
         }
-        scheduler.place(timers.now(), timers.wallMs(), 20 * facts.store().txnOps());
+        double began = timers.now();
+        scheduler.place(began, timers.wallMs(), 20 * facts.store().txnOps());
         keeper.write(this::written);
+        roundS += timers.now() - began;
     }
 
     // ---- workers --------------------------------------------------------------------------------
@@ -237,7 +241,7 @@
             return CheckIn.elsewhere(leadership.leading() ? null : leadership.leader());
         }
         List<Order> orders = new ArrayList<>(scheduler.checkIn(report, keeper.loaded(), timers.now()));
-        orders.addAll(scheduler.commands(report.machine(), leadership.inTouch()));
+        orders.addAll(scheduler.commands(report.machine(), leadership.inTouch(), timers.now()));
         soon();
         return new CheckIn(scheduler.token, orders, null);
     }
@@ -294,7 +298,7 @@
             return;
         }
         List<Order> orders = new ArrayList<>(h.orders);
-        orders.addAll(scheduler.commands(machine, leadership.inTouch()));
+        orders.addAll(scheduler.commands(machine, leadership.inTouch(), timers.now()));
         h.answer.accept(new CheckIn(h.token, orders, null));
     }
 
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -37,6 +37,7 @@
     private boolean loaded;
     private Round round;
     long rounds;
+    long written;
 
     interface Listener {
         /** Somebody else holds the block, or nobody. */
@@ -282,6 +283,7 @@
         writes.take(r.transaction.writes().size(), now);
         round = r;
         rounds++;
+        written += r.transaction.writes().size();
         send(epoch, done);
     }
 
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -49,6 +49,9 @@
     long ends;
     long lost;
     long evictions;
+    /** Launches, and the seconds that passed between their placing and their order to the worker. */
+    long launches;
+    double launchDelayS;
 
     Scheduler(Facts facts, Random random) {
         this.facts = facts;
@@ -350,7 +353,7 @@
     }
 
     /** What the machine's worker shall start and stop, to be sent only as the answer to its latest report. */
-    List<Order> commands(String machine, boolean mayStart) {
+    List<Order> commands(String machine, boolean mayStart, double now) {
         Machine m = machines.get(machine);
         List<Order> orders = new ArrayList<>();
         if (m == null || !m.proven) {
@@ -364,6 +367,10 @@
                 double grace = a.job.over ? 0 : a.stopGraceS;
                 orders.add(new Order(Order.Verb.STOP, a.job.spec.id(), a.task, a.number, grace));
             } else if (mayStart && toStart(a)) {
+                if (!a.launched) {
+                    launches++;
+                    launchDelayS += now - a.placedAt;
+                }
                 a.launched = true;
                 orders.add(new Order(Order.Verb.START, a.job.spec.id(), a.task, a.number, 0));
             }
@@ -809,7 +816,8 @@
         }
         return b.append(" machines ordinary=").append(n[0]).append(" spot=").append(n[1]).append(" unproven=")
                 .append(n[2]).append(" aside=").append(n[3]).append(" idle=").append(n[4]).append(" reserved=")
-                .append(n[5]).append(" cpus=").append(Math.round(used)).toString();
+                .append(n[5]).append(" cpus=").append(Math.round(used)).append(" launched=").append(launches)
+                .append(" after=").append(String.format("%.2f", launchDelayS / Math.max(1, launches))).toString();
     }
 
     /** A job that is over, with nothing of it left anywhere. */
