Placings are written before ends; ends take what the write rate leaves

Cause: the holder wrote every changed part in the jobs' order of arrival, so that at 42 writes a second the placings of late jobs waited up to 8 s behind records of ends that nobody waits for. Now parts queue: finished jobs, then placings, then other changes, of which the longest waiting always goes along. A finished job takes two writes; its parts go later.

--- a/src/main/java/io/kitepath/core/Job.java
+++ b/src/main/java/io/kitepath/core/Job.java
@@ -16,9 +16,18 @@
 final class Job {
     /** A slice of the job's tasks, which is one record in the store; revision 0: not written yet. */
     static final class Part {
+        final Job job;
+        final int index;
         long revision;
         int changed;
+        /** The version of the last placing in it. */
+        int placed;
         int written;
+
+        Part(Job job, int index) {
+            this.job = job;
+            this.index = index;
+        }
     }
 
     final JobSpec spec;
@@ -54,7 +63,7 @@
         this.partSize = partSize;
         this.parts = new Part[(spec.tasks() + partSize - 1) / partSize];
         for (int i = 0; i < parts.length; i++) {
-            parts[i] = new Part();
+            parts[i] = new Part(this, i);
         }
     }
 
@@ -62,14 +71,27 @@
         return task / partSize;
     }
 
-    void touch(int task) {
-        parts[partOf(task)].changed = ++version;
+    /** The part that the task is in differs from its record now. */
+    Part touch(int task) {
+        Part p = parts[partOf(task)];
+        p.changed = ++version;
+        return p;
     }
 
     boolean complete() {
         return spec.shape() != JobSpec.Shape.SERVICE && done.cardinality() == spec.tasks();
     }
 
+    /** Whether the store still has anything about its tasks. */
+    boolean recorded() {
+        for (Part p : parts) {
+            if (p.revision > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     int waiting() {
         return over || complete() ? 0 : spec.tasks() - done.cardinality() - live.size();
     }
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -6,7 +6,8 @@
 import io.kitepath.core.Store.Transaction;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -52,7 +53,9 @@
     private static final class Round {
         final Transaction transaction = new Transaction();
         final List<Written> parts = new ArrayList<>();
-        final Map<String, Job> finishing = new LinkedHashMap<>();
+        final List<Job> finishing = new ArrayList<>();
+        final Set<Job.Part> taken = new HashSet<>();
+        final Set<Job> conditioned = new HashSet<>();
         boolean unsure;
         int bytes;
     }
@@ -196,6 +199,7 @@
                 scheduler.adopt(job, job.readPart(part, x.value(), x.revision()), now);
                 if (job.over) {
                     job.parts[part].changed = ++job.version;
+                    scheduler.queue(job.parts[part]);
                 }
             }
         }
@@ -254,31 +258,39 @@
 
     // ---- writing --------------------------------------------------------------------------------
 
-    /** Writes what differs, if anything does and the rate allows; {@code done} runs when it is in the store. */
+    /**
+     * Writes what differs, if anything does and the rate allows; {@code done} runs when it is in the store. What users
+     * wait for goes first: jobs that end, then placings, which nothing may start before. Other changes take what is
+     * left of the rate: until an end is written, its worker just goes on reporting it.
+     */
     void write(Runnable done) {
         if (!loaded || round != null) {
             return;
         }
         double now = timers.now();
-        int budget = (int) Math.min(facts.store().txnOps(), writes.available(now));
+        double available = writes.available(now);
+        int budget = (int) Math.min(facts.store().txnOps(), available);
         Round r = new Round();
         r.transaction.when(blockKey, blockRevision);
         List<Job> dropped = new ArrayList<>();
-        // Jobs that end come first: their users wait for the word.
         for (Job job : scheduler.jobs.values()) {
-            if (!job.over && job.complete() && r.transaction.writes().size() + 2 + job.parts.length <= budget) {
-                finish(r, job);
-            }
-        }
-        for (Job job : scheduler.jobs.values()) {
-            if (r.finishing.containsKey(job.spec.id()) || !job.over && job.complete()) {
-                continue;
-            }
-            if (!changed(r, job, budget)) {
-                dropped.add(job);
+            if (job.over) {
+                if (job.live.isEmpty() && !job.recorded()) {
+                    dropped.add(job);
+                }
+            } else if (job.complete()) {
+                if (r.transaction.writes().size() + 2 > budget) {
+                    budget = 0; // Guards against placings that leave no job's end its two writes, round after round.
+                } else {
+                    finish(r, job);
+                }
             }
         }
         dropped.forEach(scheduler::dropJob);
+        // The longest waiting change goes along in any case, so that a stream of placings does not put it off for ever.
+        take(r, scheduler.changes, Math.min(budget, r.transaction.writes().size() + 1));
+        take(r, scheduler.placings, budget);
+        take(r, scheduler.changes, (int) Math.min(budget, available - facts.store().writeRps() * WRITE_SHARE / 2));
         if (r.transaction.writes().isEmpty()) {
             return;
         }
@@ -289,6 +301,25 @@
         send(epoch, done);
     }
 
+    private void take(Round r, Set<Job.Part> from, int budget) {
+        Iterator<Job.Part> parts = from.iterator();
+        while (parts.hasNext() && r.transaction.writes().size() < budget && r.bytes < MAX_BYTES) {
+            Job.Part p = parts.next();
+            Job job = p.job;
+            if (!job.over && job.complete()) {
+                continue; // Once the job is written as done.
+            }
+            parts.remove();
+            if (p.changed <= p.written || !r.taken.add(p)) {
+                continue;
+            }
+            if (!job.over && r.conditioned.add(job)) {
+                r.transaction.when(Keys.OPEN + job.spec.id(), job.revision);
+            }
+            putPart(r, job, p.index);
+        }
+    }
+
     private void finish(Round r, Job job) {
         String id = job.spec.id();
         Map<String, Object> record = job.spec.toRecord();
@@ -297,33 +328,13 @@
         record.put("done", (long) job.spec.tasks());
         r.transaction.when(Keys.OPEN + id, job.revision).remove(Keys.OPEN + id).put(Keys.OVER + id, record);
         r.bytes += 1024;
-        for (int i = 0; i < job.parts.length; i++) {
-            putPart(r, job, i);
-        }
-        r.finishing.put(id, job);
-    }
-
-    /** Returns false if the job is over and nothing of it is left. */
-    private boolean changed(Round r, Job job, int budget) {
-        boolean left = !job.over || !job.live.isEmpty();
-        for (int i = 0; i < job.parts.length; i++) {
-            Job.Part p = job.parts[i];
-            left |= p.revision > 0;
-            if (p.changed > p.written && r.transaction.writes().size() < budget && r.bytes < MAX_BYTES) {
-                if (!job.over && r.transaction.conditions().stream()
-                        .noneMatch(c -> c.key().equals(Keys.OPEN + job.spec.id()))) {
-                    r.transaction.when(Keys.OPEN + job.spec.id(), job.revision);
-                }
-                putPart(r, job, i);
-            }
-        }
-        return left;
+        r.finishing.add(job);
     }
 
     private void putPart(Round r, Job job, int i) {
         Job.Part p = job.parts[i];
         String key = Keys.part(job.spec.id(), i);
-        boolean remove = (job.over || job.complete()) && job.liveIn(i).isEmpty();
+        boolean remove = job.over && job.liveIn(i).isEmpty();
         if (remove && p.revision == 0) {
             p.written = job.version;
             return;
@@ -370,7 +381,7 @@
         for (Written w : r.parts) {
             scheduler.recorded(w.job, w.part, w.version, w.removed ? 0 : revision);
         }
-        for (Job job : r.finishing.values()) {
+        for (Job job : r.finishing) {
             LOG.info("job {} done", job.spec.id());
             scheduler.jobOver(job.spec.id());
         }
@@ -379,6 +390,7 @@
 
     private void refused(Round r, Committed c) {
         round = null;
+        r.parts.forEach(w -> scheduler.queue(w.job.parts[w.part]));
         if (c.failed().contains(blockKey)) {
             listener.blockLost();
             return;
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -46,6 +47,9 @@
     });
     /** The jobs that came last, newest last: what the next ones may be like. */
     private final ArrayDeque<JobSpec> lately = new ArrayDeque<>();
+    /** Parts with placings that are not written, and parts that differ otherwise; the longest waiting first. */
+    final Set<Job.Part> placings = new LinkedHashSet<>();
+    final Set<Job.Part> changes = new LinkedHashSet<>();
     long token;
     long ends;
     long lost;
@@ -68,6 +72,8 @@
     void forgetJobs() {
         jobs.clear();
         teamUse.clear();
+        placings.clear();
+        changes.clear();
         for (Machine m : machines.values()) {
             m.forgetAttempts();
         }
@@ -118,6 +124,13 @@
                 withdraw(a);
             }
         }
+        job.version++;
+        for (Job.Part p : job.parts) {
+            if (p.revision > 0) {
+                p.changed = job.version;
+                changes.add(p); // To be removed, or kept for as long as something is on machines.
+            }
+        }
         LOG.info("job {} over, {} attempts to end", id, job.live.size());
     }
 
@@ -137,7 +150,7 @@
     private void withdraw(Attempt a) {
         use(a.job.spec, -1);
         a.job.live.remove(a.task, a);
-        a.job.touch(a.task);
+        changes.add(a.job.touch(a.task));
         a.job.stopping -= a.stopping() ? 1 : 0;
         a.machine.remove(a);
         changed = true;
@@ -174,7 +187,7 @@
         if (!job.over) {
             judge(a, cause, now);
         }
-        job.touch(a.task);
+        changes.add(job.touch(a.task));
         a.endedVersion = job.version;
     }
 
@@ -191,8 +204,10 @@
                 if (job.spec.gang()) {
                     // The tasks of a gang complete together.
                     job.done.set(0, job.spec.tasks());
-                    for (int i = 0; i < job.parts.length; i++) {
-                        job.parts[i].changed = job.version + 1;
+                    job.version++;
+                    for (Job.Part p : job.parts) {
+                        p.changed = job.version;
+                        changes.add(p);
                     }
                 } else {
                     job.done.set(a.task);
@@ -478,7 +493,7 @@
                 && !job.done.get(t.task())) {
             // Should not be: count it in and write it down before it is stopped, so the task can't run elsewhere.
             LOG.error("machine {} has {}/{} which was not placed there", m.id, t.job(), t.task());
-            job.touch(t.task());
+            changes.add(job.touch(t.task()));
             Attempt a = new Attempt(job, t.task(), t.attempt(), m, now, job.version);
             a.durable = true;
             a.launched = true;
@@ -651,7 +666,9 @@
     }
 
     private void assign(Job job, int task, Machine m, long number, double now) {
-        job.touch(task);
+        Job.Part part = job.touch(task);
+        part.placed = job.version;
+        placings.add(part);
         attach(new Attempt(job, task, number, m, now, job.version));
         LOG.debug("placed {}/{}#{} on {}", job.spec.id(), task, number, m.id);
     }
@@ -809,10 +826,20 @@
 
     // ---- what was written -----------------------------------------------------------------------
 
+    /** Has the part written if it differs from its record. */
+    void queue(Job.Part p) {
+        if (p.placed > p.written) {
+            placings.add(p);
+        } else if (p.changed > p.written) {
+            changes.add(p);
+        }
+    }
+
     /** Everything about this part up to {@code version} is in the store now. */
     void recorded(Job job, int part, int version, long revision) {
         job.parts[part].revision = revision;
         job.parts[part].written = version;
+        queue(job.parts[part]);
         for (Attempt a : job.liveIn(part)) {
             if (a.placedVersion <= version) {
                 a.durable = true;
