Work within its guarantee no longer yields to work beyond one

Order of service and right to stop now agree. Kept: nothing is gained by work that is stopped at once.

--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -777,6 +777,11 @@
         if (v.gang() || v.shape() == JobSpec.Shape.SERVICE) {
             return false;
         }
+        if (holding.guaranteed && !job.guaranteed) {
+            // It is served first whatever its priority: it would take the room again in the next round, and be
+            // stopped again, without an end and without either of the two getting anywhere.
+            return false;
+        }
         if (v.priority().compareTo(job.spec.priority()) > 0) {
             return true;
         }
