--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -282,8 +282,11 @@
         if (zone == null && s.oneZone()) {
             zone = bestZone(s, rooms, now);
         }
+        // Guards against work that could run on spot machines filling ordinary ones for good, at several times the
+        // price: it may use what is free there, but spot machines are rented for it as if it could not.
+        boolean spotOnly = s.spot() && spotToBeHad(s, now);
         for (Room r : rooms) {
-            if (waiting > 0 && allowed(r.kind, s, zone) && !(s.spot() && r.machine != null && r.machine.draining)) {
+            if (waiting > 0 && allowed(r.kind, s, zone) && (r.kind.spot || !spotOnly)) {
                 waiting -= r.take(s, waiting);
             }
         }
@@ -418,6 +421,10 @@
         return out;
     }
 
+    private boolean spotToBeHad(JobSpec s, double now) {
+        return scheduler.types.values().stream().anyMatch(t -> Placement.slots(s, t) > 0 && cheaperToBeHad(t, now));
+    }
+
     /**
      * Guards against work that could run on spot machines keeping ordinary ones rented: it fills them up again
      * and again, so they never idle.
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -41,6 +41,8 @@
     double usedCpus;
     double usedGpus;
     double usedMemory;
+    /** Of the used CPUs, what work takes that may not use spot machines. */
+    double boundCpus;
     int unconfirmed;
     Job reservedFor;
     /** Whether the last report ended something. */
@@ -69,6 +71,14 @@
                 && usedMemory + s.memoryGb() <= t.memoryGb() + 1e-6;
     }
 
+    /**
+     * CPUs by which the machine counts as in use: on an ordinary machine only work that may not use spot ones. Guards
+     * against work that could run cheaper elsewhere keeping ordinary machines rented, each with a little of the rest.
+     */
+    double holdingCpus() {
+        return spot ? usedCpus : boundCpus;
+    }
+
     void add(Attempt a) {
         attempts.add(a);
         count(a.job.spec, 1);
@@ -91,6 +101,7 @@
         usedCpus = 0;
         usedGpus = 0;
         usedMemory = 0;
+        boundCpus = 0;
         unconfirmed = 0;
     }
 
@@ -104,6 +115,9 @@
         usedCpus += sign * s.cpus();
         usedGpus += sign * s.gpus();
         usedMemory += sign * s.memoryGb();
+        if (!s.spot()) {
+            boundCpus += sign * s.cpus();
+        }
     }
 
     /** Counts a task that is about to be placed here (1), or is not after all (-1). */
--- a/src/main/java/io/kitepath/core/Placement.java
+++ b/src/main/java/io/kitepath/core/Placement.java
@@ -98,7 +98,7 @@
             this.spec = spec;
             this.from = from;
             for (Machine m : from) {
-                if (m.usedCpus > 0) {
+                if (m.holdingCpus() > 0) {
                     used.add(m);
                 }
             }
@@ -122,7 +122,8 @@
                     looks++;
                     if (room(m, spec)) {
                         order.add(m);
-                        score.put(m, m.usedCpus / types.get(m.type).cpus() + (m.images.contains(spec.image()) ? 1 : 0));
+                        score.put(m, (m.holdingCpus() + m.usedCpus / 4) / types.get(m.type).cpus()
+                                + (m.images.contains(spec.image()) ? 1 : 0));
                     }
                 }
                 order.sort(Comparator.comparing(score::get, Comparator.reverseOrder()));
