Machines that have the image come first; room is made where the least work and fetching is lost

Holders of the image are probed and scanned first (not for bound work that packs); the images a machine keeps are followed by its cache's size. Whom to stop, and which machines to wait for, is judged in CPU seconds of unsaved work, fetching and remaining run time.

--- a/src/main/java/io/kitepath/core/Attempt.java
+++ b/src/main/java/io/kitepath/core/Attempt.java
@@ -44,6 +44,25 @@
         return job.over || stopping();
     }
 
+    /** How long it will probably still run, by its owner's estimate. */
+    double remainingS(double now) {
+        double estimate = job.spec.estimateS();
+        if (job.spec.shape() == JobSpec.Shape.SERVICE) {
+            return Double.MAX_VALUE;
+        }
+        return Math.max(estimate - ranS(now), estimate / 5);
+    }
+
+    private double ranS(double now) {
+        return Double.isNaN(runningSince) ? 0 : now - runningSince;
+    }
+
+    /** The work that is lost if it is stopped now: what it did since it began or saved last. */
+    double unsavedS(double now) {
+        double every = job.spec.checkpointS();
+        return every > 0 ? Math.min(ranS(now), every) : ranS(now);
+    }
+
     boolean is(Report.TaskReport t) {
         return task == t.task() && number == t.attempt() && job.spec.id().equals(t.job());
     }
--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -136,7 +136,7 @@
             Room r = new Room(t, new Kind(m.type, m.zone, m.spot), m);
             for (Attempt a : m.attempts) {
                 if (!a.unwanted() && (forNow == null
-                        ? remaining(a, now) > t.bootS()
+                        ? a.remainingS(now) > t.bootS()
                         : a.job.spec.gang() || a.job.spec.priority().compareTo(forNow.priority()) <= 0)) {
                     r.less(a.job.spec);
                 }
@@ -146,16 +146,6 @@
         return rooms;
     }
 
-    /** How long the attempt will probably still run, by its owner's estimate. */
-    private static double remaining(Attempt a, double now) {
-        double estimate = a.job.spec.estimateS();
-        if (a.job.spec.shape() == JobSpec.Shape.SERVICE) {
-            return Double.MAX_VALUE;
-        }
-        double ran = Double.isNaN(a.runningSince) ? 0 : now - a.runningSince;
-        return Math.max(estimate - ran, estimate / 5);
-    }
-
     /**
      * Classes that are expected to start sooner than a machine boots need room that is there already: enough for
      * all but the largest of the gangs that came lately, by the share that the objective names.
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -1,9 +1,9 @@
 package io.kitepath.core;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
 
 /** A rented machine as the holder knows it: from the cloud's list, its worker's reports and the jobs' records. */
 final class Machine {
@@ -37,7 +37,8 @@
     double neededAt;
     /** To be given back once empty: takes no work that a cheaper machine could do. */
     boolean draining;
-    final Set<String> images = new HashSet<>();
+    /** Images that it probably has, with their size, the least recently used first. */
+    private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
     double usedCpus;
     double usedGpus;
     double usedMemory;
@@ -79,6 +80,24 @@
         return spot ? usedCpus : boundCpus;
     }
 
+    boolean has(String image) {
+        return images.containsKey(image);
+    }
+
+    /** A task with this image runs here; the machine keeps the most recently used ones. */
+    void ran(String image, double gb, double cacheGb) {
+        images.put(image, gb);
+        double sum = 0;
+        for (double size : images.values()) {
+            sum += size;
+        }
+        Iterator<Double> oldest = images.values().iterator();
+        while (sum > cacheGb && images.size() > 1) {
+            sum -= oldest.next();
+            oldest.remove();
+        }
+    }
+
     void add(Attempt a) {
         attempts.add(a);
         count(a.job.spec, 1);
--- a/src/main/java/io/kitepath/core/Placement.java
+++ b/src/main/java/io/kitepath/core/Placement.java
@@ -55,23 +55,35 @@
     final class Search {
         private final JobSpec spec;
         private final List<Machine> candidates;
-        /** Work that may use spot machines leaves the others to work that may not. */
-        private final Walk cheap;
-        private final Walk any;
+        private final List<Walk> walks = new ArrayList<>();
 
         private Search(JobSpec spec, List<Machine> candidates) {
             this.spec = spec;
             this.candidates = candidates;
-            List<Machine> spot = new ArrayList<>();
             if (spec.spot()) {
-                for (Machine m : candidates) {
-                    if (m.spot) {
-                        spot.add(m);
-                    }
+                // Work that may use spot machines leaves the others to work that may not.
+                walks(candidates.stream().filter(m -> m.spot).toList());
+            }
+            walks(candidates);
+        }
+
+        /** Machines with the image come first: fetching takes as long as many tasks run, and holds their place. */
+        private void walks(List<Machine> from) {
+            if (from.isEmpty()) {
+                return;
+            }
+            if (!spec.image().isEmpty() && (spec.spot() || large())) {
+                List<Machine> holders = from.stream().filter(m -> m.has(spec.image())).toList();
+                if (!holders.isEmpty()) {
+                    walks.add(new Walk(spec, holders));
                 }
             }
-            this.cheap = spot.isEmpty() || spot.size() == candidates.size() ? null : new Walk(spec, spot);
-            this.any = new Walk(spec, candidates);
+            walks.add(new Walk(spec, from));
+        }
+
+        /** Guards against bound work spread over empty machines for the sake of its image: it packs, if it can. */
+        private boolean large() {
+            return types.values().stream().allMatch(t -> slots(spec, t) < 2);
         }
 
         /** The same search among fewer candidates. */
@@ -81,8 +93,13 @@
 
         /** Null if there is none now; the caller puts the task there before it asks for the next. */
         Machine next() {
-            Machine m = cheap == null ? null : cheap.next();
-            return m != null ? m : any.next();
+            for (Walk w : walks) {
+                Machine m = w.next();
+                if (m != null) {
+                    return m;
+                }
+            }
+            return null;
         }
     }
 
@@ -123,7 +140,7 @@
                     if (room(m, spec)) {
                         order.add(m);
                         score.put(m, (m.holdingCpus() + m.usedCpus / 4) / types.get(m.type).cpus()
-                                + (m.images.contains(spec.image()) ? 1 : 0));
+                                + (m.has(spec.image()) ? 1 : 0));
                     }
                 }
                 order.sort(Comparator.comparing(score::get, Comparator.reverseOrder()));
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -17,6 +17,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import java.util.function.ToIntFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -348,6 +350,9 @@
             return List.of();
         }
         boolean open = m.open();
+        if (!m.proven) {
+            LOG.debug("machine {} reports with our token, session {}, {} tasks", m.id, r.session(), r.tasks().size());
+        }
         m.proven = true;
         List<Order> orders = reconcile(m, r, now);
         changed |= open != m.open();
@@ -458,7 +463,8 @@
             a.state = t.state();
             if (t.state() == State.RUNNING) {
                 a.runningSince = now;
-                a.machine.images.add(a.job.spec.image());
+                MachineType type = types.get(a.machine.type);
+                a.machine.ran(a.job.spec.image(), a.job.spec.imageGb(), type == null ? 0 : type.cacheGb());
             }
         }
         if (t.state() == State.ENDED) {
@@ -596,7 +602,7 @@
             int n = job.spec.gang() ? placeGang(job, open, now) : placeTasks(job, open, now, most - placed);
             placed += n;
             if (job.waiting() > 0 && quotaLeft(job.spec) >= (job.spec.gang() ? job.spec.tasks() : 1)) {
-                makeRoom(job, open);
+                makeRoom(job, open, now);
             }
         }
         return placed;
@@ -673,14 +679,17 @@
         LOG.debug("placed {}/{}#{} on {}", job.spec.id(), task, number, m.id);
     }
 
-    /** A machine that a job might be given room on: tasks that fit now, with others stopped, and if it were empty. */
-    private record Offer(Machine machine, int now, int stopping, int empty, double loss) {}
+    /**
+     * A machine that a job might be given room on: tasks that fit now, with others stopped, and if it were empty; what
+     * stopping them and fetching the image would lose, and what there is to wait for, both in CPU seconds.
+     */
+    private record Offer(Machine machine, int now, int stopping, int empty, double loss, double pending) {}
 
     /**
      * For a job that found no room: stops lesser work where that is enough, and keeps machines for it, so that
      * smaller work behind it does not take every gap.
      */
-    private void makeRoom(Job job, List<Machine> open) {
+    private void makeRoom(Job job, List<Machine> open, double now) {
         JobSpec s = job.spec;
         boolean small = !s.gang() && s.cpus() * 2 <= smallestMachine();
         Set<Job> yielding = Collections.newSetFromMap(new IdentityHashMap<>());
@@ -697,13 +706,13 @@
         for (Machine m : open) {
             if (m.reservedFor == null && placement.allowed(m, s)) {
                 byZone.computeIfAbsent(s.oneZone() ? m.zone : "", k -> new ArrayList<>())
-                        .add(offer(job, m, yielding));
+                        .add(offer(job, m, yielding, now));
             }
         }
         List<Offer> best = null;
         double bestLoss = Double.MAX_VALUE;
         for (List<Offer> in : byZone.values()) {
-            List<Offer> take = cheapest(in, need, Offer::stopping);
+            List<Offer> take = cheapest(in, need, Offer::stopping, Offer::loss);
             double loss = take == null ? 0 : take.stream().mapToDouble(Offer::loss).sum();
             if (take != null && loss < bestLoss) {
                 best = take;
@@ -721,7 +730,7 @@
             return; // Small tasks find gaps by themselves.
         }
         for (List<Offer> in : byZone.values()) {
-            List<Offer> take = cheapest(in, need, Offer::empty);
+            List<Offer> take = cheapest(in, need, Offer::empty, o -> o.loss + o.pending);
             if (take != null) {
                 take.forEach(o -> o.machine.reservedFor = job);
                 return;
@@ -729,10 +738,11 @@
         }
     }
 
-    /** Offers that together hold the tasks, those that lose least first; null if they don't suffice. */
-    private static List<Offer> cheapest(List<Offer> in, int need, java.util.function.ToIntFunction<Offer> slots) {
+    /** Offers that together hold the tasks, those that cost least first; null if they don't suffice. */
+    private static List<Offer> cheapest(List<Offer> in, int need, ToIntFunction<Offer> slots,
+            ToDoubleFunction<Offer> cost) {
         List<Offer> sorted = new ArrayList<>(in);
-        sorted.sort(Comparator.comparingDouble((Offer o) -> o.loss / Math.max(1, slots.applyAsInt(o)))
+        sorted.sort(Comparator.comparingDouble((Offer o) -> cost.applyAsDouble(o) / Math.max(1, slots.applyAsInt(o)))
                 .thenComparing(o -> -o.now).thenComparing(o -> o.machine.id));
         List<Offer> take = new ArrayList<>();
         for (Offer o : sorted) {
@@ -748,23 +758,30 @@
         return need <= 0 ? take : null;
     }
 
-    private Offer offer(Job job, Machine m, Set<Job> yielding) {
+    private Offer offer(Job job, Machine m, Set<Job> yielding, double now) {
         double cpus = 0;
         double gpus = 0;
         double memory = 0;
         double loss = 0;
+        double pending = 0;
         for (Attempt a : m.attempts) {
             if (yielding.contains(a.job) && mayEvict(job, a)) {
                 JobSpec v = a.job.spec;
                 cpus += v.cpus();
                 gpus += v.gpus();
                 memory += v.memoryGb();
-                loss += a.stopping() ? 0 : v.cpus();
+                loss += a.stopping() ? 0 : v.cpus() * (a.unsavedS(now) + facts.workers().reportS());
+            } else {
+                pending += a.job.spec.cpus() * a.remainingS(now);
             }
         }
-        return new Offer(m, placement.freeSlots(m, job.spec, 0, 0, 0),
-                placement.freeSlots(m, job.spec, cpus, gpus, memory),
-                Placement.slots(job.spec, types.get(m.type)), loss);
+        MachineType type = types.get(m.type);
+        int stopping = placement.freeSlots(m, job.spec, cpus, gpus, memory);
+        if (!m.has(job.spec.image()) && type.fetchGbPerS() > 0) {
+            loss += stopping * job.spec.cpus() * job.spec.imageGb() / type.fetchGbPerS();
+        }
+        return new Offer(m, placement.freeSlots(m, job.spec, 0, 0, 0), stopping, Placement.slots(job.spec, type),
+                loss, pending);
     }
 
     private boolean mayEvict(Job job, Attempt victim) {
