While nobody is known to lead, check-ins wait for it, and work at risk is relayed

Now such a check-in waits for up to the second that its worker would wait, and a worker with tasks that comes with an older token is relayed at once. Without a channel to the leader it is sent there.

--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -34,8 +34,8 @@
 
         void cancelled(String job);
 
-        /** Has the leader answer a check-in. */
-        void relay(String leader, Report report, Consumer<CheckIn> answer);
+        /** Has the leader answer a check-in; false if it can't be asked now. */
+        boolean relay(String leader, Report report, Consumer<CheckIn> answer);
     }
 
     final Facts facts;
@@ -132,6 +132,12 @@
                 ticking = true;
                 tick();
             }
+            settleParked();
+        }
+
+        @Override
+        public void follows(String leader) {
+            settleParked();
         }
 
         @Override
@@ -220,17 +226,18 @@
         }
         String leader = leadership.leader();
         if (leader == null || leader.equals(facts.node())) {
-            answer.accept(CheckIn.elsewhere(null));
+            park(report, answer);
             return;
         }
-        // A worker that we sent to the leader and that is back did not get through to it, and one that has seen the
-        // leader's token and comes here has lost it: ask on its behalf. Sending it away once more would cost it
-        // another 5 s, of a lease that may be 10 s long. From time to time it is sent to try again.
+        // A worker that we sent to the leader and that is back did not get through to it, and one that comes with
+        // tasks and a token has lost it, this one or the last: ask on its behalf. Sending it away once more would cost
+        // it up to 5 s, of a lease that may be 10 s long. From time to time it is sent to try again.
         double now = timers.now();
         double lease = facts.workers().leaseS();
         Double sent = sentAway.get(report.machine());
         boolean back = sent != null && now - sent < 2 * lease;
-        boolean lost = sent == null && report.token() == leadership.highest();
+        boolean lost = sent == null && report.token() > 0
+                && (report.token() == leadership.highest() || !report.tasks().isEmpty());
         if (!back && !lost) {
             sentAway.put(report.machine(), now);
             answer.accept(CheckIn.elsewhere(leader));
@@ -238,7 +245,42 @@
         }
         sentAway.putIfAbsent(report.machine(), now);
         relayed++;
-        siblings.relay(leader, report, answer);
+        if (!siblings.relay(leader, report, answer)) {
+            answer.accept(CheckIn.elsewhere(back ? null : leader));
+        }
+    }
+
+    /** A check-in that came while nobody was known to lead. */
+    private record Parked(Report report, Consumer<CheckIn> answer) {}
+
+    private final Map<String, Parked> parked = new LinkedHashMap<>();
+
+    /**
+     * Guards against work that dies with its lease although a leader is about to be there: a worker that is told
+     * nothing comes back a second later, to another node, while a takeover takes tenths of one. So it waits here until
+     * a leader is known, for as long as it would have waited before its next try.
+     */
+    private void park(Report report, Consumer<CheckIn> answer) {
+        if (parked.size() >= facts.limits().sockets() / 2) {
+            answer.accept(CheckIn.elsewhere(null));
+            return;
+        }
+        Parked p = new Parked(report, answer);
+        Parked older = parked.put(report.machine(), p);
+        if (older != null) {
+            older.answer.accept(CheckIn.elsewhere(null));
+        }
+        timers.after(1, () -> {
+            if (parked.remove(report.machine(), p)) {
+                answer.accept(CheckIn.elsewhere(null));
+            }
+        });
+    }
+
+    private void settleParked() {
+        List<Parked> all = new ArrayList<>(parked.values());
+        parked.clear();
+        all.forEach(p -> checkIn(p.report, p.answer));
     }
 
     /** The holder's answer to a report that a sibling asks about: at once, for the worker's time is running. */
--- a/src/main/java/io/kitepath/core/Leadership.java
+++ b/src/main/java/io/kitepath/core/Leadership.java
@@ -20,6 +20,9 @@
         void won(long token, long lease, long blockRevision);
 
         void lost(String why);
+
+        /** Another node leads, for all we know. */
+        void follows(String leader);
     }
 
     private final Facts facts;
@@ -87,7 +90,7 @@
         if (seen > highest) {
             highest = seen;
             if (by != null && !leading) {
-                leader = by;
+                follows(by);
             }
         }
         if (leading && seen > token) {
@@ -162,7 +165,16 @@
                 stepDown(node + " leads with token " + held);
             }
         }
+        follows(node);
+    }
+
+    private void follows(String node) {
+        boolean news = !node.equals(leader);
         leader = node;
+        if (news) {
+            LOG.debug("{} leads with token {}", node, highest);
+            listener.follows(node);
+        }
     }
 
     private void absent() {
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -117,16 +117,16 @@
     }
 
     @Override
-    public void relay(String leader, Report report, Consumer<CheckIn> answer) {
+    public boolean relay(String leader, Report report, Consumer<CheckIn> answer) {
         Channel ch = channels.get(leader);
         if (ch == null || !ch.isActive() || asks.size() >= MAX_ASKS) {
-            answer.accept(new CheckIn(0, List.of(), null));
-            return;
+            return false;
         }
         long number = ++asked;
         asks.put(number, answer);
         send(ch, new Messages.Ask(number, report));
         loop.schedule(() -> settle(number, new CheckIn(0, List.of(), null)), RELAY_MS, TimeUnit.MILLISECONDS);
+        return true;
     }
 
     private void settle(long number, CheckIn checkIn) {
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -407,6 +407,20 @@
         assertEquals(token, got[0].token());
     }
 
+    @Test
+    void aWorkerThatComesWhileNobodyLeadsIsAnsweredAsSoonAsSomebodyDoes() {
+        settled(2, 1);
+        w.submit(w.leader(), job("j-1", Shape.ARRAY, 1, 1));
+        w.run(3);
+        w.nodes.values().forEach(World.NodeInWorld::crash);
+        w.run(5);
+        World.NodeInWorld n = w.node("k0");
+        Controller.CheckIn[] got = new Controller.CheckIn[1];
+        n.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, 1, null, List.of()), c -> got[0] = c);
+        w.run(0.9);
+        assertEquals(2, got[0].token());
+    }
+
     @Test
     void severalMachinesSilentTogetherAreNotGivenBackAtOnce() {
         World.NodeInWorld n = settled(1, 8);
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -180,7 +180,7 @@
         }
 
         @Override
-        public void relay(String leader, Report report, Consumer<Controller.CheckIn> answer) {
+        public boolean relay(String leader, Report report, Consumer<Controller.CheckIn> answer) {
             NodeInWorld n = nodes.get(leader);
             if (n != null && n.alive) {
                 n.after(0.001, () -> {
@@ -188,6 +188,7 @@
                     after(0.001, () -> answer.accept(c));
                 });
             }
+            return n != null;
         }
     }
 
