--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -25,34 +25,50 @@
     private static final class Room {
         final MachineType type;
         final Kind kind;
-        double cpus;
-        double gpus;
-        double memory;
-
         final Machine machine;
+        /** Of the machine's room, what is left by the time that the plan looks at, and what is left until then. */
+        final Space then;
+        final Space now;
 
         Room(MachineType type, Kind kind, Machine machine) {
             this.type = type;
             this.kind = kind;
             this.machine = machine;
-            this.cpus = type.cpus();
-            this.gpus = type.gpus();
-            this.memory = type.memoryGb();
+            this.then = new Space(type);
+            this.now = new Space(type);
         }
 
-        void less(JobSpec s) {
-            cpus -= s.cpus();
-            gpus -= s.gpus();
-            memory -= s.memoryGb();
+        /** Takes in as many of the tasks as fit, at once or by then; returns how many. */
+        int take(JobSpec s, int tasks, boolean atOnce) {
+            int n = Math.min(tasks, then.slots(s));
+            if (atOnce) {
+                n = Math.min(n, now.slots(s));
+            }
+            then.less(s, n);
+            now.less(s, n);
+            return n;
         }
+    }
 
-        /** Takes in as many of the tasks as fit; returns how many. */
-        int take(JobSpec s, int tasks) {
-            int n = Math.min(tasks, Placement.slots(s, cpus, gpus, memory));
-            cpus -= n * s.cpus();
-            gpus -= n * s.gpus();
-            memory -= n * s.memoryGb();
-            return n;
+    private static final class Space {
+        double cpus;
+        double gpus;
+        double memory;
+
+        Space(MachineType t) {
+            cpus = t.cpus();
+            gpus = t.gpus();
+            memory = t.memoryGb();
+        }
+
+        int slots(JobSpec s) {
+            return Placement.slots(s, cpus, gpus, memory);
+        }
+
+        void less(JobSpec s, int tasks) {
+            cpus -= tasks * s.cpus();
+            gpus -= tasks * s.gpus();
+            memory -= tasks * s.memoryGb();
         }
     }
 
@@ -138,7 +154,10 @@
                 if (!a.unwanted() && (forNow == null
                         ? a.remainingS(now) > t.bootS()
                         : a.job.spec.gang() || a.job.spec.priority().compareTo(forNow.priority()) <= 0)) {
-                    r.less(a.job.spec);
+                    r.then.less(a.job.spec, 1);
+                }
+                if (!a.unwanted()) {
+                    r.now.less(a.job.spec, 1);
                 }
             }
             rooms.add(r);
@@ -169,9 +188,9 @@
             String zone = typical.zone() != null ? typical.zone()
                     : typical.oneZone() ? bestZone(typical, rooms, now) : null;
             rooms.removeIf(r -> !allowed(r.kind, typical, zone));
-            rooms.sort(Comparator.comparingDouble(r -> r.cpus - r.type.cpus()));
+            rooms.sort(Comparator.comparingDouble(r -> r.then.cpus - r.type.cpus()));
             for (Room r : rooms) {
-                int n = r.take(typical, atOnce);
+                int n = r.take(typical, atOnce, false);
                 atOnce -= n;
                 if (n > 0) {
                     kept.add(r.machine);
@@ -196,7 +215,7 @@
                 break;
             }
             Room r = new Room(scheduler.types.get(k.type), k, null);
-            int n = r.take(s, left);
+            int n = r.take(s, left, false);
             if (n == 0) {
                 break;
             }
@@ -262,8 +281,8 @@
                 aim = s.deadlineS() - (wallMs - job.submittedMs) / 1000;
             }
             double each = Math.max(1, s.estimateS());
-            double atOnce = Math.ceil((job.waiting() + job.live.size()) * each / Math.max(each, aim));
-            waiting = (int) Math.max(0, Math.min(waiting, atOnce - job.live.size()));
+            double places = Math.ceil((job.waiting() + job.live.size()) * each / Math.max(each, aim));
+            waiting = (int) Math.max(0, Math.min(waiting, places - job.live.size()));
         }
         if (waiting == 0) {
             return;
@@ -275,9 +294,12 @@
         // Guards against work that could run on spot machines filling ordinary ones for good, at several times the
         // price: it may use what is free there, but spot machines are rented for it as if it could not.
         boolean spotOnly = s.spot() && spotToBeHad(s, now);
+        // Room that frees within a boot time is as good as a new machine, but not for a job that has to start sooner
+        // to meet its deadline: such work needs the room that is free now, or more of it.
+        boolean atOnce = s.deadlineS() != null;
         for (Room r : rooms) {
             if (waiting > 0 && allowed(r.kind, s, zone) && (r.kind.spot || !spotOnly)) {
-                waiting -= r.take(s, waiting);
+                waiting -= r.take(s, waiting, atOnce);
             }
         }
         rooms.addAll(rentFor(s, waiting, zone, rent, now, k -> !s.spot() || k.spot || !inTime(job, wallMs)));
@@ -305,7 +327,7 @@
         }
         for (Room r : rooms) {
             if (allowed(r.kind, s, null) && s.cpus() > 0) {
-                score.merge(r.kind.zone, Math.floor(r.cpus / s.cpus()), Double::sum);
+                score.merge(r.kind.zone, Math.floor(r.then.cpus / s.cpus()), Double::sum);
             }
         }
         return score.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse(null);
