--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -112,7 +112,7 @@
         for (Job job : queue) {
             want(job, rooms, rent, now, wallMs);
         }
-        Set<Machine> kept = idle() ? Set.of() : reserve(queue, rent, now);
+        Set<Machine> kept = idle() ? Set.of() : reserve(queue, rent, now, wallMs);
         floor(rent, now);
         return new Plan(rent, returns(now, kept));
     }
@@ -169,13 +169,14 @@
      * Classes that are expected to start sooner than a machine boots need room that is there already: enough for
      * all but the largest of the gangs that came lately, by the share that the objective names.
      */
-    private Set<Machine> reserve(List<Job> queue, Map<Kind, Integer> rent, double now) {
+    private Set<Machine> reserve(List<Job> queue, Map<Kind, Integer> rent, double now, double wallMs) {
         Set<Machine> kept = new HashSet<>();
         double boot = scheduler.types.values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
         for (Facts.Objective o : facts.objectives()) {
             boolean wait = o.kind().equals("wait") && o.withinS() < boot
                     && queue.stream().noneMatch(j -> j.spec.jobClass().equals(o.jobClass()));
-            JobSpec typical = wait || o.kind().equals("deadline") ? scheduler.typical(o.jobClass(), o.share()) : null;
+            JobSpec typical = wait || o.kind().equals("deadline") ? scheduler.typical(o.jobClass(), o.share(), wallMs, boot)
+                    : null;
             if (typical == null) {
                 continue;
             }
@@ -416,7 +417,7 @@
                 give = true;
             } else if (m.proven && !m.busy() && m.unwritten.isEmpty()) {
                 give |= m.setAside;
-                give |= surplus && now - m.neededAt > t.bootS() && (m.draining || idleTooLong(m, t, now));
+                give |= surplus && now - m.neededAt > t.bootS() / 2 && (m.draining || idleTooLong(m, t, now));
             }
             if (surplus && (give || m.draining)) {
                 spare -= t.cpus();
@@ -446,7 +447,7 @@
     }
 
     private boolean idleTooLong(Machine m, MachineType t, double now) {
-        // Worth keeping about as long as a new one would take to come.
-        return now - m.idleSince > t.bootS();
+        // What may be needed at once is the reserve's business; beyond it, half the time that a new one takes to come.
+        return now - m.idleSince > t.bootS() / 2;
     }
 }
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -48,7 +48,7 @@
         }
     });
     /** The jobs that came last, newest last: what the next ones may be like. */
-    private final ArrayDeque<JobSpec> lately = new ArrayDeque<>();
+    private final ArrayDeque<Job> lately = new ArrayDeque<>();
     /** Parts with placings that are not written, and parts that differ otherwise; the longest waiting first. */
     final Set<Job.Part> placings = new LinkedHashSet<>();
     final Set<Job.Part> changes = new LinkedHashSet<>();
@@ -84,17 +84,29 @@
     void addJob(Job job) {
         jobs.put(job.spec.id(), job);
         changed = true;
-        lately.addLast(job.spec);
+        lately.addLast(job);
         if (lately.size() > 200) {
             lately.removeFirst();
         }
     }
 
-    /** Of the class's jobs that came lately, the one than which that share of them are not larger; null if none. */
-    JobSpec typical(String jobClass, double share) {
-        List<JobSpec> of = lately.stream().filter(s -> s.jobClass().equals(jobClass))
-                .sorted(Comparator.comparingDouble(s -> s.tasks() * s.cpus())).toList();
-        return of.isEmpty() ? null : of.get((int) Math.min(of.size() - 1, Math.floor(share * of.size())));
+    /**
+     * Of the class's jobs that came lately, the one than which that share of them are not larger. Null if there is
+     * none, or if by their usual pace the next one is long overdue: room kept for it would be kept for nobody.
+     */
+    JobSpec typical(String jobClass, double share, double wallMs, double patienceS) {
+        List<Job> of = lately.stream().filter(j -> j.spec.jobClass().equals(jobClass))
+                .sorted(Comparator.comparingDouble(j -> j.submittedMs)).toList();
+        if (of.isEmpty()) {
+            return null;
+        }
+        double last = of.get(of.size() - 1).submittedMs;
+        double gap = (last - of.get(0).submittedMs) / Math.max(1, of.size() - 1);
+        if (wallMs - last > Math.max(patienceS * 1000, 10 * gap)) {
+            return null;
+        }
+        return of.stream().map(j -> j.spec).sorted(Comparator.comparingDouble(s -> s.tasks() * s.cpus()))
+                .skip((long) Math.min(of.size() - 1, Math.floor(share * of.size()))).findFirst().orElseThrow();
     }
 
     /** Takes over what a part record says is, or may be, on machines. */
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -442,4 +442,25 @@
         w.run(90);
         assertTrue(w.cloud.released.containsAll(List.of("i-000000", "i-000001")));
     }
+
+    @Test
+    void aBlockOfHundredsOfMachinesIsWorkedWithBoundedEffort() {
+        w.writeRps = 50;
+        World.NodeInWorld n = settled(1, 400);
+        int tasks = 0;
+        for (int i = 0; i < 10; i++) {
+            w.submit(n, job("j-10" + i, Shape.ARRAY, 120, 1));
+            w.submit(n, job("j-20" + i, Shape.GANG, 12, 2));
+            tasks += 132;
+        }
+        w.run(6);
+        assertEquals(tasks, w.workers.values().stream().mapToInt(x -> x.started).sum());
+        Scheduler s = n.controller.scheduler;
+        // A look at every machine for every task would be 400 a task, a record for every task 1.
+        assertTrue(s.placement.looks < 15L * tasks, "machines looked at: " + s.placement.looks);
+        assertTrue(n.controller.keeper.written < tasks / 20, "records written: " + n.controller.keeper.written);
+        w.run(60);
+        assertTrue(s.jobs.isEmpty(), s::summary);
+        assertTrue(n.controller.keeper.written < tasks / 4, "records written: " + n.controller.keeper.written);
+    }
 }
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -29,6 +29,8 @@
             new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
     private long ordered;
     double now = 100;
+    /** Changes a second that the settings allow. */
+    double writeRps = 1000;
 
     final Map<String, Facts.Team> teams = new LinkedHashMap<>();
     /** What the settings name as siblings, whether or not they run. */
@@ -62,7 +64,7 @@
 
     Facts facts(String node) {
         return new Facts(node, "a", siblings, List.of("a", "b"), teams, objectives,
-                new Facts.Workers(REPORT_S, LEASE_S, 30, 5, 30), new Facts.StoreLimits(1000, 1000, 8, 40),
+                new Facts.Workers(REPORT_S, LEASE_S, 30, 5, 30), new Facts.StoreLimits(1000, writeRps, 8, 40),
                 new Facts.CloudLimits(10, 2), new Facts.Limits(1, 200, 1000), 5);
     }
 
