--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -417,7 +417,7 @@
                 give = true;
             } else if (m.proven && !m.busy() && m.unwritten.isEmpty()) {
                 give |= m.setAside;
-                give |= surplus && now - m.neededAt > t.bootS() / 2 && (m.draining || idleTooLong(m, t, now));
+                give |= surplus && now - m.neededAt > t.bootS() && (m.draining || idleTooLong(m, t, now));
             }
             if (surplus && (give || m.draining)) {
                 spare -= t.cpus();
@@ -447,7 +447,7 @@
     }
 
     private boolean idleTooLong(Machine m, MachineType t, double now) {
-        // What may be needed at once is the reserve's business; beyond it, half the time that a new one takes to come.
-        return now - m.idleSince > t.bootS() / 2;
+        // Worth keeping about as long as a new one would take to come.
+        return now - m.idleSince > t.bootS();
     }
 }
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -45,7 +45,13 @@
     /** Of the used CPUs, what work takes that may not use spot machines. */
     double boundCpus;
     int unconfirmed;
+    /** The job that is to have the room here. */
     Job reservedFor;
+    /**
+     * Only kept until other work ends, nothing is being stopped: work that would give way to the job may run until then.
+     * Guards against machines that idle for minutes because a gang waits for the last of those that it needs.
+     */
+    boolean kept;
     /** Whether the last report ended something. */
     boolean endedLately;
     /** Counts reports that were read in full, to tell what one of them did not show. */
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -596,6 +596,7 @@
         List<Machine> open = new ArrayList<>();
         for (Machine m : machines.values()) {
             m.reservedFor = null;
+            m.kept = false;
             if (m.open()) {
                 open.add(m);
             }
@@ -626,7 +627,8 @@
         List<Machine> failed = new ArrayList<>();
         String onlyZone = s.oneZone() && !job.live.isEmpty() ? job.live.firstEntry().getValue().machine.zone : null;
         for (Machine m : open) {
-            if ((m.reservedFor == null || m.reservedFor == job) && placement.allowed(m, s)
+            if ((m.reservedFor == null || m.reservedFor == job || m.kept && yields(job, m.reservedFor))
+                    && placement.allowed(m, s)
                     && (onlyZone == null || onlyZone.equals(m.zone)) && !(m.draining && s.spot())) {
                 (job.failedOn.contains(m.id) ? failed : out).add(m);
             }
@@ -744,7 +746,10 @@
         for (List<Offer> in : byZone.values()) {
             List<Offer> take = cheapest(in, need, Offer::empty, o -> o.loss + o.pending);
             if (take != null) {
-                take.forEach(o -> o.machine.reservedFor = job);
+                for (Offer o : take) {
+                    o.machine.reservedFor = job;
+                    o.machine.kept = true;
+                }
                 return;
             }
         }
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -338,6 +338,23 @@
         assertEquals(2, w.onMachines("j-2"));
     }
 
+    @Test
+    void workThatGivesWayRunsOnMachinesKeptForAGangThatStillWaits() {
+        World.NodeInWorld n = settled(1, 3);
+        w.workers.values().forEach(x -> x.runsFor = 40);
+        w.submit(n, with(job("j-1", Shape.GANG, 1, 4), "red", Priority.HIGH, false));
+        w.run(4);
+        w.submit(n, with(job("j-2", Shape.GANG, 3, 4), "red", Priority.HIGH, false));
+        w.submit(n, with(job("j-3", Shape.ARRAY, 8, 1), "red", Priority.NORMAL, false));
+        w.run(10);
+        assertEquals(0, w.onMachines("j-2"));
+        assertEquals(8, w.onMachines("j-3"));
+        w.run(32);
+        assertEquals(3, w.onMachines("j-2"));
+        w.run(100);
+        assertEquals("done", w.status(n, "j-3"));
+    }
+
     @Test
     void aMachineThatFailsEveryTaskIsSetAsideAndReturned() {
         World.NodeInWorld n = settled(1, 3);
