Jobs are ordered by the rule of Moore and Hodgson over all objectives of their class

Also, only the shortest 'finished' objective and deadlines counted; now every wait, finished and deadline objective is a goal, and a job that missed one tries for its next.

--- a/src/main/java/io/kitepath/core/Facts.java
+++ b/src/main/java/io/kitepath/core/Facts.java
@@ -1,5 +1,6 @@
 package io.kitepath.core;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -20,7 +21,8 @@
     /** Guarantees and limits; 0 means none. */
     public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
-    public record Objective(String kind, String jobClass, double withinS, double share) {}
+    /** {@code times}: of a job's own deadline; 1 unless that is what the objective is about. */
+    public record Objective(String kind, String jobClass, double withinS, double times, double share) {}
 
     public record Workers(double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
 
@@ -35,6 +37,33 @@
         return Math.max(8, (int) (store.valueKb * 1024 / 32));
     }
 
+    /**
+     * By when after its submission a job has to start to meet what is expected of it, the soonest first: the objectives
+     * of its class, its own deadline; ten leases if nothing is said.
+     */
+    public double[] startWithinS(JobSpec s) {
+        List<Double> goals = new ArrayList<>();
+        for (Objective o : objectives) {
+            if (!o.jobClass.equals(s.jobClass())) {
+                continue;
+            }
+            switch (o.kind) {
+                case "wait" -> goals.add(o.withinS);
+                case "finished" -> goals.add(o.withinS - s.estimateS());
+                case "deadline" -> {
+                    if (s.deadlineS() != null) {
+                        goals.add(s.deadlineS() * o.times - s.estimateS());
+                    }
+                }
+                default -> { } // Not about single jobs.
+            }
+        }
+        if (goals.isEmpty()) {
+            goals.add(s.deadlineS() != null ? s.deadlineS() - s.estimateS() : 10 * workers.leaseS());
+        }
+        return goals.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+    }
+
     /** The shortest time within which the class's jobs are expected to finish; {@code absent} if nothing is said. */
     public double finishWithinS(String jobClass, double absent) {
         return objectives.stream().filter(o -> o.kind.equals("finished") && o.jobClass.equals(jobClass))
--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -108,7 +108,7 @@
         survey();
         Map<Kind, Integer> rent = new LinkedHashMap<>();
         List<Room> rooms = rooms(now, null);
-        List<Job> queue = scheduler.queue(wallMs);
+        List<Job> queue = scheduler.queue(now, wallMs);
         for (Job job : queue) {
             want(job, rooms, rent, now, wallMs);
         }
@@ -311,7 +311,7 @@
      * ordinary machines rented at several times the price because spot ones have run out for the moment.
      */
     private boolean inTime(Job job, double wallMs) {
-        double left = job.latestStartMs - wallMs;
+        double left = job.goalsMs[job.goalsMs.length - 1] - wallMs;
         return spotBacklog / Math.max(1, usableCpus) < left / 1000;
     }
 
--- a/src/main/java/io/kitepath/core/Job.java
+++ b/src/main/java/io/kitepath/core/Job.java
@@ -1,6 +1,7 @@
 package io.kitepath.core;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.BitSet;
 import java.util.Comparator;
@@ -42,8 +43,8 @@
     final List<Attempt> unwritten = new ArrayList<>();
     /** Attempts that are wanted stopped. */
     int stopping;
-    /** When its tasks have to start so that it is done when it should be. */
-    final double latestStartMs;
+    /** When its tasks have to start to meet what is expected of it, the soonest first. */
+    final double[] goalsMs;
     long nextAttempt = 1;
     int version = 1;
     /** Done or cancelled; kept only until all attempts are proven over. */
@@ -55,10 +56,10 @@
     int failures;
     int successes;
 
-    Job(JobSpec spec, double submittedMs, double latestStartMs, long revision, int partSize) {
+    Job(JobSpec spec, double submittedMs, double[] startWithinS, long revision, int partSize) {
         this.spec = spec;
         this.submittedMs = submittedMs;
-        this.latestStartMs = latestStartMs;
+        this.goalsMs = Arrays.stream(startWithinS).map(g -> submittedMs + g * 1000).toArray();
         this.revision = revision;
         this.partSize = partSize;
         this.parts = new Part[(spec.tasks() + partSize - 1) / partSize];
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -211,8 +211,7 @@
     private Job job(String id, Entry x) {
         JobSpec spec = JobSpec.fromRecord(id, x.value());
         double submittedMs = Tree.of(x.value()).number("submittedMs", 0);
-        return new Job(spec, submittedMs, scheduler.latestStartMs(spec, submittedMs), x.revision(),
-                facts.tasksPerPart());
+        return new Job(spec, submittedMs, facts.startWithinS(spec), x.revision(), facts.tasksPerPart());
     }
 
     private void opened(Entry x) {
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -529,28 +529,14 @@
     // ---- placing --------------------------------------------------------------------------------
 
     /** Unfinished jobs with work to place, in the order in which they are served. */
-    List<Job> queue(double wallMs) {
+    List<Job> queue(double now, double wallMs) {
         markGuaranteed();
-        List<Job> q = new ArrayList<>();
-        for (Job j : jobs.values()) {
-            if (!j.over && j.waiting() > 0) {
-                q.add(j);
-            }
+        double capacity = 0;
+        for (Machine m : machines.values()) {
+            MachineType t = types.get(m.type);
+            capacity += t != null && m.open() ? t.cpus() : 0;
         }
-        q.sort(Comparator.<Job>comparingInt(j -> j.guaranteed ? 0 : 1).thenComparing(j -> j.spec.priority())
-                .thenComparing(j -> j.latestStartMs < wallMs).thenComparingDouble(j -> j.latestStartMs)
-                .thenComparingDouble(j -> j.submittedMs).thenComparing(j -> j.spec.id()));
-        return q;
-    }
-
-    /**
-     * When a job's tasks have to start so that it is done when it should be, by its deadline or its class's
-     * objective. Jobs for which that is past come after those that can still make it.
-     */
-    double latestStartMs(JobSpec s, double submittedMs) {
-        double due = s.deadlineS() != null ? s.deadlineS()
-                : facts.finishWithinS(s.jobClass(), 10 * facts.workers().leaseS() + s.estimateS());
-        return submittedMs + (due - s.estimateS()) * 1000;
+        return new ServiceOrder(capacity, now, wallMs).of(jobs.values());
     }
 
     /** A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs. */
@@ -603,7 +589,7 @@
         }
         int placed = 0;
         backlog = false;
-        for (Job job : queue(wallMs)) {
+        for (Job job : queue(now, wallMs)) {
             backlog = true;
             if (placed >= most) {
                 changed = true;
--- /dev/null
+++ b/src/main/java/io/kitepath/core/ServiceOrder.java
@@ -0,0 +1,114 @@
+package io.kitepath.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+/**
+ * The order in which jobs are served: work within its team's guarantee, then by priority; within that so that as many
+ * jobs as possible meet what is expected of them. That is the rule of Moore and Hodgson: by the time at which a job has
+ * to start, and where the work up to some job is more than the machines get done until then, the largest one so far goes
+ * without. Guards against an overload in which, by due times alone, each job gets its turn just too late.
+ */
+final class ServiceOrder {
+    /** A job, which of its goals is tried for, and its work in CPU seconds. */
+    private record Entry(Job job, int goal, double work) {
+        double startMs() {
+            return job.goalsMs[goal];
+        }
+    }
+
+    private final double capacity;
+    private final double now;
+    private final double wallMs;
+    /** CPU seconds that the machines have to get done before what is looked at. */
+    private double ahead;
+
+    /** {@code capacity}: CPUs of the machines that may be used. */
+    ServiceOrder(double capacity, double now, double wallMs) {
+        this.capacity = Math.max(1, capacity);
+        this.now = now;
+        this.wallMs = wallMs;
+    }
+
+    List<Job> of(Collection<Job> jobs) {
+        Map<Integer, List<Job>> ranks = new LinkedHashMap<>();
+        int least = 2 * JobSpec.Priority.values().length;
+        for (Job j : jobs) {
+            ranks.computeIfAbsent(rank(j), k -> new ArrayList<>()).add(j);
+        }
+        List<Job> out = new ArrayList<>();
+        for (int rank = 0; rank < least; rank++) {
+            List<Job> in = ranks.getOrDefault(rank, List.of());
+            for (Job j : in) {
+                ahead += running(j);
+            }
+            order(in, out);
+        }
+        return out;
+    }
+
+    private static int rank(Job j) {
+        return (j.guaranteed ? 0 : JobSpec.Priority.values().length) + j.spec.priority().ordinal();
+    }
+
+    private double running(Job j) {
+        double sum = 0;
+        for (Attempt a : j.live.values()) {
+            sum += j.spec.cpus() * Math.min(j.spec.estimateS(), a.remainingS(now));
+        }
+        return sum;
+    }
+
+    private void order(List<Job> jobs, List<Job> out) {
+        List<Entry> tried = new ArrayList<>();
+        List<Job> last = new ArrayList<>();
+        for (Job j : jobs) {
+            if (!j.over && j.waiting() > 0) {
+                aim(new Entry(j, -1, j.spec.cpus() * j.spec.estimateS() * j.waiting()), tried, last);
+            }
+        }
+        while (!tried.isEmpty()) {
+            tried.sort(Comparator.comparingDouble(Entry::startMs).thenComparingDouble(e -> e.job.submittedMs)
+                    .thenComparing(e -> e.job.spec.id()));
+            PriorityQueue<Entry> largest = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.work)
+                    .thenComparing(e -> e.job.spec.id()));
+            List<Entry> without = new ArrayList<>();
+            for (Entry e : tried) {
+                largest.add(e);
+                ahead += e.work;
+                double doneMs = e.startMs() + e.job.spec.estimateS() * 1000;
+                if (ahead / capacity > (doneMs - wallMs) / 1000) {
+                    Entry gone = largest.poll();
+                    ahead -= gone.work;
+                    without.add(gone);
+                }
+            }
+            tried.removeAll(without);
+            tried.forEach(e -> out.add(e.job));
+            tried.clear();
+            for (Entry e : without) {
+                aim(e, tried, last);
+            }
+        }
+        last.sort(Comparator.comparingDouble((Job j) -> j.submittedMs).thenComparing(j -> j.spec.id()));
+        out.addAll(last);
+    }
+
+    /** Puts the job among those that try for their next goal that is not past, or last if it has none. */
+    private void aim(Entry e, List<Entry> tried, List<Job> last) {
+        int goal = e.goal + 1;
+        while (goal < e.job.goalsMs.length && e.job.goalsMs[goal] < wallMs) {
+            goal++;
+        }
+        if (goal < e.job.goalsMs.length) {
+            tried.add(new Entry(e.job, goal, e.work));
+        } else {
+            last.add(e.job);
+        }
+    }
+}
--- a/src/main/java/io/kitepath/settings/Settings.java
+++ b/src/main/java/io/kitepath/settings/Settings.java
@@ -61,7 +61,7 @@
         if (f.has("objectives")) {
             for (Tree x : f.children("objectives")) {
                 objectives.add(new Facts.Objective(x.text("kind"), x.textOr("class", ""),
-                        x.numberOr("within_s", 0, 0), x.numberOr("share", 0, 0)));
+                        x.numberOr("within_s", 0, 0), x.numberOr("times", 0, 1), x.numberOr("share", 0, 0)));
             }
         }
         Tree w = f.child("workers");
--- /dev/null
+++ b/src/test/java/io/kitepath/core/ServiceOrderTest.java
@@ -0,0 +1,56 @@
+package io.kitepath.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Who is served first when there is room for all, and when there is not. */
+class ServiceOrderTest {
+    private final List<Job> jobs = new ArrayList<>();
+
+    /** An array whose tasks take 10 s of a CPU each, submitted now, to start within the given times. */
+    private Job job(String id, int tasks, double... startWithinS) {
+        JobSpec s = new JobSpec(id, "work", "red", JobSpec.Shape.ARRAY, JobSpec.Priority.NORMAL, tasks, 1, 0, 1, null,
+                null, false, false, true, "img", 1, 10, 0, 0, null);
+        Job j = new Job(s, 0, startWithinS, 1, 256);
+        jobs.add(j);
+        return j;
+    }
+
+    private List<String> order(double cpus, double now) {
+        return new ServiceOrder(cpus, now, now * 1000).of(jobs).stream().map(j -> j.spec.id()).toList();
+    }
+
+    @Test
+    void whatHasToStartSoonestComesFirst() {
+        job("j-1", 10, 90);
+        job("j-2", 10, 20);
+        assertEquals(List.of("j-2", "j-1"), order(10, 0));
+    }
+
+    @Test
+    void inAnOverloadTheLargestJobGoesWithout() {
+        job("j-1", 300, 10);
+        job("j-2", 80, 15);
+        job("j-3", 80, 20);
+        // 460 tasks of 10 s on 10 CPUs take 460 s; without the largest, two can still be in time on 60.
+        assertEquals(List.of("j-2", "j-3", "j-1"), order(60, 0));
+    }
+
+    @Test
+    void aJobThatMissedOneGoalTriesForItsNext() {
+        job("j-1", 10, 10, 100);
+        job("j-2", 10, 10);
+        job("j-3", 10, 120);
+        assertEquals(List.of("j-1", "j-3", "j-2"), order(100, 50));
+    }
+
+    @Test
+    void theGuaranteedComeFirstWhateverTheirPriority() {
+        job("j-1", 10, 10);
+        job("j-2", 10, 90).guaranteed = true;
+        assertEquals(List.of("j-2", "j-1"), order(100, 0));
+    }
+}
