--- a/src/main/java/io/kitepath/core/Leadership.java
+++ b/src/main/java/io/kitepath/core/Leadership.java
@@ -51,7 +51,7 @@
         this.random = random;
         this.listener = listener;
         // Short against the workers' lease, so that a new leader is there well before their work is given up.
-        this.lifeS = Math.max(1.5, 2 * facts.workers().reportS());
+        this.lifeS = Math.max(2, facts.workers().reportS());
         this.servedAt = timers.now();
     }
 
