Known outages are answered at once; calls that waited their time are given up; figures on launches

A node that the store has not answered for a lease and a second no longer asks it for each user first; a call queued for a connection counts its waiting.

--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -88,7 +88,7 @@
         this.leadership = new Leadership(facts, store, timers, random, new Leading());
         this.keeper = new Keeper(facts, store, timers, scheduler, new Keeping());
         this.fleet = new Fleet(facts, scheduler);
-        this.registry = new Registry(store, timers);
+        this.registry = new Registry(store, timers, this::served);
         this.cloudCalls = new Bucket(facts.cloud().rps() * 0.6);
         registry.onCancelled(id -> {
             scheduler.jobOver(id);
@@ -388,6 +388,11 @@
         f.put("probes", new Figure(true, "machines probed", () -> scheduler.placement.probes));
         f.put("probes.passed", new Figure(true, "probes that passed", () -> scheduler.placement.passed));
         f.put("scans", new Figure(true, "scans of the block", () -> scheduler.placement.scans));
+        f.put("attempts.launched", new Figure(true, "launch orders given", () -> scheduler.launches));
+        f.put("attempts.launch.delay", new Figure(true, "seconds from placings to their launch orders, added up",
+                () -> scheduler.launchDelayS));
+        f.put("rounds.time", new Figure(true, "seconds spent in placing and writing down", () -> roundS));
+        f.put("store.records", new Figure(true, "records written by the holder", () -> keeper.written));
         f.put("store.rounds", new Figure(true, "transactions written by the holder", () -> keeper.rounds));
         return f;
     }
--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -77,9 +77,11 @@
     /** Kinds that were refused for want of capacity, until when not to ask, and how often in a row. */
     private final Map<Kind, double[]> refused = new HashMap<>();
     private double leadingSince;
-    /** Worked out once a plan: machines by kind, CPUs of what is up or coming, CPU seconds that wait for spot machines. */
+    /** Worked out once a plan: machines by kind. */
     private final Map<Kind, Integer> counts = new HashMap<>();
+    /** CPUs of what is up or coming. */
     private double usableCpus;
+    /** CPU seconds of waiting work that may use spot machines. */
     private double spotBacklog;
 
     Fleet(Facts facts, Scheduler scheduler) {
@@ -175,8 +177,8 @@
         for (Facts.Objective o : facts.objectives()) {
             boolean wait = o.kind().equals("wait") && o.withinS() < boot
                     && queue.stream().noneMatch(j -> j.spec.jobClass().equals(o.jobClass()));
-            JobSpec typical = wait || o.kind().equals("deadline") ? scheduler.typical(o.jobClass(), o.share(), wallMs, boot)
-                    : null;
+            JobSpec typical = wait || o.kind().equals("deadline")
+                    ? scheduler.typical(o.jobClass(), o.share(), wallMs, boot) : null;
             if (typical == null) {
                 continue;
             }
@@ -360,7 +362,8 @@
 
     /** Per unit of what a machine offers. Zones share: of equal ones, the one with the least of this kind. */
     private double price(Kind k, MachineType t, double units, Map<Kind, Integer> rent) {
-        return (k.spot ? t.spotPrice() : t.price()) / units * (1 + 1e-4 * (counts.getOrDefault(k, 0) + rent.getOrDefault(k, 0)));
+        int there = counts.getOrDefault(k, 0) + rent.getOrDefault(k, 0);
+        return (k.spot ? t.spotPrice() : t.price()) / units * (1 + 1e-4 * there);
     }
 
     /**
@@ -443,7 +446,8 @@
      * and again, so they never idle.
      */
     private boolean cheaperToBeHad(MachineType t, double now) {
-        return t.spotPrice() < t.price() && t.zones().stream().anyMatch(z -> mayBeHad(new Kind(t.name(), z, true), now));
+        return t.spotPrice() < t.price()
+                && t.zones().stream().anyMatch(z -> mayBeHad(new Kind(t.name(), z, true), now));
     }
 
     private boolean idleTooLong(Machine m, MachineType t, double now) {
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -48,7 +48,7 @@
     /** The job that is to have the room here. */
     Job reservedFor;
     /**
-     * Only kept until other work ends, nothing is being stopped: work that would give way to the job may run until then.
+     * Only kept until other work ends, nothing is being stopped: work that would give way to the job may run meanwhile.
      * Guards against machines that idle for minutes because a gang waits for the last of those that it needs.
      */
     boolean kept;
@@ -121,7 +121,7 @@
         }
     }
 
-    /** Sums are kept, not made anew; an empty machine starts from zero again, so that errors of rounding don't add up. */
+    /** Sums are kept, not made anew; an empty machine starts from zero, so that errors of rounding don't add up. */
     private void clear() {
         usedCpus = 0;
         usedGpus = 0;
--- a/src/main/java/io/kitepath/core/Registry.java
+++ b/src/main/java/io/kitepath/core/Registry.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -36,10 +37,16 @@
     /** Questions about the same job that are under way share one read. */
     private final Map<String, List<Consumer<Answer>>> asking = new HashMap<>();
     private Consumer<String> onCancelled = id -> {};
+    /**
+     * Whether the store answers this node. Guards against requests that wait for their time-out, one behind the other,
+     * when it is known that they can't be answered: users are told at once when to come back.
+     */
+    private final BooleanSupplier served;
 
-    Registry(Store store, Timers timers) {
+    Registry(Store store, Timers timers, BooleanSupplier served) {
         this.store = store;
         this.timers = timers;
+        this.served = served;
     }
 
     void onCancelled(Consumer<String> listener) {
@@ -54,6 +61,10 @@
             answer.accept(new Answer(Verdict.KNOWN, known));
             return;
         }
+        if (!served.getAsBoolean()) {
+            answer.accept(Answer.LATER);
+            return;
+        }
         Map<String, Object> record = spec.toRecord();
         record.put("submittedMs", timers.wallMs());
         store.commit(new Transaction().when(Keys.OPEN + id, 0).when(Keys.OVER + id, 0)
@@ -74,6 +85,10 @@
             answer.accept(new Answer(Verdict.KNOWN, known));
             return;
         }
+        if (!served.getAsBoolean()) {
+            answer.accept(Answer.LATER);
+            return;
+        }
         List<Consumer<Answer>> waiting = asking.get(id);
         if (waiting != null) {
             // The read under way began before this question, so its answer may be older than what was told since:
@@ -145,7 +160,7 @@
             answer.accept(new Answer(Verdict.KNOWN, known));
             return;
         }
-        if (tries == 0) {
+        if (tries == 0 || !served.getAsBoolean()) {
             answer.accept(Answer.LATER);
             return;
         }
--- a/src/main/java/io/kitepath/net/HttpClient.java
+++ b/src/main/java/io/kitepath/net/HttpClient.java
@@ -79,6 +79,12 @@
             connect(p);
         } else if (queue.size() < maxConnections * 4) {
             queue.add(p);
+            // Waiting for a connection counts: what has had its time is given up on, not sent late.
+            loop.schedule(() -> {
+                if (queue.remove(p)) {
+                    callback.done(0, null);
+                }
+            }, timeoutMs, TimeUnit.MILLISECONDS);
         } else {
             // Bounded: a queue that grows while the other side hangs would only fill memory with lost causes.
             loop.execute(() -> callback.done(0, null));
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -84,6 +84,26 @@
         assertEquals("done", w.status(n, "j-1"));
     }
 
+    @Test
+    void inAnOutageThatIsKnownUsersAreToldAtOnceToComeBack() {
+        World.NodeInWorld n = settled(1, 1);
+        w.submit(n, job("j-1", Shape.ARRAY, 1, 1));
+        w.run(30);
+        assertEquals("done", w.status(n, "j-1"));
+        w.store.outage(20);
+        w.run(10);
+        Registry.Answer[] got = new Registry.Answer[3];
+        n.controller.registry().submit(job("j-2", Shape.ARRAY, 1, 1), a -> got[0] = a);
+        n.controller.registry().status("j-2", a -> got[1] = a);
+        n.controller.registry().cancel("j-2", a -> got[2] = a);
+        for (Registry.Answer a : got) {
+            assertEquals(Verdict.LATER, a.verdict());
+        }
+        assertEquals("done", w.status(n, "j-1"));
+        w.run(11);
+        assertEquals(Verdict.CREATED, w.submit(n, job("j-2", Shape.ARRAY, 1, 1)).verdict());
+    }
+
     @Test
     void allNodesRestartWithinAnOutage() {
         settled(2, 2);
