--- a/src/main/java/io/kitepath/core/ServiceOrder.java
+++ b/src/main/java/io/kitepath/core/ServiceOrder.java
@@ -25,8 +25,10 @@
     private final double capacity;
     private final double now;
     private final double wallMs;
-    /** CPU seconds that the machines have to get done before what is looked at. */
+    /** CPU seconds of waiting work that goes before what is looked at. */
     private double ahead;
+    /** CPUs of what runs and does not give way, by job, and for how long they will probably be taken. */
+    private final List<double[]> running = new ArrayList<>();
 
     /** {@code capacity}: CPUs of the machines that may be used. */
     ServiceOrder(double capacity, double now, double wallMs) {
@@ -44,9 +46,7 @@
         List<Job> out = new ArrayList<>();
         for (int rank = 0; rank < least; rank++) {
             List<Job> in = ranks.getOrDefault(rank, List.of());
-            for (Job j : in) {
-                ahead += running(j);
-            }
+            in.forEach(this::runs);
             order(in, out);
         }
         return out;
@@ -56,12 +56,23 @@
         return (j.guaranteed ? 0 : JobSpec.Priority.values().length) + j.spec.priority().ordinal();
     }
 
-    private double running(Job j) {
+    private void runs(Job j) {
         double sum = 0;
         for (Attempt a : j.live.values()) {
-            sum += j.spec.cpus() * Math.min(j.spec.estimateS(), a.remainingS(now));
+            sum += a.remainingS(now);
+        }
+        if (!j.live.isEmpty()) {
+            running.add(new double[] {j.live.size() * j.spec.cpus(), sum / j.live.size()});
+        }
+    }
+
+    /** CPU seconds that the machines have for waiting work in that time; what runs takes only its part of it. */
+    private double room(double seconds) {
+        double room = capacity * seconds;
+        for (double[] r : running) {
+            room -= r[0] * Math.min(r[1], seconds);
         }
-        return sum;
+        return room;
     }
 
     private void order(List<Job> jobs, List<Job> out) {
@@ -82,7 +93,7 @@
                 largest.add(e);
                 ahead += e.work;
                 double doneMs = e.startMs() + e.job.spec.estimateS() * 1000;
-                if (ahead / capacity > (doneMs - wallMs) / 1000) {
+                if (ahead > room((doneMs - wallMs) / 1000)) {
                     Entry gone = largest.poll();
                     ahead -= gone.work;
                     without.add(gone);
