Room made by stopping others is held for the job; guaranteed work of lower priority gives way again

The livelock that rule had ended came from the order, not from the right to stop: what was stopped was served first and took the room again. Now the room is held for the job for two report intervals.

--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -45,8 +45,9 @@
     /** Of the used CPUs, what work takes that may not use spot machines. */
     double boundCpus;
     int unconfirmed;
-    /** The job that is to have the room here. */
+    /** The job that is to have the room here, and until when other work has been stopped for it. */
     Job reservedFor;
+    double reservedUntil;
     /**
      * Only kept until other work ends, nothing is being stopped: work that would give way to the job may run meanwhile.
      * Guards against machines that idle for minutes because a gang waits for the last of those that it needs.
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -581,8 +581,10 @@
         changed = false;
         List<Machine> open = new ArrayList<>();
         for (Machine m : machines.values()) {
-            m.reservedFor = null;
-            m.kept = false;
+            if (m.kept || now >= m.reservedUntil || m.reservedFor != null && m.reservedFor.waiting() == 0) {
+                m.reservedFor = null;
+                m.kept = false;
+            }
             if (m.open()) {
                 open.add(m);
             }
@@ -704,7 +706,7 @@
         int need = s.gang() ? job.waiting() : Math.min(job.waiting(), quotaLeft(s));
         Map<String, List<Offer>> byZone = new LinkedHashMap<>();
         for (Machine m : open) {
-            if (m.reservedFor == null && placement.allowed(m, s)) {
+            if ((m.reservedFor == null || m.reservedFor == job) && placement.allowed(m, s)) {
                 byZone.computeIfAbsent(s.oneZone() ? m.zone : "", k -> new ArrayList<>())
                         .add(offer(job, m, yielding, now));
             }
@@ -722,6 +724,10 @@
         if (best != null) {
             for (Offer o : best) {
                 o.machine.reservedFor = job;
+                // Guards against work that is served before this job although it gives way to it (a guarantee comes
+                // first, a higher priority may stop it): it would take the room again in the next round, and be
+                // stopped again, without an end. So the room is held until the stopped tasks can have been reported.
+                o.machine.reservedUntil = now + 2 * facts.workers().reportS();
                 need -= evict(job, o, need);
             }
             return;
@@ -797,11 +803,6 @@
         if (v.gang() || v.shape() == JobSpec.Shape.SERVICE) {
             return false;
         }
-        if (holding.guaranteed && !job.guaranteed) {
-            // It is served first whatever its priority: it would take the room again in the next round, and be
-            // stopped again, without an end and without either of the two getting anywhere.
-            return false;
-        }
         if (v.priority().compareTo(job.spec.priority()) > 0) {
             return true;
         }
