Clean-up of the rounds: parts name themselves, one answer at once, a dead path goes; behaviour as before

Written and recorded() take the part, which knows its job and number; the registry's three checks before a look into the store are one; Leadership.resign, which nothing called, and its waiting time go; a comment says what rentFor returns.

--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -206,7 +206,7 @@
 
     /**
      * Adds machines for that many tasks to what is to be rented, of the cheapest kinds; stops at one that is not
-     * worth it. What is left of the last one's room is returned with all the others' rooms.
+     * worth it. Returns the new machines' rooms, with the tasks in them.
      */
     private List<Room> rentFor(JobSpec s, int tasks, String zone, Map<Kind, Integer> rent, double now,
             Predicate<Kind> worth) {
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -48,7 +48,7 @@
         void outOfStep(String why);
     }
 
-    private record Written(Job job, int part, int version, boolean removed) {}
+    private record Written(Job.Part part, int version, boolean removed) {}
 
     private static final class Round {
         final Transaction transaction = new Transaction();
@@ -315,7 +315,7 @@
             if (!job.over && r.conditioned.add(job)) {
                 r.transaction.when(Keys.OPEN + job.spec.id(), job.revision);
             }
-            putPart(r, job, p.index);
+            putPart(r, p);
         }
     }
 
@@ -330,10 +330,11 @@
         r.finishing.add(job);
     }
 
-    private void putPart(Round r, Job job, int i) {
-        Job.Part p = job.parts[i];
-        String key = Keys.part(job.spec.id(), i);
-        boolean remove = job.over && job.liveIn(i).isEmpty();
+    private void putPart(Round r, Job.Part p) {
+        Job job = p.job;
+        String key = Keys.part(job.spec.id(), p.index);
+        List<Attempt> live = job.liveIn(p.index);
+        boolean remove = job.over && live.isEmpty();
         if (remove && p.revision == 0) {
             p.written = job.version;
             return;
@@ -342,11 +343,10 @@
         if (remove) {
             r.transaction.remove(key);
         } else {
-            Map<String, Object> record = job.partRecord(i);
-            r.bytes += 96 + 12 * job.liveIn(i).size() + 32;
-            r.transaction.put(key, record);
+            r.bytes += 96 + 12 * live.size() + 32;
+            r.transaction.put(key, job.partRecord(p.index));
         }
-        r.parts.add(new Written(job, i, job.version, remove));
+        r.parts.add(new Written(p, job.version, remove));
     }
 
     private void send(long e, Runnable done) {
@@ -378,7 +378,7 @@
     private void committed(Round r, long revision, Runnable done) {
         round = null;
         for (Written w : r.parts) {
-            scheduler.recorded(w.job, w.part, w.version, w.removed ? 0 : revision);
+            scheduler.recorded(w.part, w.version, w.removed ? 0 : revision);
         }
         for (Job job : r.finishing) {
             LOG.info("job {} done", job.spec.id());
@@ -389,7 +389,7 @@
 
     private void refused(Round r, Committed c) {
         round = null;
-        r.parts.forEach(w -> scheduler.queue(w.job.parts[w.part]));
+        r.parts.forEach(w -> scheduler.queue(w.part));
         if (c.failed().contains(blockKey)) {
             listener.blockLost();
             return;
--- a/src/main/java/io/kitepath/core/Leadership.java
+++ b/src/main/java/io/kitepath/core/Leadership.java
@@ -39,7 +39,6 @@
     /** Who leads by the last that we heard, or null. */
     private String leader;
     private long highest;
-    private double stayOutUntil;
     private boolean campaigning;
     /** When the store last answered us. */
     private double servedAt;
@@ -102,15 +101,6 @@
         return token;
     }
 
-    void resign(String why) {
-        if (leading) {
-            // Stay out for a while, so that a node that is better off can take over.
-            stayOutUntil = timers.now() + 4 * lifeS;
-            store.revoke(lease);
-            stepDown(why);
-        }
-    }
-
     void stepDown(String why) {
         if (!leading) {
             return;
@@ -182,9 +172,7 @@
             stepDown("our key is gone");
         }
         leader = null;
-        double now = timers.now();
-        double wait = stayOutUntil > now ? stayOutUntil - now : random.nextDouble() * 0.1;
-        timers.after(wait, this::campaign);
+        timers.after(random.nextDouble() * 0.1, this::campaign);
     }
 
     private double retryS() {
--- a/src/main/java/io/kitepath/core/Registry.java
+++ b/src/main/java/io/kitepath/core/Registry.java
@@ -53,16 +53,23 @@
         onCancelled = listener;
     }
 
-    /** Accepts a job that neither is nor was there. */
-    public void submit(JobSpec spec, Consumer<Answer> answer) {
-        String id = spec.id();
+    /** Answers what needs no look into the store: a final state, or that the store can't be asked now. */
+    private boolean answeredAtOnce(String id, Consumer<Answer> answer) {
         JobState known = over.getIfPresent(id);
         if (known != null) {
             answer.accept(new Answer(Verdict.KNOWN, known));
-            return;
-        }
-        if (!served.getAsBoolean()) {
+        } else if (!served.getAsBoolean()) {
             answer.accept(Answer.LATER);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    /** Accepts a job that neither is nor was there. */
+    public void submit(JobSpec spec, Consumer<Answer> answer) {
+        String id = spec.id();
+        if (answeredAtOnce(id, answer)) {
             return;
         }
         Map<String, Object> record = spec.toRecord();
@@ -80,13 +87,7 @@
     }
 
     public void status(String id, Consumer<Answer> answer) {
-        JobState known = over.getIfPresent(id);
-        if (known != null) {
-            answer.accept(new Answer(Verdict.KNOWN, known));
-            return;
-        }
-        if (!served.getAsBoolean()) {
-            answer.accept(Answer.LATER);
+        if (answeredAtOnce(id, answer)) {
             return;
         }
         List<Consumer<Answer>> waiting = asking.get(id);
@@ -155,12 +156,10 @@
     }
 
     private void cancel(String id, int tries, Consumer<Answer> answer) {
-        JobState known = over.getIfPresent(id);
-        if (known != null) {
-            answer.accept(new Answer(Verdict.KNOWN, known));
+        if (answeredAtOnce(id, answer)) {
             return;
         }
-        if (tries == 0 || !served.getAsBoolean()) {
+        if (tries == 0) {
             answer.accept(Answer.LATER);
             return;
         }
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -862,17 +862,18 @@
     }
 
     /** Everything about this part up to {@code version} is in the store now. */
-    void recorded(Job job, int part, int version, long revision) {
-        job.parts[part].revision = revision;
-        job.parts[part].written = version;
-        queue(job.parts[part]);
-        for (Attempt a : job.liveIn(part)) {
+    void recorded(Job.Part part, int version, long revision) {
+        Job job = part.job;
+        part.revision = revision;
+        part.written = version;
+        queue(part);
+        for (Attempt a : job.liveIn(part.index)) {
             if (a.placedVersion <= version) {
                 a.durable = true;
             }
         }
         job.unwritten.removeIf(a -> {
-            boolean now = job.partOf(a.task) == part && a.endedVersion <= version;
+            boolean now = job.partOf(a.task) == part.index && a.endedVersion <= version;
             if (now) {
                 a.machine.unwritten.remove(a);
             }
