--- a/src/main/java/io/kitepath/cli/ArchiveTraining.java
+++ b/src/main/java/io/kitepath/cli/ArchiveTraining.java
@@ -183,8 +183,9 @@
             out.reply(409, Pack.bytes(Map.of("failed", failed, "epoch", revision)));
             return;
         }
-        revision++;
-        for (Object o : (List<?>) m.get("then")) {
+        List<?> then = m.containsKey("then") ? (List<?>) m.get("then") : List.of();
+        revision += then.isEmpty() ? 0 : 1;
+        for (Object o : then) {
             Map<?, ?> w = (Map<?, ?>) o;
             if (w.containsKey("remove")) {
                 keys.remove(w.get("remove"));
--- a/src/main/java/io/kitepath/core/Bucket.java
+++ b/src/main/java/io/kitepath/core/Bucket.java
@@ -26,4 +26,9 @@
         filled -= n;
         return true;
     }
+
+    /** In how many seconds that many will be there, if nobody else takes any. */
+    double inS(double n, double now) {
+        return Math.max(0, (n - available(now)) / perSecond);
+    }
 }
--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -32,7 +32,11 @@
         /** To all: this node's view. */
         void tell(long token, String leader, boolean served);
 
-        void cancelled(String job);
+        /** To all: the store has it that this job is over. */
+        void over(Registry.JobState job);
+
+        /** Asks the leader how far jobs are; answers an empty list if that can't be had soon. */
+        void progress(String leader, List<String> jobs, Consumer<List<Progress>> answer);
 
         /** Has the leader answer a check-in; false if it can't be asked now. */
         boolean relay(String leader, Report report, Consumer<CheckIn> answer);
@@ -64,6 +68,8 @@
 
     private record Rental(String name, Fleet.Kind kind, int count) {}
 
+    /** When a sibling was last heard from. */
+    private final Map<String, Double> heard = new HashMap<>();
     /** When a sibling last said that the store serves it. */
     private final Map<String, Double> servedSiblings = new HashMap<>();
     /** When a sibling last said that the store does not serve it. */
@@ -88,11 +94,11 @@
         this.leadership = new Leadership(facts, store, timers, random, new Leading());
         this.keeper = new Keeper(facts, store, timers, scheduler, new Keeping());
         this.fleet = new Fleet(facts, scheduler);
-        this.registry = new Registry(store, timers, this::served);
+        this.registry = new Registry(facts, store, timers, this::served, this::askProgress);
         this.cloudCalls = new Bucket(facts.cloud().rps() * 0.6);
-        registry.onCancelled(id -> {
-            scheduler.jobOver(id);
-            siblings.cancelled(id);
+        registry.onCancelled(job -> {
+            scheduler.jobOver(job.id());
+            siblings.over(job);
         });
     }
 
@@ -153,6 +159,12 @@
     }
 
     private final class Keeping implements Keeper.Listener {
+        @Override
+        public void done(Registry.JobState job) {
+            registry.ended(job);
+            siblings.over(job);
+        }
+
         @Override
         public void blockLost() {
             leadership.stepDown("the block is no longer ours");
@@ -414,13 +426,37 @@
     }
 
     public void told(String by, long token, boolean leads, boolean served) {
+        heard.put(by, timers.now());
         (served ? servedSiblings : unservedSiblings).put(by, timers.now());
         (served ? unservedSiblings : servedSiblings).remove(by);
         leadership.outbid(token, leads ? by : null);
     }
 
-    public void toldCancelled(String job) {
-        scheduler.jobOver(job);
+    /** Guards against waiting for a silent sibling's answer again and again: views come every second. */
+    private boolean silent(String sibling) {
+        return timers.now() - heard.getOrDefault(sibling, -1e9) > 2.5;
+    }
+
+    private void askProgress(List<String> jobs, Consumer<List<Progress>> answer) {
+        String leader = leadership.leader();
+        if (leadership.leading()) {
+            answer.accept(progress(jobs));
+        } else if (leader == null || leader.equals(facts.node()) || silent(leader)) {
+            answer.accept(List.of());
+        } else {
+            siblings.progress(leader, jobs, answer);
+        }
+    }
+
+    /** What this node knows of the jobs as their holder; nothing if it does not hold them. */
+    public List<Progress> progress(List<String> jobs) {
+        return leadership.leading() && keeper.loaded() ? scheduler.progress(jobs, timers.now()) : List.of();
+    }
+
+    /** A sibling's word that the store has the job's end, which never changes. */
+    public void toldOver(Registry.JobState job) {
+        registry.ended(job);
+        scheduler.jobOver(job.id());
     }
 
     /** Whether users are better off here: not if the store serves a sibling and not us. */
--- a/src/main/java/io/kitepath/core/Job.java
+++ b/src/main/java/io/kitepath/core/Job.java
@@ -83,6 +83,19 @@
         return spec.shape() != JobSpec.Shape.SERVICE && done.cardinality() == spec.tasks();
     }
 
+    private Progress progress;
+    private double progressAt;
+
+    /** Counted at most once in {@code everyS}: guards against a large job that many ask about. */
+    Progress progress(double now, double everyS) {
+        if (progress == null || now - progressAt > everyS) {
+            int running = (int) live.values().stream().filter(a -> a.state == Report.State.RUNNING).count();
+            progress = new Progress(spec.id(), done.cardinality(), running, null);
+            progressAt = now;
+        }
+        return progress;
+    }
+
     /** Whether the store still has anything about its tasks. */
     boolean recorded() {
         for (Part p : parts) {
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -44,6 +44,9 @@
         /** Somebody else holds the block, or nobody. */
         void blockLost();
 
+        /** The store has it that this job is done. */
+        void done(Registry.JobState job);
+
         /** The memory and the store may differ. */
         void outOfStep(String why);
     }
@@ -383,6 +386,7 @@
         for (Job job : r.finishing) {
             LOG.info("job {} done", job.spec.id());
             scheduler.jobOver(job.spec.id());
+            listener.done(new Registry.JobState(job.spec.id(), "done", job.spec.tasks(), 0));
         }
         done.run();
     }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Questions.java
@@ -0,0 +1,201 @@
+package io.kitepath.core;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import io.kitepath.core.Registry.Answer;
+import io.kitepath.core.Registry.JobState;
+import io.kitepath.core.Registry.Verdict;
+import io.kitepath.core.Store.Entry;
+import io.kitepath.core.Store.Outcome;
+import io.kitepath.core.Store.Transaction;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/**
+ * Users' questions about jobs that this node does not know to be over. Guards against questions that use up the state
+ * service's request rate and starve leases, submissions and a new leader's reading of it: all that come within a
+ * moment are settled by one request, which compares many keys and writes nothing. The request is sent after the last
+ * of its questions came, so no answer is older than one that a user got before. How far a job is comes from the
+ * holder's memory, which costs the state service nothing.
+ */
+final class Questions {
+    /** Of the state service's requests, what all nodes together spend on comparing. */
+    private static final double RATE_SHARE = 0.2;
+    /** How long the first question waits for others. */
+    private static final double GATHER_S = 0.01;
+    private static final int MAX_TRIES = 3;
+
+    /** Who knows how far jobs are; answers an empty list if nobody can be asked. */
+    interface Holder {
+        void progress(List<String> jobs, Consumer<List<Progress>> answer);
+    }
+
+    private final Store store;
+    private final Timers timers;
+    private final Holder holder;
+    /** Reads how a job that is over ended, which happens once on each node. */
+    private final BiConsumer<String, Consumer<Answer>> over;
+    private final Bucket requests;
+    private final int most;
+    private final int mostWaiting;
+    private final Map<String, List<Consumer<Answer>>> waiting = new LinkedHashMap<>();
+    private int waitingCount;
+    private boolean gathering;
+    private final Cache<String, Progress> lately = Caffeine.newBuilder().maximumSize(3000).build();
+
+    Questions(Facts facts, Store store, Timers timers, Holder holder, BiConsumer<String, Consumer<Answer>> over) {
+        this.store = store;
+        this.timers = timers;
+        this.holder = holder;
+        this.over = over;
+        this.requests = new Bucket(facts.store().rps() * RATE_SHARE / (facts.siblings().size() + 1));
+        // A transaction takes four conditions for each change that it may hold, and a job needs two.
+        this.most = 2 * facts.store().txnOps();
+        this.mostWaiting = facts.limits().sockets();
+    }
+
+    /** A job that was accepted here just now. */
+    void accepted(String id) {
+        lately.put(id, new Progress(id, 0, 0, null));
+    }
+
+    void ask(String id, Consumer<Answer> answer) {
+        if (waitingCount >= mostWaiting) {
+            answer.accept(Answer.LATER);
+            return;
+        }
+        waitingCount++;
+        waiting.computeIfAbsent(id, k -> new ArrayList<>()).add(answer);
+        gather();
+    }
+
+    private void gather() {
+        if (gathering || waiting.isEmpty()) {
+            return;
+        }
+        gathering = true;
+        timers.after(Math.max(GATHER_S, requests.inS(1, timers.now())), () -> {
+            gathering = false;
+            if (requests.take(1, timers.now())) {
+                send();
+            }
+            gather();
+        });
+    }
+
+    private void send() {
+        Map<String, List<Consumer<Answer>>> batch = new LinkedHashMap<>();
+        Transaction compare = new Transaction();
+        Iterator<Map.Entry<String, List<Consumer<Answer>>>> all = waiting.entrySet().iterator();
+        while (all.hasNext() && batch.size() < most) {
+            Map.Entry<String, List<Consumer<Answer>>> e = all.next();
+            all.remove();
+            waitingCount -= e.getValue().size();
+            batch.put(e.getKey(), e.getValue());
+            compare.when(Keys.OPEN + e.getKey(), 0).when(Keys.OVER + e.getKey(), 0);
+        }
+        if (!batch.isEmpty()) {
+            send(compare, batch, MAX_TRIES);
+        }
+    }
+
+    private void send(Transaction compare, Map<String, List<Consumer<Answer>>> batch, int tries) {
+        store.commit(compare, c -> {
+            switch (c.outcome()) {
+                // None of the keys exists.
+                case OK -> batch.keySet().forEach(id -> tell(batch, id, Answer.NOT_FOUND));
+                case NO -> sort(batch, new HashSet<>(c.failed()));
+                default -> {
+                    if (tries > 1) {
+                        timers.after(0.1 * (MAX_TRIES + 1 - tries), () -> send(compare, batch, tries - 1));
+                    } else {
+                        batch.keySet().forEach(id -> tell(batch, id, Answer.LATER));
+                    }
+                }
+            }
+        });
+    }
+
+    private static void tell(Map<String, List<Consumer<Answer>>> batch, String id, Answer a) {
+        batch.get(id).forEach(x -> x.accept(a));
+    }
+
+    /** {@code there}: the keys that exist. */
+    private void sort(Map<String, List<Consumer<Answer>>> batch, Set<String> there) {
+        List<String> open = new ArrayList<>();
+        for (String id : batch.keySet()) {
+            if (there.contains(Keys.OPEN + id)) {
+                open.add(id);
+            } else if (there.contains(Keys.OVER + id)) {
+                over.accept(id, a -> tell(batch, id, a));
+            } else {
+                confirm(batch, id);
+            }
+        }
+        progress(batch, open);
+    }
+
+    /** A job that the comparison did not find; that it was never accepted is only said after one more look. */
+    private void confirm(Map<String, List<Consumer<Answer>>> batch, String id) {
+        store.get(Keys.OPEN + id, (outcome, entry) -> {
+            switch (outcome) {
+                case OK -> progress(batch, List.of(id));
+                // A job moves from open to over and never back, so what is in neither was never accepted.
+                case NO -> over.accept(id, a -> tell(batch, id, a));
+                default -> tell(batch, id, Answer.LATER);
+            }
+        });
+    }
+
+    private void progress(Map<String, List<Consumer<Answer>>> batch, List<String> open) {
+        if (open.isEmpty()) {
+            return;
+        }
+        holder.progress(open, known -> {
+            known.forEach(p -> lately.put(p.job(), p));
+            for (String id : open) {
+                Progress p = lately.getIfPresent(id);
+                if (p != null) {
+                    tell(batch, id, new Answer(Verdict.KNOWN, JobState.unfinished(p)));
+                } else {
+                    fromRecords(batch, id);
+                }
+            }
+        });
+    }
+
+    /** The holder can't be asked or does not know the job, and nothing was heard of it here before. */
+    private void fromRecords(Map<String, List<Consumer<Answer>>> batch, String id) {
+        if (!requests.take(1, timers.now())) {
+            tell(batch, id, Answer.LATER);
+            return;
+        }
+        store.list(Keys.PART + id + "/", parts -> {
+            if (parts.outcome() != Outcome.OK) {
+                tell(batch, id, Answer.LATER);
+                return;
+            }
+            int done = 0;
+            int placed = 0;
+            for (Entry p : parts.entries()) {
+                Tree t = Tree.of(p.value());
+                done += BitSet.valueOf(Base64.getDecoder().decode(t.text("done"))).cardinality();
+                for (Object on : ((Map<?, ?>) t.raw("live")).values()) {
+                    placed += ((List<?>) on).size() / 2;
+                }
+            }
+            Progress p = new Progress(id, done, placed, null);
+            lately.put(id, p);
+            tell(batch, id, new Answer(Verdict.KNOWN, JobState.unfinished(p)));
+        });
+    }
+}
--- a/src/main/java/io/kitepath/core/Registry.java
+++ b/src/main/java/io/kitepath/core/Registry.java
@@ -2,14 +2,9 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
-import io.kitepath.core.Store.Entry;
 import io.kitepath.core.Store.Outcome;
 import io.kitepath.core.Store.Transaction;
-import java.util.ArrayList;
-import java.util.Base64;
-import java.util.BitSet;
-import java.util.HashMap;
-import java.util.List;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -21,8 +16,16 @@
 public final class Registry {
     public enum Verdict { CREATED, KNOWN, NOT_FOUND, LATER }
 
-    /** {@code status}: pending, running, done or cancelled. */
-    public record JobState(String id, String status, int done, int running) {}
+    /** {@code status}: pending, running, done or cancelled. {@code note}: what it waits for, or null. */
+    public record JobState(String id, String status, int done, int running, String note) {
+        JobState(String id, String status, int done, int running) {
+            this(id, status, done, running, null);
+        }
+
+        static JobState unfinished(Progress p) {
+            return new JobState(p.job(), p.running() > 0 ? "running" : "pending", p.done(), p.running(), p.note());
+        }
+    }
 
     public record Answer(Verdict verdict, JobState state) {
         static final Answer LATER = new Answer(Verdict.LATER, null);
@@ -34,22 +37,22 @@
     private final Store store;
     private final Timers timers;
     private final Cache<String, JobState> over = Caffeine.newBuilder().maximumSize(5000).build();
-    /** Questions about the same job that are under way share one read. */
-    private final Map<String, List<Consumer<Answer>>> asking = new HashMap<>();
-    private Consumer<String> onCancelled = id -> {};
+    private final Questions questions;
+    private Consumer<JobState> onCancelled = job -> {};
     /**
      * Whether the store answers this node. Guards against requests that wait for their time-out, one behind the other,
      * when it is known that they can't be answered: users are told at once when to come back.
      */
     private final BooleanSupplier served;
 
-    Registry(Store store, Timers timers, BooleanSupplier served) {
+    Registry(Facts facts, Store store, Timers timers, BooleanSupplier served, Questions.Holder holder) {
         this.store = store;
         this.timers = timers;
         this.served = served;
+        this.questions = new Questions(facts, store, timers, holder, this::readOver);
     }
 
-    void onCancelled(Consumer<String> listener) {
+    void onCancelled(Consumer<JobState> listener) {
         onCancelled = listener;
     }
 
@@ -66,6 +69,11 @@
         return true;
     }
 
+    /** The store has the job's end, which never changes: a word of the node that wrote it saves a read. */
+    void ended(JobState s) {
+        over.put(s.id(), s);
+    }
+
     /** Accepts a job that neither is nor was there. */
     public void submit(JobSpec spec, Consumer<Answer> answer) {
         String id = spec.id();
@@ -77,6 +85,7 @@
         store.commit(new Transaction().when(Keys.OPEN + id, 0).when(Keys.OVER + id, 0)
                 .put(Keys.OPEN + id, record), c -> {
             if (c.outcome() == Outcome.OK) {
+                questions.accepted(id);
                 answer.accept(new Answer(Verdict.CREATED, new JobState(id, "pending", 0, 0)));
             } else if (c.outcome() == Outcome.NO) {
                 status(id, answer);
@@ -87,37 +96,9 @@
     }
 
     public void status(String id, Consumer<Answer> answer) {
-        if (answeredAtOnce(id, answer)) {
-            return;
-        }
-        List<Consumer<Answer>> waiting = asking.get(id);
-        if (waiting != null) {
-            // The read under way began before this question, so its answer may be older than what was told since:
-            // all that ask meanwhile share the next one.
-            waiting.add(answer);
-            return;
+        if (!answeredAtOnce(id, answer)) {
+            questions.ask(id, answer);
         }
-        asking.put(id, new ArrayList<>());
-        read(id, a -> {
-            answer.accept(a);
-            List<Consumer<Answer>> joined = asking.remove(id);
-            if (joined != null && !joined.isEmpty()) {
-                status(id, b -> joined.forEach(j -> j.accept(b)));
-            }
-        });
-    }
-
-    private void read(String id, Consumer<Answer> answer) {
-        store.get(Keys.OPEN + id, (outcome, open) -> {
-            if (outcome == Outcome.OK) {
-                progress(id, open, answer);
-            } else if (outcome == Outcome.NO) {
-                // A job moves from open to over and never back, so what is in neither was never accepted.
-                readOver(id, answer);
-            } else {
-                answer.accept(Answer.LATER);
-            }
-        });
     }
 
     private void readOver(String id, Consumer<Answer> answer) {
@@ -133,24 +114,6 @@
         });
     }
 
-    private void progress(String id, Entry open, Consumer<Answer> answer) {
-        store.list(Keys.PART + id + "/", parts -> {
-            int done = 0;
-            int running = 0;
-            if (parts.outcome() == Outcome.OK) {
-                for (Entry p : parts.entries()) {
-                    Tree t = Tree.of(p.value());
-                    done += BitSet.valueOf(Base64.getDecoder().decode(t.text("done"))).cardinality();
-                    for (Object on : ((Map<?, ?>) t.raw("live")).values()) {
-                        running += ((List<?>) on).size() / 2;
-                    }
-                }
-            }
-            answer.accept(new Answer(Verdict.KNOWN,
-                    new JobState(id, running > 0 ? "running" : "pending", done, running)));
-        });
-    }
-
     public void cancel(String id, Consumer<Answer> answer) {
         cancel(id, MAX_TRIES, answer);
     }
@@ -172,7 +135,7 @@
                 answer.accept(Answer.LATER);
                 return;
             }
-            Map<String, Object> record = new java.util.LinkedHashMap<>();
+            Map<String, Object> record = new LinkedHashMap<>();
             ((Map<?, ?>) open.value()).forEach((k, v) -> record.put((String) k, v));
             record.put("status", "cancelled");
             record.put("done", 0L);
@@ -181,7 +144,7 @@
                 if (c.outcome() == Outcome.OK) {
                     JobState s = new JobState(id, "cancelled", 0, 0);
                     over.put(id, s);
-                    onCancelled.accept(id);
+                    onCancelled.accept(s);
                     answer.accept(new Answer(Verdict.KNOWN, s));
                 } else if (c.outcome() == Outcome.NO) {
                     cancel(id, tries - 1, answer);
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -148,6 +148,18 @@
         LOG.info("job {} over, {} attempts to end", id, job.live.size());
     }
 
+    /** How far those of the jobs are that are known here. */
+    List<Progress> progress(List<String> ids, double now) {
+        List<Progress> out = new ArrayList<>();
+        for (String id : ids) {
+            Job job = jobs.get(id);
+            if (job != null) {
+                out.add(job.progress(now, facts.workers().reportS()));
+            }
+        }
+        return out;
+    }
+
     // ---- attempts -------------------------------------------------------------------------------
 
     private void attach(Attempt a) {
--- a/src/main/java/io/kitepath/peers/Messages.java
+++ b/src/main/java/io/kitepath/peers/Messages.java
@@ -6,8 +6,11 @@
 import io.kitepath.core.Controller.CheckIn;
 import io.kitepath.core.Malformed;
 import io.kitepath.core.Order;
+import io.kitepath.core.Progress;
+import io.kitepath.core.Registry.JobState;
 import io.kitepath.core.Report;
 import java.util.ArrayList;
+import java.util.List;
 
 /** What goes between controller nodes, in Kryo's notation with registered classes only. */
 final class Messages {
@@ -17,13 +20,19 @@
     /** A node's view: the highest token it knows, whether it leads with it, whether the store serves it. */
     record View(String by, long token, boolean leads, boolean served) {}
 
-    record Cancelled(String job) {}
+    /** The store has it that this job is over. */
+    record Over(JobState job) {}
 
     /** Asks the leader to answer a check-in; the number ties the answer to it. */
     record Ask(long number, Report report) {}
 
     record Answer(long number, CheckIn checkIn) {}
 
+    /** Asks the leader how far jobs are. */
+    record AskProgress(long number, List<String> jobs) {}
+
+    record AnswerProgress(long number, List<Progress> progress) {}
+
     private final Kryo kryo = new Kryo();
     private final Output output = new Output(1024, MAX_FRAME);
 
@@ -31,9 +40,10 @@
         kryo.setRegistrationRequired(true);
         kryo.setReferences(false);
         int id = 20;
-        for (Class<?> c : new Class<?>[] {View.class, Cancelled.class, Ask.class, Answer.class, Report.class,
+        for (Class<?> c : new Class<?>[] {View.class, Over.class, Ask.class, Answer.class, Report.class,
             Report.TaskReport.class, Report.State.class, Report.Cause.class, CheckIn.class, Order.class,
-            Order.Verb.class, ArrayList.class}) {
+            Order.Verb.class, ArrayList.class, AskProgress.class, AnswerProgress.class, Progress.class,
+            JobState.class}) {
             kryo.register(c, id++);
         }
     }
@@ -55,6 +65,12 @@
             CheckIn c = a.checkIn;
             return new Answer(a.number, new CheckIn(c.token(), new ArrayList<>(c.orders()), c.anchor()));
         }
+        if (message instanceof AskProgress a) {
+            return new AskProgress(a.number, new ArrayList<>(a.jobs));
+        }
+        if (message instanceof AnswerProgress a) {
+            return new AnswerProgress(a.number, new ArrayList<>(a.progress));
+        }
         return message;
     }
 
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -3,6 +3,8 @@
 import io.kitepath.core.Controller;
 import io.kitepath.core.Controller.CheckIn;
 import io.kitepath.core.Malformed;
+import io.kitepath.core.Progress;
+import io.kitepath.core.Registry;
 import io.kitepath.core.Report;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -40,6 +42,8 @@
     /** Views come every second; a connection that stays mute this long is dead. */
     private static final int MUTE_S = 4;
     private static final int MAX_ASKS = 256;
+    /** A user waits 2 s for an answer; what the holder knows is worth a part of that. */
+    private static final long PROGRESS_MS = 500;
 
     private final EventLoopGroup loop;
     private final Messages messages = new Messages();
@@ -47,6 +51,7 @@
     private final Map<String, InetSocketAddress> addresses;
     private final Map<String, Channel> channels = new HashMap<>();
     private final Map<Long, Consumer<CheckIn>> asks = new LinkedHashMap<>();
+    private final Map<Long, Consumer<List<Progress>>> progressAsks = new LinkedHashMap<>();
     private Controller controller;
     private long asked;
 
@@ -112,8 +117,8 @@
     private Messages.View view;
 
     @Override
-    public void cancelled(String job) {
-        channels.values().forEach(ch -> send(ch, new Messages.Cancelled(job)));
+    public void over(Registry.JobState job) {
+        channels.values().forEach(ch -> send(ch, new Messages.Over(job)));
     }
 
     @Override
@@ -136,6 +141,26 @@
         }
     }
 
+    @Override
+    public void progress(String leader, List<String> jobs, Consumer<List<Progress>> answer) {
+        Channel ch = channels.get(leader);
+        if (ch == null || !ch.isActive() || progressAsks.size() >= MAX_ASKS) {
+            answer.accept(List.of());
+            return;
+        }
+        long number = ++asked;
+        progressAsks.put(number, answer);
+        send(ch, new Messages.AskProgress(number, jobs));
+        loop.schedule(() -> settleProgress(number, List.of()), PROGRESS_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void settleProgress(long number, List<Progress> progress) {
+        Consumer<List<Progress>> answer = progressAsks.remove(number);
+        if (answer != null) {
+            answer.accept(progress);
+        }
+    }
+
     private final class Connection extends SimpleChannelInboundHandler<ByteBuf> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
@@ -153,12 +178,16 @@
                     // Answer on the connection it came by, so that the other side sees that it lives.
                     send(ctx.channel(), view);
                 }
-            } else if (message instanceof Messages.Cancelled c) {
-                controller.toldCancelled(c.job());
+            } else if (message instanceof Messages.Over o) {
+                controller.toldOver(o.job());
             } else if (message instanceof Messages.Ask a) {
                 send(ctx.channel(), new Messages.Answer(a.number(), controller.answer(a.report())));
             } else if (message instanceof Messages.Answer a) {
                 settle(a.number(), a.checkIn());
+            } else if (message instanceof Messages.AskProgress a) {
+                send(ctx.channel(), new Messages.AnswerProgress(a.number(), controller.progress(a.jobs())));
+            } else if (message instanceof Messages.AnswerProgress a) {
+                settleProgress(a.number(), a.progress());
             }
         }
 
--- a/src/main/java/io/kitepath/wire/Wire.java
+++ b/src/main/java/io/kitepath/wire/Wire.java
@@ -85,6 +85,9 @@
         if (!brief) {
             m.put("done", (long) s.done());
             m.put("running", (long) s.running());
+            if (s.note() != null) {
+                m.put("note", s.note());
+            }
         }
         return Pack.bytes(m);
     }
@@ -280,7 +283,9 @@
         }
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("when", when);
-        m.put("then", then);
+        if (!then.isEmpty()) {
+            m.put("then", then);
+        }
         return Pack.bytes(m);
     }
 }
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -500,4 +500,53 @@
         assertTrue(s.jobs.isEmpty(), s::summary);
         assertTrue(n.controller.keeper.written < tasks / 4, "records written: " + n.controller.keeper.written);
     }
+
+    @Test
+    void manyQuestionsCostTheStateServiceFewRequests() {
+        settled(3, 4);
+        World.NodeInWorld asked = w.nodes.values().stream().filter(n -> n != w.leader()).findFirst().orElseThrow();
+        for (int i = 0; i < 300; i++) {
+            w.submit(asked, job("j-" + i, Shape.ARRAY, 1, 1));
+        }
+        int before = asked.requests;
+        int[] known = new int[1];
+        for (int s = 0; s < 10; s++) {
+            for (int i = 0; i < 300; i++) {
+                asked.controller.registry().status("j-" + i, a -> known[0] += a.verdict() == Verdict.KNOWN ? 1 : 0);
+            }
+            w.run(1);
+        }
+        assertEquals(3000, known[0]);
+        // Four comparisons a second for 300 jobs, and what the node asks for itself.
+        assertTrue(asked.requests - before < 100, asked.requests - before + " requests");
+    }
+
+    @Test
+    void progressIsToldFromTheHoldersMemoryAndFromTheRecordsWhenItIsSilent() {
+        settled(2, 2);
+        World.NodeInWorld leader = w.leader();
+        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        w.submit(leader, job("j-1", Shape.ARRAY, 5, 1));
+        w.run(5);
+        Registry.JobState seen = w.ask(other, "j-1").state();
+        assertEquals("running", seen.status());
+        assertEquals(5, seen.running());
+        World.NodeInWorld fresh = w.node("k2");
+        w.siblings.addAll(List.of("k0", "k1"));
+        w.run(0.05);
+        leader.crash();
+        assertEquals(5, w.ask(fresh, "j-1").state().running());
+    }
+
+    @Test
+    void anEndIsToldByEveryNodeOnceOneHasWrittenIt() {
+        settled(3, 1);
+        w.submit(w.leader(), job("j-1", Shape.ARRAY, 1, 1));
+        w.run(40);
+        for (World.NodeInWorld n : w.nodes.values()) {
+            int before = n.requests;
+            assertEquals("done", w.status(n, "j-1"));
+            assertTrue(n.requests - before <= 2, "asked the store again");
+        }
+    }
 }
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -139,6 +139,8 @@
         boolean alive = true;
         /** Cut off from the store, as is what it sent there unless it is delivered late. */
         boolean cutFromStore;
+        /** What it asked of the store, watches apart. */
+        int requests;
 
         NodeInWorld(String name) {
             this.name = name;
@@ -176,9 +178,26 @@
         }
 
         @Override
-        public void cancelled(String job) {
-            nodes.values().stream().filter(n -> n != this).forEach(n ->
-                    n.after(0.001, () -> n.controller.toldCancelled(job)));
+        public void over(Registry.JobState job) {
+            nodes.values().stream().filter(n -> n != this && n.alive).forEach(n ->
+                    n.after(0.001, () -> n.controller.toldOver(job)));
+        }
+
+        @Override
+        public void progress(String leader, List<String> jobs, Consumer<List<Progress>> answer) {
+            NodeInWorld n = nodes.get(leader);
+            boolean[] heard = new boolean[1];
+            Consumer<List<Progress>> once = p -> {
+                if (!heard[0]) {
+                    heard[0] = true;
+                    answer.accept(p);
+                }
+            };
+            n.after(0.001, () -> {
+                List<Progress> p = n.controller.progress(jobs);
+                after(0.001, () -> once.accept(p));
+            });
+            after(0.5, () -> once.accept(List.of()));
         }
 
         @Override
@@ -268,7 +287,7 @@
             if (!failed.isEmpty()) {
                 return new Store.Committed(Store.Outcome.NO, 0, failed, false);
             }
-            long r = ++revision;
+            long r = t.writes().isEmpty() ? revision : ++revision;
             t.writes().forEach(w -> put(w.key(), w.value(), w.lease(), r));
             return new Store.Committed(Store.Outcome.OK, r, List.of(), false);
         }
@@ -284,6 +303,7 @@
 
         /** Runs on the store a moment later, and the answer on the node a moment after that. */
         private void exchange(Runnable served, Runnable refused) {
+            node.requests++;
             World.this.after(0.002, () -> {
                 store.expire();
                 boolean no = store.out || node.cutFromStore;
--- a/src/test/java/io/kitepath/peers/MessagesTest.java
+++ b/src/test/java/io/kitepath/peers/MessagesTest.java
@@ -6,6 +6,8 @@
 import io.kitepath.core.Controller.CheckIn;
 import io.kitepath.core.Malformed;
 import io.kitepath.core.Order;
+import io.kitepath.core.Progress;
+import io.kitepath.core.Registry.JobState;
 import io.kitepath.core.Report;
 import java.util.List;
 import java.util.Random;
@@ -39,10 +41,15 @@
     }
 
     @Test
-    void viewsAndCancellationsToo() {
+    void viewsEndsAndProgressToo() {
         Messages.View v = new Messages.View("kite-1", 41, true, false);
         assertEquals(v, sent(v));
-        assertEquals(new Messages.Cancelled("j-1"), sent(new Messages.Cancelled("j-1")));
+        Messages.Over over = new Messages.Over(new JobState("j-1", "cancelled", 0, 0, null));
+        assertEquals(over, sent(over));
+        Messages.AskProgress ask = new Messages.AskProgress(9, List.of("j-1", "j-2"));
+        assertEquals(ask, sent(ask));
+        Messages.AnswerProgress answer = new Messages.AnswerProgress(9, List.of(new Progress("j-1", 4, 2, "waits")));
+        assertEquals(answer, sent(answer));
     }
 
     @Test
@@ -58,6 +65,6 @@
             }
         }
         assertThrows(Malformed.class, () -> there.value(new byte[] {99, 1, 2}));
-        viewsAndCancellationsToo();
+        viewsEndsAndProgressToo();
     }
 }
--- a/src/test/java/io/kitepath/wire/WireTest.java
+++ b/src/test/java/io/kitepath/wire/WireTest.java
@@ -142,9 +142,9 @@
     @Test
     void theStateThatUsersSee() {
         assertEquals(json("{\"nameId\":\"j-000412\",\"status\":\"running\",\"done\":3,\"running\":13}"),
-                Pack.value(Wire.jobState(new JobState("j-000412", "running", 3, 13), false)));
+                Pack.value(Wire.jobState(new JobState("j-000412", "running", 3, 13, null), false)));
         assertEquals(json("{\"nameId\":\"j-000412\",\"status\":\"withdrawn\"}"),
-                Pack.value(Wire.jobState(new JobState("j-000412", "cancelled", 0, 0), true)));
+                Pack.value(Wire.jobState(new JobState("j-000412", "cancelled", 0, 0, null), true)));
     }
 
     @Test
