A new holder reads its jobs page by page, asking again for what is refused; unread jobs end its right to answer

It now asks for a refused page again instead of beginning anew, reads closed jobs several at a time, and stops answering workers in time for their leases to end before a cancellation told before it began is overdue.

--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -318,14 +318,23 @@
      * leaves time beyond the workers' lease, and longer only while every sibling says that the store is out for it too.
      */
     private boolean hearsOfCancellations() {
-        Facts.Workers w = facts.workers();
-        if (leadership.unservedS() < Math.max(w.reportS(), w.cancelS() - w.leaseS() - 2 * w.reportS() - 1)) {
+        // One that has not read the jobs yet does not know what was cancelled, also shortly before it began.
+        if (keeper.unloadedS() > Math.max(facts.workers().reportS(), cancellationMarginS() - 2 * leadership.lifeS())) {
+            return false;
+        }
+        if (leadership.unservedS() < cancellationMarginS()) {
             return true;
         }
         double now = timers.now();
         return facts.siblings().stream().allMatch(s -> now - unservedSiblings.getOrDefault(s, -1e9) < 3);
     }
 
+    /** For how long workers may be answered without word of cancellations: their leases still have to run out after. */
+    private double cancellationMarginS() {
+        Facts.Workers w = facts.workers();
+        return Math.max(w.reportS(), w.cancelS() - w.leaseS() - 2 * w.reportS() - 1);
+    }
+
     /** A check-in whose answer waits a moment, so that work placed meanwhile starts at once. */
     private record Held(Consumer<CheckIn> answer, List<Order> orders, long token) {}
 
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -4,7 +4,9 @@
 import io.kitepath.core.Store.Entry;
 import io.kitepath.core.Store.Outcome;
 import io.kitepath.core.Store.Transaction;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -26,6 +28,10 @@
     /** Of the 64 KiB that a transaction may hold, by an estimate of its JSON form. */
     private static final int MAX_BYTES = 48 * 1024;
 
+    private static final int PAGE_TRIES = 20;
+    /** Records read at the same time, of jobs that are over. */
+    private static final int READS_AT_ONCE = 8;
+
     private final Facts facts;
     private final Store store;
     private final Timers timers;
@@ -36,6 +42,7 @@
     private String blockKey;
     private long blockRevision;
     private boolean loaded;
+    private double loadingSince;
     private Round round;
     long rounds;
     long written;
@@ -77,6 +84,11 @@
         return loaded;
     }
 
+    /** For how long the jobs have not been known. */
+    double unloadedS() {
+        return loaded ? 0 : timers.now() - loadingSince;
+    }
+
     long blockRevision() {
         return blockRevision;
     }
@@ -96,6 +108,7 @@
     void start(String key, long revision, Runnable ready) {
         blockKey = key;
         blockRevision = revision;
+        loadingSince = timers.now();
         load(++epoch, ready);
     }
 
@@ -109,7 +122,7 @@
         }
         loaded = false;
         round = null;
-        store.list(Keys.OPEN, open -> {
+        Pages.read(store, timers, Keys.OPEN, PAGE_TRIES, open -> {
             if (e != epoch) {
                 return;
             }
@@ -117,7 +130,7 @@
                 again(e, ready);
                 return;
             }
-            store.list(Keys.PART, parts -> {
+            Pages.read(store, timers, Keys.PART, PAGE_TRIES, parts -> {
                 if (e != epoch) {
                     return;
                 }
@@ -137,38 +150,52 @@
                     }
                 }
                 Map<String, Entry> over = new HashMap<>();
-                readClosed(e, new ArrayList<>(closed), over, () -> {
+                readClosed(e, new ArrayDeque<>(closed), over, () -> {
                     if (adopt(open, parts.entries(), over)) {
                         follow(e, open.revision(), ready);
                         ready.run();
                     } else {
                         again(e, ready);
                     }
-                }, ready);
+                });
             });
         });
     }
 
     /** Jobs that are over but have parts left: something of them may still be on machines. */
-    private void readClosed(long e, List<String> ids, Map<String, Entry> into, Runnable then, Runnable ready) {
-        if (e != epoch) {
+    private void readClosed(long e, Deque<String> ids, Map<String, Entry> into, Runnable then) {
+        int[] missing = {ids.size()};
+        if (missing[0] == 0) {
+            then.run();
             return;
         }
-        if (ids.isEmpty()) {
-            then.run();
+        for (int i = 0; i < READS_AT_ONCE; i++) {
+            readClosed(e, ids, into, missing, 1, ids.poll(), then);
+        }
+    }
+
+    private void readClosed(long e, Deque<String> ids, Map<String, Entry> into, int[] missing, int attempt, String id,
+            Runnable then) {
+        if (e != epoch || id == null) {
             return;
         }
-        String id = ids.remove(ids.size() - 1);
         store.get(Keys.OVER + id, (outcome, entry) -> {
+            if (e != epoch) {
+                return;
+            }
+            if (outcome != Outcome.OK && outcome != Outcome.NO) {
+                timers.after(Math.min(1, 0.1 * attempt),
+                        () -> readClosed(e, ids, into, missing, attempt + 1, id, then));
+                return;
+            }
             if (outcome == Outcome.OK) {
                 into.put(id, entry);
-            } else if (outcome != Outcome.NO) {
-                if (e == epoch) {
-                    again(e, ready);
-                }
-                return;
             }
-            readClosed(e, ids, into, then, ready);
+            if (--missing[0] == 0) {
+                then.run();
+            } else {
+                readClosed(e, ids, into, missing, 1, ids.poll(), then);
+            }
         });
     }
 
--- a/src/main/java/io/kitepath/core/Questions.java
+++ b/src/main/java/io/kitepath/core/Questions.java
@@ -179,7 +179,7 @@
             tell(batch, id, Answer.LATER);
             return;
         }
-        store.list(Keys.PART + id + "/", parts -> {
+        Pages.read(store, timers, Keys.PART + id + "/", 2, parts -> {
             if (parts.outcome() != Outcome.OK) {
                 tell(batch, id, Answer.LATER);
                 return;
--- a/src/main/java/io/kitepath/core/Store.java
+++ b/src/main/java/io/kitepath/core/Store.java
@@ -15,7 +15,8 @@
     /** An entry with a null value was removed at that revision. */
     record Changes(Outcome outcome, long revision, List<Entry> events) {}
 
-    record Listing(Outcome outcome, List<Entry> entries, long revision) {}
+    /** {@code more}: there are further entries after the last one. */
+    record Listing(Outcome outcome, List<Entry> entries, long revision, boolean more) {}
 
     /** {@code failed} names the keys whose conditions did not hold. */
     record Committed(Outcome outcome, long revision, List<String> failed, boolean leaseGone) {}
@@ -54,8 +55,8 @@
     /** OK with the entry, or NO if there is none. */
     void get(String key, BiConsumer<Outcome, Entry> answer);
 
-    /** Everything under the prefix; the revision is from before the first page was read. */
-    void list(String prefix, Consumer<Listing> answer);
+    /** What is under the prefix after the key {@code from} (empty: from the start), in the keys' order. */
+    void page(String prefix, String from, int limit, Consumer<Listing> answer);
 
     void commit(Transaction transaction, Consumer<Committed> answer);
 
--- a/src/main/java/io/kitepath/store/HttpStore.java
+++ b/src/main/java/io/kitepath/store/HttpStore.java
@@ -7,7 +7,6 @@
 import io.kitepath.wire.Wire;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -17,7 +16,6 @@
 /** The state service over its published protocol. */
 public final class HttpStore implements Store {
     private static final Logger LOG = LoggerFactory.getLogger(HttpStore.class);
-    private static final int PAGE = 200;
 
     private final HttpClient calls;
     /** Renewals have a connection of their own, so that a queue of other calls can't cost us the lease. */
@@ -64,27 +62,14 @@
     }
 
     @Override
-    public void list(String prefix, Consumer<Listing> answer) {
-        page(prefix, "", new ArrayList<>(), -1, answer);
-    }
-
-    private void page(String prefix, String from, List<Entry> read, long first, Consumer<Listing> answer) {
+    public void page(String prefix, String from, int limit, Consumer<Listing> answer) {
         String path = "/keys?prefix=" + text(prefix) + (from.isEmpty() ? "" : "&from=" + text(from))
-                + "&limit=" + PAGE;
+                + "&limit=" + limit;
         calls.call("GET", path, null, 2 * timeoutMs, (status, body) -> {
-            List<Entry> entries = status == 200 ? read(status, body, Wire::entries) : null;
-            if (entries == null) {
-                answer.accept(new Listing(status == 200 ? Outcome.UNKNOWN : other(status), List.of(), 0));
-                return;
-            }
-            Object all = Pack.value(body);
-            long revision = first >= 0 ? first : Wire.revision(all);
-            read.addAll(entries);
-            if (Wire.truncated(all) && !entries.isEmpty()) {
-                page(prefix, entries.get(entries.size() - 1).key(), read, revision, answer);
-            } else {
-                answer.accept(new Listing(Outcome.OK, read, revision));
-            }
+            Listing page = status == 200 ? read(status, body, b ->
+                    new Listing(Outcome.OK, Wire.entries(b), Wire.revision(b), Wire.truncated(b))) : null;
+            answer.accept(page != null ? page
+                    : new Listing(status == 200 ? Outcome.UNKNOWN : other(status), List.of(), 0, false));
         });
     }
 
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -549,4 +549,36 @@
             assertTrue(n.requests - before <= 2, "asked the store again");
         }
     }
+
+    @Test
+    void aNewHolderReadsOnWhereAPageWasRefused() {
+        settled(2, 2);
+        World.NodeInWorld first = w.leader();
+        for (int i = 0; i < 1200; i++) {
+            w.submit(first, job("j-" + i, Shape.ARRAY, 1, 4));
+        }
+        w.store.pages = 0;
+        w.store.refusePage = n -> n % 2 == 1;
+        first.crash();
+        w.run(8);
+        assertTrue(w.leader().controller.scheduler.jobs.size() >= 1100);
+        // Three pages of open jobs and one of parts, each refused once.
+        assertEquals(8, w.store.pages);
+    }
+
+    @Test
+    void aHolderThatCanNotReadTheJobsLetsLeasesEndBeforeACancellationIsOverdue() {
+        settled(3, 2);
+        World.NodeInWorld first = w.leader();
+        w.workers.values().forEach(x -> x.runsFor = 500);
+        w.submit(first, job("j-1", Shape.ARRAY, 2, 1));
+        w.run(3);
+        assertEquals(2, w.onMachines("j-1"));
+        first.crash();
+        w.store.refusePage = n -> true;
+        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n.alive).findFirst().orElseThrow();
+        assertEquals(Verdict.KNOWN, w.cancel(other, "j-1").verdict());
+        w.run(29);
+        assertEquals(0, w.onMachines("j-1"));
+    }
 }
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.IntPredicate;
 
 /**
  * A small world in memory for stories: a clock, a store, a cloud, workers and up to three controllers. Nothing here
@@ -225,6 +226,9 @@
         long revision = 1;
         long nextLease = 1;
         boolean out;
+        /** Pages asked for, and which of them are refused. */
+        int pages;
+        IntPredicate refusePage = n -> false;
         /** The next transactions are executed, but nobody hears of it. */
         int swallow;
         /** The next transactions get no answer, and are kept to be executed late. */
@@ -324,12 +328,19 @@
         }
 
         @Override
-        public void list(String prefix, Consumer<Listing> answer) {
+        public void page(String prefix, String from, int limit, Consumer<Listing> answer) {
             exchange(() -> {
-                List<Entry> all = store.keys.values().stream().filter(e -> e.key().startsWith(prefix)).toList();
+                store.pages++;
+                if (store.refusePage.test(store.pages)) {
+                    back(() -> answer.accept(new Listing(Outcome.REFUSED, List.of(), 0, false)));
+                    return;
+                }
+                List<Entry> all = store.keys.tailMap(from.isEmpty() ? prefix : from, from.isEmpty()).values().stream()
+                        .filter(e -> e.key().startsWith(prefix)).toList();
                 long r = store.revision;
-                back(() -> answer.accept(new Listing(Outcome.OK, all, r)));
-            }, () -> back(() -> answer.accept(new Listing(Outcome.REFUSED, List.of(), 0))));
+                back(() -> answer.accept(new Listing(Outcome.OK, all.subList(0, Math.min(limit, all.size())), r,
+                        all.size() > limit)));
+            }, () -> back(() -> answer.accept(new Listing(Outcome.REFUSED, List.of(), 0, false))));
         }
 
         @Override
