Mistaken jobs cost little and no machine; failing machines and failing jobs get a part of their own

Now of a job that never succeeded one failure counts against a machine, and none once the job is known to be mistaken; such a job is tried one task or one gang at a time, last, ever more rarely, and nothing is stopped, kept or rented for it. A job that succeeded anywhere, or runs longer than it took to fail, is none.

--- /dev/null
+++ b/src/main/java/io/kitepath/core/Failures.java
@@ -0,0 +1,108 @@
+package io.kitepath.core;
+
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Tells machines that fail what they start from jobs that were submitted with a mistake, by who else fails where. A
+ * mistaken job may cost little: one task, or one gang, is tried at a time and ever more rarely, in room that is free
+ * anyway. A job that succeeded once, or runs on longer than it took to fail, is none.
+ */
+final class Failures {
+    private static final Logger LOG = LoggerFactory.getLogger(Failures.class);
+    /** Machines on which a job has to fail before it is held to be at fault itself. */
+    private static final int MACHINES = 3;
+
+    private final Facts facts;
+    private final Map<String, Machine> machines;
+
+    Failures(Facts facts, Map<String, Machine> machines) {
+        this.facts = facts;
+        this.machines = machines;
+    }
+
+    void succeeded(Attempt a) {
+        Job job = a.job;
+        a.machine.failed.clear();
+        job.triesFailed = 0;
+        if (job.successes++ == 0) {
+            job.notBefore = 0;
+            failedOn(job, this::judge); // They are to blame after all.
+        }
+    }
+
+    private void failedOn(Job job, Consumer<Machine> then) {
+        for (String id : job.failedOn) {
+            Machine m = machines.get(id);
+            if (m != null) {
+                then.accept(m);
+            }
+        }
+    }
+
+    /** What the job failed on is not to blame for it: the fault was its own, or can't be told any more. */
+    void acquit(Job job) {
+        failedOn(job, m -> {
+            m.failed.remove(job);
+            judge(m);
+        });
+    }
+
+    void failed(Attempt a, double now) {
+        Job job = a.job;
+        Machine m = a.machine;
+        LOG.info("attempt {} failed", a);
+        job.failures++;
+        job.failedOn.add(m.id);
+        if (!Double.isNaN(a.runningSince)) {
+            job.failedWithinS = Math.max(job.failedWithinS, now - a.runningSince);
+        }
+        m.failed.merge(job, 1, Integer::sum);
+        if (!mistaken(job, now)) {
+            judge(m);
+            return;
+        }
+        acquit(job);
+        // The tasks of an array that were placed together count as one try.
+        if (job.triesFailed == 0 || a.number > job.lastFailed) {
+            job.lastFailed = Math.max(job.lastFailed, a.number);
+            job.triesFailed++;
+            double pause = Math.min(facts.workers().reportS() * (1 << Math.min(8, job.triesFailed)),
+                    6 * facts.workers().leaseS());
+            job.notBefore = now + pause;
+            LOG.info("job {} fails everywhere, {} times so far: tried again in {} s", job.spec.id(), job.failures,
+                    Math.round(pause));
+        }
+    }
+
+    /**
+     * Failed on several machines, never succeeded, and nothing of it has run for much longer than it took to fail: a
+     * good job that met several faulty machines is not held back.
+     */
+    boolean mistaken(Job job, double now) {
+        if (job.successes > 0 || job.failedOn.size() < MACHINES) {
+            return false;
+        }
+        double proof = 2 * (job.failedWithinS + facts.workers().reportS());
+        return job.live.values().stream().noneMatch(a -> a.state == Report.State.RUNNING
+                && now - a.runningSince > proof);
+    }
+
+    /**
+     * Set aside after two failures since its last success; of a job that has not succeeded anywhere only one counts.
+     * Guards against a mistaken job, all of whose tasks fail on the first machines it comes to, costing those machines.
+     */
+    private void judge(Machine m) {
+        int blame = 0;
+        for (Map.Entry<Job, Integer> e : m.failed.entrySet()) {
+            blame += e.getKey().successes > 0 ? e.getValue() : 1;
+        }
+        boolean bad = blame >= Placement.THRESHOLD;
+        if (bad && !m.setAside) {
+            LOG.info("machine {} set aside: starts fail on it", m.id);
+        }
+        m.setAside = bad || m.setAside && m.releasing;
+    }
+}
--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -107,7 +107,7 @@
     /** {@code leadingSince}: silence is counted from then at the earliest. */
     Plan plan(double now, double wallMs, double leadingSince) {
         this.leadingSince = leadingSince;
-        survey();
+        survey(now);
         Map<Kind, Integer> rent = new LinkedHashMap<>();
         List<Room> rooms = rooms(now, null);
         List<Job> queue = scheduler.queue(now, wallMs);
@@ -119,7 +119,7 @@
         return new Plan(rent, returns(now, kept));
     }
 
-    private void survey() {
+    private void survey(double now) {
         counts.clear();
         usableCpus = 0;
         for (Machine m : scheduler.machines.values()) {
@@ -134,7 +134,7 @@
         }
         spotBacklog = 0;
         for (Job j : scheduler.jobs.values()) {
-            if (j.spec.spot()) {
+            if (j.spec.spot() && !scheduler.failures.mistaken(j, now)) {
                 spotBacklog += j.waiting() * j.spec.cpus() * j.spec.estimateS();
             }
         }
@@ -273,6 +273,9 @@
     }
 
     private void want(Job job, List<Room> rooms, Map<Kind, Integer> rent, double now, double wallMs) {
+        if (scheduler.failures.mistaken(job, now)) {
+            return; // It is tried in what is free anyway.
+        }
         JobSpec s = job.spec;
         int waiting = Math.min(job.waiting(), scheduler.quotaLeft(s));
         if (s.gang()) {
--- a/src/main/java/io/kitepath/core/Job.java
+++ b/src/main/java/io/kitepath/core/Job.java
@@ -55,6 +55,11 @@
     final Set<String> failedOn = new HashSet<>();
     int failures;
     int successes;
+    /** Tries that failed in a row since it is held to be mistaken, and the last one's attempt number. */
+    int triesFailed;
+    long lastFailed;
+    /** The longest that a task of it ran before it failed. */
+    double failedWithinS;
 
     Job(JobSpec spec, double submittedMs, double[] startWithinS, long revision, int partSize) {
         this.spec = spec;
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -1,9 +1,11 @@
 package io.kitepath.core;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** A rented machine as the holder knows it: from the cloud's list, its worker's reports and the jobs' records. */
 final class Machine {
@@ -25,7 +27,8 @@
     boolean gone;
     /** Set aside because what it starts fails while the same work runs elsewhere. */
     boolean setAside;
-    int failuresInRow;
+    /** Jobs that failed here since something succeeded, and how often. */
+    final Map<Job, Integer> failed = new HashMap<>();
     /** Attempts not proven over. */
     final List<Attempt> attempts = new ArrayList<>();
     /** Attempts proven over, which the store does not know yet; they are cleared once it does. */
@@ -134,6 +137,7 @@
     void forgetAttempts() {
         attempts.clear();
         unwritten.clear();
+        failed.clear();
         clear();
     }
 
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -39,6 +39,7 @@
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final TreeMap<String, Machine> machines = new TreeMap<>();
     final Placement placement;
+    final Failures failures;
     private final Map<String, double[]> teamUse = new HashMap<>();
     /** Names of machines that are gone for certain; lists may show them a while longer. */
     private final Set<String> tombstones = Collections.newSetFromMap(new LinkedHashMap<>() {
@@ -67,6 +68,7 @@
     Scheduler(Facts facts, Random random) {
         this.facts = facts;
         this.placement = new Placement(random, types);
+        this.failures = new Failures(facts, machines);
     }
 
     // ---- jobs -----------------------------------------------------------------------------------
@@ -222,8 +224,7 @@
         Machine m = a.machine;
         switch (cause == null ? Cause.STOPPED : cause) {
             case DONE -> {
-                m.failuresInRow = 0;
-                job.successes++;
+                failures.succeeded(a);
                 if (job.spec.shape() == JobSpec.Shape.SERVICE) {
                     break;
                 }
@@ -239,23 +240,7 @@
                     job.done.set(a.task);
                 }
             }
-            case ERROR -> {
-                job.failures++;
-                job.failedOn.add(m.id);
-                LOG.info("attempt {} failed", a);
-                // A job that fails on several machines and succeeds nowhere is at fault itself: it is retried ever
-                // more slowly, and its machines are not blamed for it.
-                boolean jobsFault = job.successes == 0 && job.failedOn.size() >= 3;
-                if (jobsFault) {
-                    job.notBefore = now + facts.workers().reportS() * Math.min(32, 1 << Math.min(5, job.failures / 4));
-                } else if (++m.failuresInRow >= Placement.THRESHOLD && !m.setAside) {
-                    m.setAside = true;
-                    LOG.info("machine {} set aside: starts fail on it", m.id);
-                }
-                if (job.failedOn.size() > 16) {
-                    job.failedOn.clear();
-                }
-            }
+            case ERROR -> failures.failed(a, now);
             case NO_ROOM, BUSY, UNKNOWN -> {
                 LOG.info("attempt {} refused: {}", a, cause);
                 job.notBefore = Math.max(job.notBefore, now + facts.workers().reportS());
@@ -548,7 +533,16 @@
             MachineType t = types.get(m.type);
             capacity += t != null && m.open() ? t.cpus() : 0;
         }
-        return new ServiceOrder(capacity, now, wallMs).of(jobs.values());
+        // A mistaken job is served last and takes nobody's time.
+        List<Job> good = new ArrayList<>();
+        List<Job> mistaken = new ArrayList<>();
+        for (Job j : jobs.values()) {
+            (failures.mistaken(j, now) ? mistaken : good).add(j);
+        }
+        List<Job> order = new ServiceOrder(capacity, now, wallMs).of(good);
+        mistaken.removeIf(j -> j.waiting() == 0);
+        order.addAll(mistaken);
+        return order;
     }
 
     /** A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs. */
@@ -614,7 +608,7 @@
             }
             int n = job.spec.gang() ? placeGang(job, open, now) : placeTasks(job, open, now, most - placed);
             placed += n;
-            if (job.waiting() > 0 && quotaLeft(job.spec) >= (job.spec.gang() ? job.spec.tasks() : 1)) {
+            if (!failures.mistaken(job, now) && job.waiting() > 0 && quotaLeft(job.spec) >= (job.spec.gang() ? job.spec.tasks() : 1)) {
                 makeRoom(job, open, now);
             }
         }
@@ -640,6 +634,9 @@
     private int placeTasks(Job job, List<Machine> open, double now, int most) {
         JobSpec s = job.spec;
         int n = Math.min(most, quotaLeft(s));
+        if (failures.mistaken(job, now)) {
+            n = Math.min(n, job.live.isEmpty() ? 1 : 0);
+        }
         int placed = 0;
         Map<String, Integer> perZone = new HashMap<>();
         Placement.Search search = placement.search(s, candidates(job, open));
@@ -924,6 +921,9 @@
     /** A job that is over, with nothing of it left anywhere. */
     void dropJob(Job job) {
         jobs.remove(job.spec.id());
+        if (job.successes == 0) {
+            failures.acquit(job);
+        }
         job.unwritten.forEach(a -> a.machine.unwritten.remove(a));
     }
 }
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -581,4 +581,42 @@
         w.run(29);
         assertEquals(0, w.onMachines("j-1"));
     }
+
+    @Test
+    void aMistakenArrayOrGangCostsLittleAndIsCancelledAtOnce() {
+        World.NodeInWorld n = settled(1, 6);
+        w.cloud.capacity = 50;
+        w.mistaken.addAll(List.of("j-1", "j-2"));
+        w.submit(n, job("j-3", Shape.ARRAY, 4, 1));
+        w.submit(n, with(job("j-1", Shape.ARRAY, 300, 1), "red", Priority.HIGH, false));
+        w.submit(n, with(job("j-2", Shape.GANG, 5, 4), "red", Priority.HIGH, false));
+        w.run(5);
+        int before = w.workers.values().stream().mapToInt(x -> x.started).sum();
+        int writes = w.store.log.size();
+        int rentals = w.cloud.rentals.size();
+        w.run(55);
+        int tries = w.workers.values().stream().mapToInt(x -> x.started).sum() - before;
+        assertTrue(tries > 5 && tries < 40, "tries: " + tries);
+        assertTrue(w.store.log.size() - writes < 80, w.store.log.size() - writes + " changes");
+        assertEquals("done", w.status(n, "j-3"));
+        assertEquals(rentals, w.cloud.rentals.size());
+        assertEquals(List.of(), n.controller.scheduler.machines.values().stream().filter(m -> m.setAside).toList());
+        assertEquals("cancelled", w.cancel(n, "j-1").state().status());
+        w.run(3);
+        assertEquals(0, w.onMachines("j-1"));
+    }
+
+    @Test
+    void aGoodJobThatMetFaultyMachinesIsNotHeldBack() {
+        World.NodeInWorld n = settled(1, 8);
+        for (int i = 0; i < 4; i++) {
+            w.workers.get("i-00000" + i).fails = true;
+        }
+        w.submit(n, job("j-1", Shape.ARRAY, 40, 1));
+        w.run(90);
+        assertEquals("done", w.status(n, "j-1"));
+        for (int i = 0; i < 4; i++) {
+            assertTrue(w.cloud.released.contains("i-00000" + i), "not set aside: " + i);
+        }
+    }
 }
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -6,11 +6,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -41,6 +43,8 @@
     final FakeCloud cloud = new FakeCloud();
     final Map<String, NodeInWorld> nodes = new LinkedHashMap<>();
     final Map<String, Worker> workers = new TreeMap<>();
+    /** Jobs that fail on every machine. */
+    final Set<String> mistaken = new HashSet<>();
     /** What broke: a task that starts while it is on another machine. */
     final List<String> broken = new ArrayList<>();
     MachineType type = new MachineType("m4", 4, 0, 16, 50, 1, 1.0, 0.4, 40, List.of("a", "b"));
@@ -609,10 +613,11 @@
             started++;
             Task t = new Task(o.job(), o.task(), o.attempt(), State.RUNNING);
             tasks.put(key, t);
-            World.this.after(fails ? 0.1 : runsFor, () -> {
+            boolean error = fails || mistaken.contains(o.job());
+            World.this.after(error ? 0.1 : runsFor, () -> {
                 if (up && tasks.get(key) == t && t.state != State.ENDED) {
                     t.state = State.ENDED;
-                    t.cause = fails ? Cause.ERROR : Cause.DONE;
+                    t.cause = error ? Cause.ERROR : Cause.DONE;
                 }
             });
         }
