Boot times are learnt; late machines count as no room and are replaced, hopeless ones given back

Cause: a machine still starting after four nominal boot times counted as room on its way all that while, so work waited for it and nothing else was rented.

--- /dev/null
+++ b/src/main/java/io/kitepath/core/Boots.java
@@ -0,0 +1,76 @@
+package io.kitepath.core;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What boots take now, by type, zone and kind, with the nominal time as what is expected until more is known. Guards
+ * against work that waits for minutes for machines that come late or never, which counted as room on its way; and, the
+ * other way round, against renting everything twice when all machines come late after all.
+ */
+final class Boots {
+    private static final Logger LOG = LoggerFactory.getLogger(Boots.class);
+    /** Of a kind's last boots, how many count. */
+    private static final int LAST = 8;
+    /** Normal boots take up to one and a half times the nominal time. */
+    private static final double SPREAD = 1.5;
+
+    private final Map<String, MachineType> types;
+    private final Map<Fleet.Kind, Deque<Double>> lately = new HashMap<>();
+    /** The same by type alone, for kinds of which too few have come. */
+    private final Map<String, Deque<Double>> ofType = new HashMap<>();
+
+    Boots(Map<String, MachineType> types) {
+        this.types = types;
+    }
+
+    /** The machine's first report has come. */
+    void took(Machine m, double now) {
+        double seconds = now - m.knownSince;
+        add(lately.computeIfAbsent(new Fleet.Kind(m.type, m.zone, m.spot), k -> new ArrayDeque<>()), seconds);
+        add(ofType.computeIfAbsent(m.type, k -> new ArrayDeque<>()), seconds);
+        MachineType t = types.get(m.type);
+        if (t != null && seconds > SPREAD * t.bootS()) {
+            LOG.info("machine {} came up late, after {} s instead of {} s", m.id, Math.round(seconds), t.bootS());
+        }
+    }
+
+    private static void add(Deque<Double> of, double seconds) {
+        of.addLast(seconds);
+        if (of.size() > LAST) {
+            of.removeFirst();
+        }
+    }
+
+    /** The median of the last boots, at least the nominal time: a machine up at once promises nothing for the next. */
+    double expectedS(Fleet.Kind kind) {
+        MachineType t = types.get(kind.type());
+        double nominal = t == null ? 0 : t.bootS();
+        Deque<Double> of = lately.get(kind);
+        if (of == null || of.size() < LAST / 2) {
+            of = ofType.get(kind.type());
+        }
+        if (of == null || of.size() < LAST / 2) {
+            return nominal;
+        }
+        return Math.max(nominal, of.stream().sorted().skip(of.size() / 2).findFirst().orElse(nominal));
+    }
+
+    /** Longer under way than boots take these days: no room to count on. */
+    boolean late(Machine m, double now) {
+        return overdue(m, now, SPREAD);
+    }
+
+    /** So long under way that it is not worth its price any more; some take several times as long as others. */
+    boolean hopeless(Machine m, double now) {
+        return overdue(m, now, 4);
+    }
+
+    private boolean overdue(Machine m, double now, double times) {
+        return !m.reported() && now - m.knownSince > times * expectedS(new Fleet.Kind(m.type, m.zone, m.spot));
+    }
+}
--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -128,7 +128,7 @@
                 continue;
             }
             counts.merge(new Kind(m.type, m.zone, m.spot), 1, Integer::sum);
-            if (usable(m)) {
+            if (usable(m) && !late(m, now)) {
                 usableCpus += t.cpus();
             }
         }
@@ -148,7 +148,7 @@
         List<Room> rooms = new ArrayList<>();
         for (Machine m : scheduler.machines.values()) {
             MachineType t = m.type == null ? null : scheduler.types.get(m.type);
-            if (t == null || !usable(m) || overdue(m, t, now)) {
+            if (t == null || !usable(m) || late(m, now)) {
                 continue;
             }
             Room r = new Room(t, new Kind(m.type, m.zone, m.spot), m);
@@ -370,12 +370,15 @@
     }
 
     /**
-     * Machines normally boot within 1.5 times the nominal time; some take several times as long. Guards against a
-     * new holder that knows a machine's age from the list but has not given its worker the time to report yet: it
-     * would give back machines full of running tasks.
+     * Guards against a new holder that knows a machine's age from the list but has not given its worker the time to
+     * report yet: it would give back machines full of running tasks, or rent for work that they have room for.
      */
-    private boolean overdue(Machine m, MachineType t, double now) {
-        return !m.reported() && now - m.knownSince > 4 * t.bootS() && now - leadingSince > silenceS();
+    private boolean mayBeOverdue(Machine m, double now) {
+        return !m.reported() && m.attempts.isEmpty() && now - leadingSince > silenceS();
+    }
+
+    private boolean late(Machine m, double now) {
+        return mayBeOverdue(m, now) && scheduler.boots.late(m, now);
     }
 
     /** How long a worker that is up may take to report: its lease, or a few reports and a change of nodes. */
@@ -411,7 +414,7 @@
         for (Machine m : scheduler.machines.values()) {
             MachineType t = m.type == null ? null : scheduler.types.get(m.type);
             boolean give = m.releasing;
-            boolean surplus = t != null && spare >= t.cpus() && !kept.contains(m) && m.reservedFor == null;
+            boolean surplus = t != null && !late(m, now) && spare >= t.cpus() && !kept.contains(m) && m.reservedFor == null;
             if (!m.spot && m.attempts.stream().anyMatch(a -> !a.job.spec.spot())) {
                 m.neededAt = now;
             }
@@ -419,8 +422,11 @@
             if (mute.contains(m)) {
                 double quiet = now - Math.max(leadingSince, m.reported() ? m.lastReport : leadingSince);
                 give |= few || some && quiet > 1.5 * lease || quiet > 3 * lease;
-            } else if (t != null && overdue(m, t, now)) {
+            } else if (t != null && mayBeOverdue(m, now) && scheduler.boots.hopeless(m, now)) {
                 give = true;
+                if (!m.releasing) {
+                    refused(new Kind(m.type, m.zone, m.spot), now); // Where boots fail, others come first.
+                }
             } else if (m.proven && !m.busy() && m.unwritten.isEmpty()) {
                 give |= m.setAside;
                 give |= surplus && now - m.neededAt > t.bootS() && (m.draining || idleTooLong(m, t, now));
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -15,6 +15,8 @@
     boolean spot;
     /** Times are seconds on the steady clock. */
     double knownSince;
+    /** Rented by this holder, which therefore knows when its boot began. */
+    boolean rentedHere;
     /** NaN until the first report. */
     double lastReport = Double.NaN;
     long session;
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -40,6 +40,7 @@
     final TreeMap<String, Machine> machines = new TreeMap<>();
     final Placement placement;
     final Failures failures;
+    final Boots boots;
     private final Map<String, double[]> teamUse = new HashMap<>();
     /** Names of machines that are gone for certain; lists may show them a while longer. */
     private final Set<String> tombstones = Collections.newSetFromMap(new LinkedHashMap<>() {
@@ -69,6 +70,7 @@
         this.facts = facts;
         this.placement = new Placement(random, types);
         this.failures = new Failures(facts, machines);
+        this.boots = new Boots(types);
     }
 
     // ---- jobs -----------------------------------------------------------------------------------
@@ -317,6 +319,7 @@
             return;
         }
         Machine m = machine(id, now);
+        m.rentedHere = !m.reported();
         m.type = type;
         m.zone = zone;
         m.spot = spot;
@@ -343,6 +346,9 @@
         m.spot = r.spot();
         if (!m.reported()) {
             m.idleSince = now;
+            if (m.rentedHere) {
+                boots.took(m, now);
+            }
         }
         m.lastReport = now;
         if (r.noticeS() != null) {
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -619,4 +619,32 @@
             assertTrue(w.cloud.released.contains("i-00000" + i), "not set aside: " + i);
         }
     }
+
+    @Test
+    void machinesThatComeLateOrNeverAreReplacedInTimeAndGivenBack() {
+        World.NodeInWorld n = settled(1, 0);
+        w.cloud.capacity = 50;
+        // Two of the first three never come, later ones as they should.
+        w.cloud.bootS = i -> i < 2 ? -1 : 40;
+        w.submit(n, job("j-1", Shape.ARRAY, 3, 4));
+        w.run(170);
+        assertEquals("done", w.status(n, "j-1"));
+        w.run(60);
+        assertTrue(w.cloud.released.containsAll(List.of("i-900000", "i-900001")));
+    }
+
+    @Test
+    void whenAllMachinesComeLateTheyAreNotRentedOverAndOver() {
+        World.NodeInWorld n = settled(1, 0);
+        w.cloud.capacity = 50;
+        w.cloud.bootS = i -> 120 + i;
+        w.workers.values().forEach(x -> x.runsFor = 60);
+        w.submit(n, job("j-1", Shape.ARRAY, 6, 4));
+        w.run(119);
+        assertTrue(w.cloud.rentals.size() <= 6, w.cloud.rentals.toString());
+        int before = n.controller.scheduler.machines.size();
+        assertTrue(before <= 12, before + " machines");
+        w.run(60);
+        assertEquals("done", w.status(n, "j-1"));
+    }
 }
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -17,6 +17,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.IntPredicate;
+import java.util.function.IntToDoubleFunction;
 
 /**
  * A small world in memory for stories: a clock, a store, a cloud, workers and up to three controllers. Nothing here
@@ -422,6 +423,10 @@
         final List<String> rentals = new ArrayList<>();
         final List<String> released = new ArrayList<>();
         int capacity;
+        /** When the n-th rented machine comes up, in seconds; negative: never. */
+        IntToDoubleFunction bootS = n -> 0;
+        private int booted;
+        private int named;
     }
 
     private final class CloudLink implements Cloud {
@@ -443,14 +448,28 @@
                 cloud.rentals.add(name);
                 List<String> got = new ArrayList<>();
                 for (int i = 0; i < count && cloud.capacity > 0; i++, cloud.capacity--) {
-                    String id = String.format("i-9%05d", cloud.machines.size());
+                    String id = String.format("i-9%05d", cloud.named++);
                     got.add(id);
-                    worker(id, zone);
+                    boot(id, zone);
                 }
                 node.after(0.05, () -> answer.accept(got.isEmpty() ? Store.Outcome.NO : Store.Outcome.OK, got));
             });
         }
 
+        private void boot(String id, String zone) {
+            double s = cloud.bootS.applyAsDouble(cloud.booted++);
+            if (s == 0) {
+                worker(id, zone);
+                return;
+            }
+            cloud.machines.put(id, new Cloud.Listed(id, type.name(), zone, false, "starting", 0));
+            World.this.after(s < 0 ? 1e9 : s, () -> {
+                if (cloud.machines.containsKey(id)) {
+                    worker(id, zone);
+                }
+            });
+        }
+
         @Override
         public void release(List<String> names, Consumer<Store.Outcome> answer) {
             World.this.after(0.05, () -> {
