--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -94,7 +94,7 @@
         this.leadership = new Leadership(facts, store, timers, random, new Leading());
         this.keeper = new Keeper(facts, store, timers, scheduler, new Keeping());
         this.fleet = new Fleet(facts, scheduler);
-        this.registry = new Registry(facts, store, timers, this::served, this::askProgress);
+        this.registry = new Registry(facts, store, timers, this::served, new Holder());
         this.cloudCalls = new Bucket(facts.cloud().rps() * 0.6);
         registry.onCancelled(job -> {
             scheduler.jobOver(job.id());
@@ -446,14 +446,33 @@
         return timers.now() - heard.getOrDefault(sibling, -1e9) > 2.5;
     }
 
-    private void askProgress(List<String> jobs, Consumer<List<Progress>> answer) {
-        String leader = leadership.leader();
-        if (leadership.leading()) {
-            answer.accept(progress(jobs));
-        } else if (leader == null || leader.equals(facts.node()) || silent(leader)) {
-            answer.accept(List.of());
-        } else {
-            siblings.progress(leader, jobs, answer);
+    /** Who places tasks now, for users' questions. */
+    private final class Holder implements Questions.Holder {
+        @Override
+        public void progress(List<String> jobs, Consumer<List<Progress>> answer) {
+            String leader = leadership.leader();
+            if (leadership.leading()) {
+                answer.accept(Controller.this.progress(jobs));
+            } else if (leader == null || leader.equals(facts.node()) || silent(leader)) {
+                answer.accept(List.of());
+            } else {
+                siblings.progress(leader, jobs, answer);
+            }
+        }
+
+        @Override
+        public String silence() {
+            String leader = leadership.leader();
+            if (leader == null) {
+                return "no node leads at the moment";
+            }
+            if (leadership.leading()) {
+                return "this node has just begun to lead and reads the jobs";
+            }
+            double last = heard.getOrDefault(leader, Double.NaN);
+            return "node " + leader + ", which places tasks, does not answer"
+                    + (silent(leader) && !Double.isNaN(last)
+                            ? " and was last heard " + Math.round(timers.now() - last) + " s ago" : "");
         }
     }
 
--- a/src/main/java/io/kitepath/core/Job.java
+++ b/src/main/java/io/kitepath/core/Job.java
@@ -92,10 +92,10 @@
     private double progressAt;
 
     /** Counted at most once in {@code everyS}: guards against a large job that many ask about. */
-    Progress progress(double now, double everyS) {
+    Progress progress(double now, double everyS, Notes notes) {
         if (progress == null || now - progressAt > everyS) {
             int running = (int) live.values().stream().filter(a -> a.state == Report.State.RUNNING).count();
-            progress = new Progress(spec.id(), done.cardinality(), running, null);
+            progress = new Progress(spec.id(), done.cardinality(), running, notes.of(this, now));
             progressAt = now;
         }
         return progress;
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Notes.java
@@ -0,0 +1,57 @@
+package io.kitepath.core;
+
+import java.util.Collection;
+
+/** A sentence on what an unfinished job waits for, out of what the holder knows; null if there is nothing to say. */
+final class Notes {
+    private final Scheduler scheduler;
+
+    Notes(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    String of(Job job, double now) {
+        if (job.over) {
+            return null;
+        }
+        if (scheduler.failures.mistaken(job, now)) {
+            return "fails on every machine it was tried on, " + job.failures + " times so far"
+                    + (job.notBefore > now ? "; tried again in " + seconds(job.notBefore - now) : "");
+        }
+        int waiting = job.waiting();
+        if (waiting == 0) {
+            return fetching(job.live.values(), job);
+        }
+        JobSpec s = job.spec;
+        String tasks = waiting == 1 ? "1 task waits" : waiting + " tasks wait";
+        if (scheduler.quotaLeft(s) < (s.gang() ? s.tasks() : 1)) {
+            return tasks + ": team " + s.team() + " is at its limit";
+        }
+        if (s.gang() && !job.live.isEmpty()) {
+            return tasks + " for the rest of the last attempt to end";
+        }
+        int starting = 0;
+        int unheard = 0;
+        for (Machine m : scheduler.machines.values()) {
+            starting += m.reported() || !m.attempts.isEmpty() ? 0 : 1;
+            unheard += m.reported() && !m.proven ? 1 : 0;
+        }
+        String note = tasks + " for room of " + s.cpus() + " CPUs" + (s.gang() ? " each, all at once" : " each");
+        if (starting > 0) {
+            note += "; machines starting: " + starting;
+        }
+        if (unheard > 0) {
+            note += "; machines yet to report to the new leader: " + unheard;
+        }
+        return note;
+    }
+
+    private static String fetching(Collection<Attempt> live, Job job) {
+        long n = live.stream().filter(a -> a.state == Report.State.FETCHING).count();
+        return n == 0 ? null : (n == 1 ? "1 task fetches" : n + " tasks fetch") + " the image " + job.spec.image();
+    }
+
+    private static String seconds(double s) {
+        return Math.max(1, Math.round(s)) + " s";
+    }
+}
--- a/src/main/java/io/kitepath/core/Questions.java
+++ b/src/main/java/io/kitepath/core/Questions.java
@@ -37,6 +37,9 @@
     /** Who knows how far jobs are; answers an empty list if nobody can be asked. */
     interface Holder {
         void progress(List<String> jobs, Consumer<List<Progress>> answer);
+
+        /** Why nobody can be asked, as far as known. */
+        String silence();
     }
 
     private final Store store;
@@ -164,6 +167,9 @@
             known.forEach(p -> lately.put(p.job(), p));
             for (String id : open) {
                 Progress p = lately.getIfPresent(id);
+                if (p != null && known.isEmpty()) {
+                    p = new Progress(id, p.done(), p.running(), holder.silence() + "; the figures are from before");
+                }
                 if (p != null) {
                     tell(batch, id, new Answer(Verdict.KNOWN, JobState.unfinished(p)));
                 } else {
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -41,6 +41,7 @@
     final Placement placement;
     final Failures failures;
     final Boots boots;
+    private final Notes notes = new Notes(this);
     private final Map<String, double[]> teamUse = new HashMap<>();
     /** Names of machines that are gone for certain; lists may show them a while longer. */
     private final Set<String> tombstones = Collections.newSetFromMap(new LinkedHashMap<>() {
@@ -158,7 +159,7 @@
         for (String id : ids) {
             Job job = jobs.get(id);
             if (job != null) {
-                out.add(job.progress(now, facts.workers().reportS()));
+                out.add(job.progress(now, facts.workers().reportS(), notes));
             }
         }
         return out;
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -647,4 +647,21 @@
         w.run(60);
         assertEquals("done", w.status(n, "j-1"));
     }
+
+    @Test
+    void anUnfinishedJobSaysWhatItWaitsFor() {
+        settled(2, 1);
+        World.NodeInWorld leader = w.leader();
+        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        w.submit(other, job("j-1", Shape.ARRAY, 6, 1));
+        w.run(5);
+        assertEquals("2 tasks wait for room of 1.0 CPUs each", w.ask(other, "j-1").state().note());
+        leader.crash();
+        Registry.Answer[] got = new Registry.Answer[1];
+        other.controller.registry().status("j-1", a -> got[0] = a);
+        w.run(0.6);
+        String note = got[0].state().note();
+        assertEquals(4, got[0].state().running());
+        assertTrue(note.contains("does not answer") && note.endsWith("the figures are from before"), note);
+    }
 }
