--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -70,6 +72,7 @@
 
     /** When a sibling was last heard from. */
     private final Map<String, Double> heard = new HashMap<>();
+    private final Set<String> silentSiblings = new HashSet<>();
     /** When a sibling last said that the store serves it. */
     private final Map<String, Double> servedSiblings = new HashMap<>();
     /** When a sibling last said that the store does not serve it. */
@@ -398,6 +401,15 @@
         f.put("attempts", new Figure(false, "attempts not proven over",
                 () -> scheduler.jobs.values().stream().mapToInt(j -> j.live.size()).sum()));
         f.put("machines", new Figure(false, "machines known", scheduler.machines::size));
+        f.put("machines.starting", new Figure(false, "machines rented that have not reported yet",
+                () -> scheduler.machines.values().stream().filter(m -> !m.reported()).count()));
+        f.put("machines.late", new Figure(false, "of those, later than boots take these days",
+                () -> scheduler.machines.values().stream().filter(m -> scheduler.boots.late(m, timers.now())).count()));
+        f.put("jobs.mistaken", new Figure(false, "jobs that fail on every machine",
+                () -> scheduler.jobs.values().stream().filter(j -> scheduler.failures.mistaken(j, timers.now()))
+                        .count()));
+        f.put("siblings.silent", new Figure(false, "siblings from which nothing is heard",
+                () -> facts.siblings().stream().filter(this::silent).count()));
         f.put("machines.set.aside", new Figure(false, "machines set aside for failing",
                 () -> scheduler.machines.values().stream().filter(m -> m.setAside).count()));
         f.put("checkins", new Figure(true, "check-ins received", () -> checkIns));
@@ -422,6 +434,12 @@
 
     private void gossip() {
         tell();
+        for (String s : facts.siblings()) {
+            if (silent(s) ? heard.containsKey(s) && silentSiblings.add(s) : silentSiblings.remove(s)) {
+                LOG.info(silent(s) ? "nothing is heard from {} any more{}" : "{} is heard again{}", s,
+                        s.equals(leadership.leader()) ? ", which leads" : "");
+            }
+        }
         timers.after(1, this::gossip);
     }
 
