What gives way or is cancelled is told so by direct commands

Only stops go directly: they are right whenever they run, which launches are not; the answer proves what ended, never what is absent. Two stories, one of a command that runs late.

--- a/src/main/java/io/kitepath/cli/Node.java
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -12,6 +12,7 @@
 import io.kitepath.settings.Settings;
 import io.kitepath.store.HttpStore;
 import io.kitepath.users.UsersApi;
+import io.kitepath.workers.HttpDirectCommands;
 import io.kitepath.workers.WorkersApi;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -47,7 +48,8 @@
         Peers peers = new Peers(group, facts.node(), settings.siblings());
         // The seed only spreads probes and retries of different nodes and runs.
         Random random = new Random(facts.node().hashCode() ^ System.nanoTime());
-        Controller controller = new Controller(facts, store, cloud, timers, peers, random);
+        HttpDirectCommands direct = new HttpDirectCommands(loop, MAX_ANSWER, timeoutMs);
+        Controller controller = new Controller(facts, store, cloud, direct, timers, peers, random);
         UsersApi users = new UsersApi(controller);
         WorkersApi workers = new WorkersApi(controller);
         HttpServer server = new HttpServer((request, out) -> route(controller, users, workers, request, out),
--- a/src/main/java/io/kitepath/core/Attempt.java
+++ b/src/main/java/io/kitepath/core/Attempt.java
@@ -23,6 +23,8 @@
     int endedVersion;
     /** Wanted stopped; NaN while it is not. */
     double stopGraceS = Double.NaN;
+    /** It was told to stop by a direct command. */
+    boolean stopSent;
     /** The reading of its machine's reports that showed it last. */
     int reading;
 
--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -48,6 +48,7 @@
     private final Store store;
     private final Cloud cloud;
     private final Timers timers;
+    private final DirectCommands direct;
     private final Siblings siblings;
     final Scheduler scheduler;
     final Leadership leadership;
@@ -87,7 +88,9 @@
     long checkIns;
     long relayed;
 
-    public Controller(Facts facts, Store store, Cloud cloud, Timers timers, Siblings siblings, Random random) {
+    public Controller(Facts facts, Store store, Cloud cloud, DirectCommands direct, Timers timers, Siblings siblings,
+            Random random) {
+        this.direct = direct;
         this.facts = facts;
         this.store = store;
         this.cloud = cloud;
@@ -223,11 +226,37 @@
         double began = timers.now();
         scheduler.place(began, timers.wallMs(), 20 * facts.store().txnOps());
         keeper.write(this::written);
+        stopDirectly();
         roundEnded = timers.now();
         roundTook = roundEnded - began;
         roundS += roundTook;
     }
 
+    private int commandsUnderWay;
+    private long directCommands;
+
+    private void stopDirectly() {
+        long mine = scheduler.token;
+        int most = facts.limits().sockets() / 10 - commandsUnderWay;
+        scheduler.stops(most, timers.now()).forEach((m, orders) -> {
+            if (held.containsKey(m.id)) {
+                release(m.id);
+                return;
+            }
+            m.commanded = true;
+            commandsUnderWay++;
+            directCommands++;
+            direct.send(m.address, mine, m.session, orders, report -> {
+                m.commanded = false;
+                commandsUnderWay--;
+                if (report != null && leadership.leading() && scheduler.token == mine) {
+                    scheduler.answered(m, report, timers.now());
+                    soon();
+                }
+            });
+        });
+    }
+
     // ---- workers --------------------------------------------------------------------------------
 
     public void checkIn(Report report, Consumer<CheckIn> answer) {
@@ -418,6 +447,7 @@
         f.put("attempts.lost", new Figure(true, "attempts lost with machine or session", () -> scheduler.lost));
         f.put("attempts.evicted", new Figure(true, "attempts stopped for work of more right",
                 () -> scheduler.evictions));
+        f.put("direct.commands", new Figure(true, "machines told directly to stop tasks", () -> directCommands));
         f.put("probes", new Figure(true, "machines probed", () -> scheduler.placement.probes));
         f.put("probes.passed", new Figure(true, "probes that passed", () -> scheduler.placement.passed));
         f.put("scans", new Figure(true, "scans of the block", () -> scheduler.placement.scans));
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -12,6 +12,10 @@
     final String id;
     String type;
     String zone;
+    /** Where its worker takes direct commands; empty until it reported. */
+    String address = "";
+    /** Direct commands are under way to it. */
+    boolean commanded;
     boolean spot;
     /** Times are seconds on the steady clock. */
     double knownSince;
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -345,6 +345,7 @@
         m.type = r.type();
         m.zone = r.zone();
         m.spot = r.spot();
+        m.address = r.address();
         if (!m.reported()) {
             m.idleSince = now;
             if (m.rentedHere) {
@@ -415,8 +416,7 @@
                 break;
             }
             if (toStop(a)) {
-                double grace = a.job.over ? 0 : a.stopGraceS;
-                orders.add(new Order(Order.Verb.STOP, a.job.spec.id(), a.task, a.number, grace));
+                orders.add(stopOrder(a));
             } else if (mayStart && toStart(a)) {
                 if (!a.launched) {
                     launches++;
@@ -429,6 +429,52 @@
         return orders;
     }
 
+    /**
+     * What is to stop at once, by machine, and was not told so yet: a busy machine asks only once in a report interval,
+     * and whoever the room is for waits as long. The next answer to its report says it again in any case.
+     * {@code most}: machines at once.
+     */
+    Map<Machine, List<Order>> stops(int most, double now) {
+        Map<Machine, List<Order>> out = new LinkedHashMap<>();
+        for (Job job : jobs.values()) {
+            if (!job.over && job.stopping == 0) {
+                continue;
+            }
+            for (Attempt a : job.live.values()) {
+                Machine m = a.machine;
+                if (toStop(a) && !a.stopSent && m.proven && !m.commanded && !m.releasing && !m.address.isEmpty()
+                        && now - m.lastReport < 2 * facts.workers().reportS()
+                        && (out.size() < most || out.containsKey(m))) {
+                    a.stopSent = true;
+                    out.computeIfAbsent(m, k -> new ArrayList<>()).add(stopOrder(a));
+                }
+            }
+        }
+        return out;
+    }
+
+    private static Order stopOrder(Attempt a) {
+        return new Order(Order.Verb.STOP, a.job.spec.id(), a.task, a.number, a.job.over ? 0 : a.stopGraceS);
+    }
+
+    /**
+     * A worker's report in answer to direct commands. It proves what ended, but not what is absent: a launch in the
+     * answer to a check-in may still be on its way to the worker.
+     */
+    void answered(Machine m, Report r, double now) {
+        if (m.gone || !m.proven || r.session() != m.session || r.sequence() <= m.sequence || r.token() != token) {
+            return;
+        }
+        m.sequence = r.sequence();
+        for (TaskReport t : r.tasks()) {
+            Job job = jobs.get(t.job());
+            Attempt a = job == null ? null : job.live.get(t.task());
+            if (a != null && a.machine == m && a.number == t.attempt()) {
+                present(a, t, now);
+            }
+        }
+    }
+
     /** Whether something is to be started or stopped on the machine. */
     boolean hasCommands(String machine) {
         Machine m = machines.get(machine);
--- a/src/main/java/io/kitepath/net/HttpClient.java
+++ b/src/main/java/io/kitepath/net/HttpClient.java
@@ -51,6 +51,7 @@
     private final Deque<Connection> idle = new ArrayDeque<>();
     private final Deque<Pending> queue = new ArrayDeque<>();
     private int open;
+    private boolean keep = true;
 
     public HttpClient(EventLoop loop, InetSocketAddress address, int maxConnections, int maxBody) {
         this.loop = loop;
@@ -69,6 +70,14 @@
                 });
     }
 
+    /** One request on a connection that is closed after it. */
+    public static void once(EventLoop loop, InetSocketAddress address, int maxBody, String method, String path,
+            byte[] body, long timeoutMs, Callback callback) {
+        HttpClient c = new HttpClient(loop, address, 1, maxBody);
+        c.keep = false;
+        c.call(method, path, body, timeoutMs, callback);
+    }
+
     /** Must be called on the event loop; {@code body} may be null. */
     public void call(String method, String path, byte[] body, long timeoutMs, Callback callback) {
         Pending p = new Pending(method, path, body, timeoutMs, callback);
@@ -169,7 +178,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse r) {
-            boolean reuse = HttpUtil.isKeepAlive(r) && r.decoderResult().isSuccess();
+            boolean reuse = keep && HttpUtil.isKeepAlive(r) && r.decoderResult().isSuccess();
             int status = r.decoderResult().isSuccess() ? r.status().code() : 0;
             byte[] body = ByteBufUtil.getBytes(r.content());
             if (reuse) {
--- a/src/main/java/io/kitepath/wire/Wire.java
+++ b/src/main/java/io/kitepath/wire/Wire.java
@@ -147,6 +147,17 @@
     }
 
     public static byte[] orders(long token, List<Order> orders) {
+        return Pack.bytes(commands(token, orders));
+    }
+
+    /** Commands straight to a worker, for one session of it. */
+    public static byte[] direct(long token, long session, List<Order> orders) {
+        Map<String, Object> m = commands(token, orders);
+        m.put("tenure", session);
+        return Pack.bytes(m);
+    }
+
+    private static Map<String, Object> commands(long token, List<Order> orders) {
         List<Object> list = new ArrayList<>(orders.size());
         for (Order o : orders) {
             Map<String, Object> m = new LinkedHashMap<>();
@@ -165,7 +176,7 @@
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("baton", token);
         m.put("orders", list);
-        return Pack.bytes(m);
+        return m;
     }
 
     public static byte[] anchor(String node) {
--- /dev/null
+++ b/src/main/java/io/kitepath/workers/HttpDirectCommands.java
@@ -0,0 +1,55 @@
+package io.kitepath.workers;
+
+import io.kitepath.core.DirectCommands;
+import io.kitepath.core.Malformed;
+import io.kitepath.core.Order;
+import io.kitepath.core.Report;
+import io.kitepath.net.HttpClient;
+import io.kitepath.wire.Pack;
+import io.kitepath.wire.Wire;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Direct commands over HTTP, each on a connection of its own: hundreds of kept ones would fill the socket limit. */
+public final class HttpDirectCommands implements DirectCommands {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpDirectCommands.class);
+
+    private final EventLoop loop;
+    private final int maxBody;
+    private final long timeoutMs;
+
+    public HttpDirectCommands(EventLoop loop, int maxBody, long timeoutMs) {
+        this.loop = loop;
+        this.maxBody = maxBody;
+        this.timeoutMs = timeoutMs;
+    }
+
+    @Override
+    public void send(String address, long token, long session, List<Order> orders, Consumer<Report> answer) {
+        InetSocketAddress to;
+        try {
+            int colon = address.lastIndexOf(':');
+            to = new InetSocketAddress(address.substring(0, Math.max(0, colon)),
+                    Integer.parseInt(address.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            LOG.debug("a worker's address can't be used: {}", address);
+            answer.accept(null);
+            return;
+        }
+        HttpClient.once(loop, to, maxBody, "POST", "/do", Wire.direct(token, session, orders), timeoutMs,
+                (status, body) -> answer.accept(status == 200 ? report(body) : null));
+    }
+
+    private static Report report(byte[] body) {
+        try {
+            return Wire.report(Pack.value(body));
+        } catch (Malformed e) {
+            LOG.debug("a worker's answer can't be read: {}", e.getMessage());
+            return null;
+        }
+    }
+}
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -343,6 +343,38 @@
         assertEquals(2, w.onMachines("j-2"));
     }
 
+    @Test
+    void whatGivesWayIsToldSoAtOnceAndNotOnlyWhenItsMachineReports() {
+        World.NodeInWorld n = settled(1, 4);
+        w.workers.values().forEach(x -> x.runsFor = 300);
+        w.submit(n, with(job("j-1", Shape.ARRAY, 16, 1), "red", Priority.LOW, false));
+        w.run(4);
+        w.submit(n, with(job("j-2", Shape.GANG, 4, 4), "red", Priority.HIGH, false));
+        w.run(0.2);
+        assertEquals(0, w.onMachines("j-1"));
+        w.run(2);
+        assertEquals(4, w.onMachines("j-2"));
+    }
+
+    @Test
+    void aDirectCommandThatRunsLateStopsNothingElse() {
+        World.NodeInWorld n = settled(1, 1);
+        w.workers.values().forEach(x -> x.runsFor = 8);
+        w.directDelayS = 15;
+        w.submit(n, with(job("j-1", Shape.ARRAY, 1, 4), "red", Priority.LOW, false));
+        w.run(4);
+        w.submit(n, with(job("j-2", Shape.ARRAY, 1, 4), "red", Priority.HIGH, false));
+        w.run(13);
+        // Stopped by the answer to a report, and started again before the direct command arrives.
+        assertEquals("done", w.status(n, "j-2"));
+        assertEquals(1, w.onMachines("j-1"));
+        w.run(3);
+        assertEquals(1, w.onMachines("j-1"));
+        w.run(8);
+        assertEquals("done", w.status(n, "j-1"));
+        assertEquals(3, w.workers.get("i-000000").started);
+    }
+
     @Test
     void guaranteedWorkThatGivesWayToHigherPriorityDoesNotTakeTheRoomAgain() {
         w.teams.put("blue", new Facts.Team("blue", 16, 0, 0, 0));
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -46,6 +46,10 @@
     final Map<String, Worker> workers = new TreeMap<>();
     /** Jobs that fail on every machine. */
     final Set<String> mistaken = new HashSet<>();
+    /** Workers get no direct commands. */
+    boolean refuseDirect;
+    /** How late they come. */
+    double directDelayS = 0.002;
     /** What broke: a task that starts while it is on another machine. */
     final List<String> broken = new ArrayList<>();
     MachineType type = new MachineType("m4", 4, 0, 16, 50, 1, 1.0, 0.4, 40, List.of("a", "b"));
@@ -150,10 +154,27 @@
 
         NodeInWorld(String name) {
             this.name = name;
-            this.controller = new Controller(facts(name), new Link(this), new CloudLink(this), this, this,
+            this.controller = new Controller(facts(name), new Link(this), new CloudLink(this), this::direct, this, this,
                     new Random(7 + name.hashCode()));
         }
 
+        private void direct(String address, long token, long session, List<Order> orders, Consumer<Report> answer) {
+            Worker x = workers.get(address);
+            if (x == null || x.cut || !x.up || refuseDirect) {
+                after(0.5, () -> answer.accept(null));
+                return;
+            }
+            World.this.after(directDelayS, () -> {
+                boolean takes = token >= x.token && session == x.session;
+                if (takes) {
+                    x.token = token;
+                    orders.forEach(x::execute);
+                }
+                Report r = takes ? x.message() : null;
+                after(0.002, () -> answer.accept(r));
+            });
+        }
+
         void crash() {
             alive = false;
         }
@@ -536,7 +557,7 @@
         }
 
         Report message() {
-            return new Report(id, "", type.name(), zone, false, session, ++sequence, token, null, tasks.values().stream()
+            return new Report(id, id, type.name(), zone, false, session, ++sequence, token, null, tasks.values().stream()
                     .map(t -> new TaskReport(t.job, t.number, t.attempt, t.state, t.cause)).toList());
         }
 
