--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -85,6 +85,9 @@
             return size() > 2000;
         }
     };
+    /** Of the 4 s after which a worker drops an answer. */
+    private static final double MAX_PARK_S = 3;
+
     long checkIns;
     long relayed;
 
@@ -270,7 +273,7 @@
         }
         String leader = leadership.leader();
         if (leader == null || leader.equals(facts.node())) {
-            park(report, answer);
+            park(report, null, answer);
             return;
         }
         // A worker that we sent to the leader and that is back did not get through to it, and one that comes with
@@ -289,42 +292,58 @@
         }
         sentAway.putIfAbsent(report.machine(), now);
         relayed++;
-        if (!siblings.relay(leader, report, answer)) {
-            answer.accept(CheckIn.elsewhere(back ? null : leader));
+        Parked p = park(report, leader, answer);
+        if (p != null && (silent(leader) || !siblings.relay(leader, report, x -> settle(p, x)))) {
+            // One without tasks has nothing to lose; the others wait for another leader, who may come soon.
+            if (report.tasks().isEmpty()) {
+                settle(p, CheckIn.elsewhere(back ? null : leader));
+            }
         }
     }
 
-    /** A check-in that came while nobody was known to lead. */
-    private record Parked(Report report, Consumer<CheckIn> answer) {}
+    /** A check-in that waits for a leader: while nobody was known to lead ({@code asked} null), or for one's answer. */
+    private record Parked(Report report, String asked, Consumer<CheckIn> answer) {}
 
     private final Map<String, Parked> parked = new LinkedHashMap<>();
 
     /**
      * Guards against work that dies with its lease although a leader is about to be there: a worker that is told
-     * nothing comes back a second later, to another node, while a takeover takes tenths of one. So it waits here until
-     * a leader is known, for as long as it would have waited before its next try.
+     * nothing comes back a second later, to another node, where it may wait 4 s if that one is silent, while a takeover
+     * takes less. So it waits here until a leader is known: one with tasks for as long as it may, any other for as long
+     * as it would have waited before its next try.
      */
-    private void park(Report report, Consumer<CheckIn> answer) {
+    private Parked park(Report report, String asked, Consumer<CheckIn> answer) {
         if (parked.size() >= facts.limits().sockets() / 2) {
             answer.accept(CheckIn.elsewhere(null));
-            return;
+            return null;
         }
-        Parked p = new Parked(report, answer);
+        Parked p = new Parked(report, asked, answer);
         Parked older = parked.put(report.machine(), p);
         if (older != null) {
             older.answer.accept(CheckIn.elsewhere(null));
         }
-        timers.after(1, () -> {
-            if (parked.remove(report.machine(), p)) {
-                answer.accept(CheckIn.elsewhere(null));
-            }
-        });
+        timers.after(report.tasks().isEmpty() ? 1 : MAX_PARK_S, () -> settle(p, CheckIn.elsewhere(null)));
+        return p;
     }
 
+    /** Answers a check-in that waits; nothing happens if it has been answered already. */
+    private void settle(Parked p, CheckIn a) {
+        if (parked.get(p.report.machine()) == p) {
+            parked.remove(p.report.machine());
+            p.answer.accept(a);
+        }
+    }
+
+    /** Another leader is known: what waits for one, or for the answer of the last one, goes to it. */
     private void settleParked() {
+        String leader = leadership.leader();
         List<Parked> all = new ArrayList<>(parked.values());
-        parked.clear();
-        all.forEach(p -> checkIn(p.report, p.answer));
+        for (Parked p : all) {
+            if (p.asked == null || !p.asked.equals(leader)) {
+                parked.remove(p.report.machine(), p);
+                checkIn(p.report, p.answer);
+            }
+        }
     }
 
     /** The holder's answer to a report that a sibling asks about: at once, for the worker's time is running. */
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -38,7 +38,7 @@
 public final class Peers implements Controller.Siblings {
     private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
     /** A worker drops answers after 4 s; a relayed one has to be back well before. */
-    private static final long RELAY_MS = 2500;
+    private static final long RELAY_MS = 3000;
     /** Views come every second; a connection that stays mute this long is dead. */
     private static final int MUTE_S = 4;
     private static final int MAX_ASKS = 256;
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -476,6 +476,23 @@
         assertEquals(token, got[0].token());
     }
 
+    @Test
+    void aCheckInThatWaitsForALeaderThatFellSilentGoesToTheNextOne() {
+        settled(2, 1);
+        World.NodeInWorld leader = w.leader();
+        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        w.submit(leader, job("j-1", Shape.ARRAY, 1, 1));
+        w.run(2);
+        long token = leader.controller.scheduler.token;
+        leader.crash();
+        Controller.CheckIn[] got = new Controller.CheckIn[1];
+        other.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of(
+                new Report.TaskReport("j-1", 0, 1, Report.State.RUNNING, null))), c -> got[0] = c);
+        w.run(3);
+        assertEquals(w.leader().controller.scheduler.token, got[0].token());
+        assertTrue(got[0].token() > token);
+    }
+
     @Test
     void aWorkerThatComesWhileNobodyLeadsIsAnsweredAsSoonAsSomebodyDoes() {
         settled(2, 1);
