A new holder knows where images are; a swarm that waits costs bounded effort

Causes: after a takeover the holder knew only the images of what runs, so work that starts at once where its image lies fetched it elsewhere; which machines have which images is now kept in a few small records, written now and then, a hint only. And each waiting job looked at the whole block: a thousand jobs of one task made rounds of seconds in the in-memory world; jobs that ask the same now share the answer within a round.

--- /dev/null
+++ b/src/main/java/io/kitepath/core/ImageRecords.java
@@ -0,0 +1,101 @@
+package io.kitepath.core;
+
+import io.kitepath.core.Store.Entry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+/**
+ * Which machines have which images, kept in the store for whoever holds the block next. Guards against a new holder that
+ * knows only the images of what runs, and has tasks fetch on one machine what lies on another. A hint, of which nothing
+ * depends but time: written now and then, one of a few records after the other, if it changed.
+ */
+final class ImageRecords {
+    private static final int RECORDS = 16;
+
+    private final Facts facts;
+    private final List<Map<String, Object>> written = new ArrayList<>();
+    private final Map<String, Map<String, Double>> remembered = new HashMap<>();
+    private int next;
+    private double nextAt;
+
+    ImageRecords(Facts facts) {
+        this.facts = facts;
+        for (int i = 0; i < RECORDS; i++) {
+            written.add(null);
+        }
+    }
+
+    /** The next record that is to be written, or null if none is due. */
+    Store.Write due(Collection<Machine> machines, double now) {
+        if (now < nextAt) {
+            return null;
+        }
+        nextAt = now + facts.workers().reportS() / 2;
+        int index = next++ % RECORDS;
+        Map<String, Object> record = record(machines, index);
+        if (Objects.equals(record, written.get(index)) || written.get(index) == null && record.isEmpty()) {
+            return null;
+        }
+        written.set(index, record);
+        return new Store.Write(Keys.IMAGES + index, record, 0);
+    }
+
+    private static int indexOf(String machine) {
+        return Math.floorMod(machine.hashCode(), RECORDS);
+    }
+
+    /** By image: its size, and the machines that have it. */
+    private Map<String, Object> record(Collection<Machine> machines, int index) {
+        Map<String, List<Object>> by = new TreeMap<>();
+        int bytes = 0;
+        for (Machine m : machines) {
+            if (indexOf(m.id) != index || m.gone || m.releasing) {
+                continue;
+            }
+            for (Map.Entry<String, Double> e : m.images().entrySet()) {
+                bytes += m.id.length() + 4 + (by.containsKey(e.getKey()) ? 0 : e.getKey().length() + 32);
+                if (bytes < facts.store().valueKb() * 1024 * 0.9) {
+                    by.computeIfAbsent(e.getKey(), k -> new ArrayList<>(List.of(e.getValue()))).add(m.id);
+                }
+            }
+        }
+        return new LinkedHashMap<>(by);
+    }
+
+    /** What the last holder knew, for machines as they become known here. */
+    void read(List<Entry> entries) {
+        for (Entry entry : entries) {
+            if (!(entry.value() instanceof Map<?, ?> by)) {
+                continue;
+            }
+            by.forEach((image, l) -> {
+                if (image instanceof String name && l instanceof List<?> list && !list.isEmpty()
+                        && list.get(0) instanceof Number gb) {
+                    for (Object m : list.subList(1, list.size())) {
+                        if (m instanceof String id) {
+                            remembered.computeIfAbsent(id, k -> new TreeMap<>()).put(name, gb.doubleValue());
+                        }
+                    }
+                }
+            });
+        }
+    }
+
+    void recall(Machine m) {
+        Map<String, Double> images = remembered.remove(m.id);
+        if (images != null) {
+            images.forEach(m::recall);
+        }
+    }
+
+    void forget() {
+        remembered.clear();
+        written.replaceAll(r -> null);
+    }
+}
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -101,6 +101,7 @@
         epoch++;
         loaded = false;
         round = null;
+        scheduler.images.forget();
     }
 
     // ---- loading --------------------------------------------------------------------------------
@@ -152,6 +153,7 @@
                 Map<String, Entry> over = new HashMap<>();
                 readClosed(e, new ArrayDeque<>(closed), over, () -> {
                     if (adopt(open, parts.entries(), over)) {
+                        readImages(e);
                         follow(e, open.revision(), ready);
                         ready.run();
                     } else {
@@ -162,6 +164,16 @@
         });
     }
 
+    /** After all that work waits for, and without a word if it can't be had. */
+    private void readImages(long e) {
+        Pages.read(store, timers, Keys.IMAGES, 3, images -> {
+            if (e == epoch && images.outcome() == Outcome.OK) {
+                scheduler.images.read(images.entries());
+                scheduler.machines.values().forEach(scheduler.images::recall);
+            }
+        });
+    }
+
     /** Jobs that are over but have parts left: something of them may still be on machines. */
     private void readClosed(long e, Deque<String> ids, Map<String, Entry> into, Runnable then) {
         int[] missing = {ids.size()};
@@ -320,6 +332,12 @@
         take(r, scheduler.changes, Math.min(budget, r.transaction.writes().size() + 1));
         take(r, scheduler.placings, budget);
         take(r, scheduler.changes, (int) Math.min(budget, available - facts.store().writeRps() * WRITE_SHARE / 2));
+        if (r.transaction.writes().size() < budget) {
+            Store.Write images = scheduler.images.due(scheduler.machines.values(), now);
+            if (images != null) {
+                r.transaction.put(images.key(), images.value());
+            }
+        }
         if (r.transaction.writes().isEmpty()) {
             return;
         }
--- a/src/main/java/io/kitepath/core/Keys.java
+++ b/src/main/java/io/kitepath/core/Keys.java
@@ -9,6 +9,8 @@
     /** The blocks of machines and who holds each; hang on the holder's lease. */
     static final String BLOCKS = "kitepath/blocks/";
     static final String TYPES = "kitepath/types";
+    /** Which machines have which images, in a few records. */
+    static final String IMAGES = "kitepath/images/";
     /** Jobs that are accepted and neither done nor cancelled. */
     static final String OPEN = "jobs/open/";
     /** Jobs that are over, kept for ever. */
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/Machine.java
@@ -100,6 +100,15 @@
         return images.containsKey(image);
     }
 
+    /** What an earlier holder knew to be here; nothing that this one saw is displaced by it. */
+    void recall(String image, double gb) {
+        images.putIfAbsent(image, gb);
+    }
+
+    Map<String, Double> images() {
+        return images;
+    }
+
     /** A task with this image runs here; the machine keeps the most recently used ones. */
     void ran(String image, double gb, double cacheGb) {
         images.put(image, gb);
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -9,6 +9,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -40,6 +41,7 @@
     final TreeMap<String, Machine> machines = new TreeMap<>();
     final Placement placement;
     final Failures failures;
+    final ImageRecords images;
     final Boots boots;
     private final Notes notes = new Notes(this);
     private final Map<String, double[]> teamUse = new HashMap<>();
@@ -71,6 +73,7 @@
         this.facts = facts;
         this.placement = new Placement(random, types);
         this.failures = new Failures(facts, machines);
+        this.images = new ImageRecords(facts);
         this.boots = new Boots(types);
     }
 
@@ -276,7 +279,11 @@
     // ---- machines -------------------------------------------------------------------------------
 
     Machine machine(String id, double now) {
-        return machines.computeIfAbsent(id, k -> new Machine(k, now));
+        return machines.computeIfAbsent(id, k -> {
+            Machine m = new Machine(k, now);
+            images.recall(m);
+            return m;
+        });
     }
 
     /** The machine and all on it are gone for certain: released, taken, or unknown to the cloud. */
@@ -635,6 +642,22 @@
         return (int) Math.max(0, n);
     }
 
+    /** What a job asks of machines; for jobs that ask the same, what one of them did not find the others won't either. */
+    private record Want(JobSpec.Priority priority, String team, boolean guaranteed, double cpus, double gpus,
+            double memoryGb, List<String> types, String zone, boolean spot) {
+        static Want of(Job j) {
+            JobSpec s = j.spec;
+            return new Want(s.priority(), s.team(), j.guaranteed, s.cpus(), s.gpus(), s.memoryGb(), s.types(), s.zone(),
+                    s.spot());
+        }
+    }
+
+    /**
+     * Of this round: small tasks that found no machine, and for which none can be made. Guards against a look at the
+     * whole block for each of a thousand jobs of one task that wait.
+     */
+    private final Set<Want> full = new HashSet<>();
+
     /** Places what it can, at most {@code most} tasks; the placings take effect once they are written. */
     int place(double now, double wallMs, int most) {
         changed = false;
@@ -650,6 +673,9 @@
         }
         int placed = 0;
         backlog = false;
+        full.clear();
+        Set<Job> expected = new HashSet<>();
+        open.forEach(m -> expected.add(m.reservedFor));
         for (Job job : queue(now, wallMs)) {
             backlog = true;
             if (placed >= most) {
@@ -659,10 +685,16 @@
             if (now < job.notBefore) {
                 continue;
             }
+            boolean small = small(job.spec);
+            if (small && !expected.contains(job) && job.failedOn.isEmpty() && full.contains(Want.of(job))) {
+                continue;
+            }
             int n = job.spec.gang() ? placeGang(job, open, now) : placeTasks(job, open, now, most - placed);
             placed += n;
-            if (!failures.mistaken(job, now) && job.waiting() > 0 && quotaLeft(job.spec) >= (job.spec.gang() ? job.spec.tasks() : 1)) {
-                makeRoom(job, open, now);
+            if (!failures.mistaken(job, now) && job.waiting() > 0
+                    && quotaLeft(job.spec) >= (job.spec.gang() ? job.spec.tasks() : 1)
+                    && !makeRoom(job, open, now) && small && job.failedOn.isEmpty()) {
+                full.add(Want.of(job));
             }
         }
         return placed;
@@ -751,11 +783,11 @@
 
     /**
      * For a job that found no room: stops lesser work where that is enough, and keeps machines for it, so that
-     * smaller work behind it does not take every gap.
+     * smaller work behind it does not take every gap. Returns whether anything was stopped or kept.
      */
-    private void makeRoom(Job job, List<Machine> open, double now) {
+    private boolean makeRoom(Job job, List<Machine> open, double now) {
         JobSpec s = job.spec;
-        boolean small = !s.gang() && s.cpus() * 2 <= smallestMachine();
+        boolean small = small(s);
         Set<Job> yielding = Collections.newSetFromMap(new IdentityHashMap<>());
         for (Job j : jobs.values()) {
             if (!j.live.isEmpty() && (j.over || j.stopping > 0 || yields(j, job))) {
@@ -763,7 +795,7 @@
             }
         }
         if (small && yielding.isEmpty()) {
-            return;
+            return false;
         }
         int need = s.gang() ? job.waiting() : Math.min(job.waiting(), quotaLeft(s));
         Map<String, List<Offer>> byZone = new LinkedHashMap<>();
@@ -792,10 +824,10 @@
                 o.machine.reservedUntil = now + 2 * facts.workers().reportS();
                 need -= evict(job, o, need);
             }
-            return;
+            return true;
         }
         if (small) {
-            return; // Small tasks find gaps by themselves.
+            return false; // Small tasks find gaps by themselves.
         }
         for (List<Offer> in : byZone.values()) {
             List<Offer> take = cheapest(in, need, Offer::empty, o -> o.loss + o.pending);
@@ -804,9 +836,14 @@
                     o.machine.reservedFor = job;
                     o.machine.kept = true;
                 }
-                return;
+                return true;
             }
         }
+        return false;
+    }
+
+    private boolean small(JobSpec s) {
+        return !s.gang() && !s.oneZone() && !s.spread() && s.cpus() * 2 <= smallestMachine();
     }
 
     /** Offers that together hold the tasks, those that cost least first; null if they don't suffice. */
