A few spot tasks are moved off ordinary machines that nothing else needs

They are moved to spot machines that have room if what they lose costs less than the machine until they end and they can still be in time.

--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -116,7 +116,9 @@
         }
         Set<Machine> kept = idle() ? Set.of() : reserve(queue, rent, now, wallMs);
         floor(rent, now);
-        return new Plan(rent, returns(now, kept));
+        List<String> release = returns(now, kept);
+        clear(now, wallMs);
+        return new Plan(rent, release);
     }
 
     private void survey(double now) {
@@ -446,6 +448,46 @@
         return out;
     }
 
+    /**
+     * Guards against ordinary machines kept rented for minutes by a few small tasks that could run on spot ones: where
+     * those have room, the tasks are moved there, if what they lose costs less than the machine until they end, and
+     * they can begin anew and still be in time for all that is expected.
+     */
+    private void clear(double now, double wallMs) {
+        double room = 0;
+        for (Machine m : scheduler.machines.values()) {
+            MachineType t = scheduler.types.get(m.type);
+            if (m.spot && m.open() && t != null) {
+                room += t.cpus() - m.usedCpus;
+            }
+        }
+        for (Machine m : scheduler.machines.values()) {
+            MachineType t = scheduler.types.get(m.type);
+            if (!m.draining || m.releasing || m.attempts.isEmpty() || now - m.neededAt <= t.bootS()
+                    || m.usedCpus > room || !worthMoving(m, t, now, wallMs)) {
+                continue;
+            }
+            room -= m.usedCpus;
+            LOG.debug("clearing {} of {} tasks", m.id, m.attempts.size());
+            for (Attempt a : new ArrayList<>(m.attempts)) {
+                scheduler.stop(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+            }
+        }
+    }
+
+    private boolean worthMoving(Machine m, MachineType t, double now, double wallMs) {
+        double rest = 0;
+        double lost = 0;
+        for (Attempt a : m.attempts) {
+            if (a.unwanted() || !a.seen || a.job.spec.shape() != JobSpec.Shape.ARRAY || a.job.goalsMs[0] < wallMs) {
+                return false;
+            }
+            rest = Math.max(rest, a.remainingS(now));
+            lost += a.job.spec.cpus() * a.unsavedS(now);
+        }
+        return rest > 2 * facts.workers().reportS() && rest * t.price() > 2 * lost * t.spotPrice() / t.cpus();
+    }
+
     private boolean spotToBeHad(JobSpec s, double now) {
         return scheduler.types.values().stream().anyMatch(t -> Placement.slots(s, t) > 0 && cheaperToBeHad(t, now));
     }
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -754,4 +754,19 @@
         // Created, placed, moved from open to over, and its part removed.
         assertTrue(w.store.log.size() - before <= 5 * 200 + 10, w.store.log.size() - before + " changes");
     }
+
+    @Test
+    void aFewSmallTasksAreMovedOffAnOrdinaryMachineToASpotOneThatHasRoom() {
+        World.NodeInWorld n = settled(1, 1);
+        w.workers.values().forEach(x -> x.runsFor = 300);
+        w.submit(n, World.onSpot(job("j-1", Shape.ARRAY, 1, 1), 300));
+        w.run(3);
+        w.spotWorker("i-000050", "a").runsFor = 300;
+        w.run(20);
+        assertEquals(1, w.workers.get("i-000000").started);
+        w.run(40);
+        assertEquals(1, w.workers.get("i-000050").started);
+        assertTrue(w.cloud.released.contains("i-000000"));
+        assertEquals(1, w.onMachines("j-1"));
+    }
 }
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -98,6 +98,19 @@
         return w;
     }
 
+    Worker spotWorker(String id, String zone) {
+        Worker w = worker(id, zone);
+        w.spot = true;
+        cloud.machines.put(id, new Cloud.Listed(id, type.name(), zone, true, "running", 60));
+        return w;
+    }
+
+    static JobSpec onSpot(JobSpec s, double estimateS) {
+        return new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.priority(), s.tasks(), s.cpus(), s.gpus(),
+                s.memoryGb(), s.types(), s.zone(), s.oneZone(), s.spread(), true, s.image(), s.imageGb(),
+                estimateS, s.checkpointS(), s.saveS(), s.deadlineS());
+    }
+
     static JobSpec job(String id, JobSpec.Shape shape, int tasks, double cpus) {
         return new JobSpec(id, "work", "red", shape, JobSpec.Priority.NORMAL, tasks, cpus, 0, 1, null, null, false,
                 false, false, "img", 1, 20, 0, 0, null);
@@ -541,6 +554,7 @@
         /** Its packets get lost. */
         boolean cut;
         boolean fails;
+        boolean spot;
         double runsFor = 20;
         private double answered = now;
         private String node;
@@ -557,7 +571,7 @@
         }
 
         Report message() {
-            return new Report(id, id, type.name(), zone, false, session, ++sequence, token, null, tasks.values().stream()
+            return new Report(id, id, type.name(), zone, spot, session, ++sequence, token, null, tasks.values().stream()
                     .map(t -> new TaskReport(t.job, t.number, t.attempt, t.state, t.cause)).toList());
         }
 
