--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -40,8 +40,10 @@
         /** Asks the leader how far jobs are; answers an empty list if that can't be had soon. */
         void progress(String leader, List<String> jobs, Consumer<List<Progress>> answer);
 
-        /** Has the leader answer a check-in; false if it can't be asked now. */
-        boolean relay(String leader, Report report, Consumer<CheckIn> answer);
+        /**
+         * Has a sibling answer a check-in, or pass it on to the leader if it may; false if it can't be asked now.
+         */
+        boolean relay(String sibling, Report report, boolean passOn, Consumer<CheckIn> answer);
     }
 
     final Facts facts;
@@ -293,7 +295,7 @@
         sentAway.putIfAbsent(report.machine(), now);
         relayed++;
         Parked p = park(report, leader, answer);
-        if (p != null && (silent(leader) || !siblings.relay(leader, report, x -> settle(p, x)))) {
+        if (p != null && !relay(leader, p)) {
             // One without tasks has nothing to lose; the others wait for another leader, who may come soon.
             if (report.tasks().isEmpty()) {
                 settle(p, CheckIn.elsewhere(back ? null : leader));
@@ -301,6 +303,35 @@
         }
     }
 
+    /**
+     * Asks the leader about a check-in, or a sibling that may still reach it. Guards against work that dies with its
+     * lease because two zones can't reach each other: its worker loses the leader, and so does the node next to it.
+     */
+    private boolean relay(String leader, Parked p) {
+        if (!silent(leader) && siblings.relay(leader, p.report, false, x -> settle(p, x))) {
+            return true;
+        }
+        for (String s : facts.siblings()) {
+            if (!s.equals(leader) && !silent(s) && siblings.relay(s, p.report, true, x -> {
+                if (x.token() > 0) {
+                    settle(p, x);
+                }
+            })) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A check-in that a sibling asks about. */
+    public void answerFor(Report report, boolean passOn, Consumer<CheckIn> answer) {
+        String leader = leadership.leader();
+        if (!passOn || leadership.leading() || leader == null || leader.equals(facts.node()) || silent(leader)
+                || !siblings.relay(leader, report, false, answer)) {
+            answer.accept(answer(report));
+        }
+    }
+
     /** A check-in that waits for a leader: while nobody was known to lead ({@code asked} null), or for one's answer. */
     private record Parked(Report report, String asked, Consumer<CheckIn> answer) {}
 
@@ -347,7 +378,7 @@
     }
 
     /** The holder's answer to a report that a sibling asks about: at once, for the worker's time is running. */
-    public CheckIn answer(Report report) {
+    private CheckIn answer(Report report) {
         if (!entitled(report)) {
             return CheckIn.elsewhere(leadership.leading() ? null : leadership.leader());
         }
--- a/src/main/java/io/kitepath/peers/Messages.java
+++ b/src/main/java/io/kitepath/peers/Messages.java
@@ -23,8 +23,8 @@
     /** The store has it that this job is over. */
     record Over(JobState job) {}
 
-    /** Asks the leader to answer a check-in; the number ties the answer to it. */
-    record Ask(long number, Report report) {}
+    /** Asks the leader, or one who may pass it on, to answer a check-in; the number ties the answer to it. */
+    record Ask(long number, Report report, boolean passOn) {}
 
     record Answer(long number, CheckIn checkIn) {}
 
@@ -59,7 +59,7 @@
         if (message instanceof Ask a) {
             Report r = a.report;
             return new Ask(a.number, new Report(r.machine(), r.address(), r.type(), r.zone(), r.spot(), r.session(),
-                    r.sequence(), r.token(), r.noticeS(), new ArrayList<>(r.tasks())));
+                    r.sequence(), r.token(), r.noticeS(), new ArrayList<>(r.tasks())), a.passOn);
         }
         if (message instanceof Answer a) {
             CheckIn c = a.checkIn;
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -122,14 +122,14 @@
     }
 
     @Override
-    public boolean relay(String leader, Report report, Consumer<CheckIn> answer) {
-        Channel ch = channels.get(leader);
+    public boolean relay(String sibling, Report report, boolean passOn, Consumer<CheckIn> answer) {
+        Channel ch = channels.get(sibling);
         if (ch == null || !ch.isActive() || asks.size() >= MAX_ASKS) {
             return false;
         }
         long number = ++asked;
         asks.put(number, answer);
-        send(ch, new Messages.Ask(number, report));
+        send(ch, new Messages.Ask(number, report, passOn));
         loop.schedule(() -> settle(number, new CheckIn(0, List.of(), null)), RELAY_MS, TimeUnit.MILLISECONDS);
         return true;
     }
@@ -181,7 +181,8 @@
             } else if (message instanceof Messages.Over o) {
                 controller.toldOver(o.job());
             } else if (message instanceof Messages.Ask a) {
-                send(ctx.channel(), new Messages.Answer(a.number(), controller.answer(a.report())));
+                controller.answerFor(a.report(), a.passOn(),
+                        c -> send(ctx.channel(), new Messages.Answer(a.number(), c)));
             } else if (message instanceof Messages.Answer a) {
                 settle(a.number(), a.checkIn());
             } else if (message instanceof Messages.AskProgress a) {
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -476,6 +476,22 @@
         assertEquals(token, got[0].token());
     }
 
+    @Test
+    void aWorkerAndANodeThatBothLostTheLeaderAreAnsweredThroughTheThirdNode() {
+        w.siblings.addAll(List.of("k0", "k1", "k2"));
+        settled(3, 1);
+        World.NodeInWorld leader = w.leader();
+        World.NodeInWorld cut = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        long token = leader.controller.scheduler.token;
+        cut.cutFrom.add(leader.name);
+        w.run(4);
+        Controller.CheckIn[] got = new Controller.CheckIn[1];
+        cut.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of(
+                new Report.TaskReport("j-1", 0, 1, Report.State.RUNNING, null))), c -> got[0] = c);
+        w.run(0.1);
+        assertEquals(token, got[0].token());
+    }
+
     @Test
     void aCheckInThatWaitsForALeaderThatFellSilentGoesToTheNextOne() {
         settled(2, 1);
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -162,6 +162,8 @@
         boolean alive = true;
         /** Cut off from the store, as is what it sent there unless it is delivered late. */
         boolean cutFromStore;
+        /** Siblings that it can't reach, nor they it. */
+        final Set<String> cutFrom = new HashSet<>();
         /** What it asked of the store, watches apart. */
         int requests;
 
@@ -213,13 +215,13 @@
 
         @Override
         public void tell(long token, String leader, boolean served) {
-            nodes.values().stream().filter(n -> n != this && n.alive).forEach(n ->
+            nodes.values().stream().filter(n -> n != this && n.alive && reaches(n)).forEach(n ->
                     n.after(0.001, () -> n.controller.told(name, token, leader != null, served)));
         }
 
         @Override
         public void over(Registry.JobState job) {
-            nodes.values().stream().filter(n -> n != this && n.alive).forEach(n ->
+            nodes.values().stream().filter(n -> n != this && n.alive && reaches(n)).forEach(n ->
                     n.after(0.001, () -> n.controller.toldOver(job)));
         }
 
@@ -241,15 +243,17 @@
         }
 
         @Override
-        public boolean relay(String leader, Report report, Consumer<Controller.CheckIn> answer) {
-            NodeInWorld n = nodes.get(leader);
-            if (n != null && n.alive) {
-                n.after(0.001, () -> {
-                    Controller.CheckIn c = n.controller.answer(report);
-                    after(0.001, () -> answer.accept(c));
-                });
+        public boolean relay(String sibling, Report report, boolean passOn, Consumer<Controller.CheckIn> answer) {
+            NodeInWorld n = nodes.get(sibling);
+            if (n == null || !reaches(n)) {
+                return false;
             }
-            return n != null;
+            n.after(0.001, () -> n.controller.answerFor(report, passOn, c -> after(0.001, () -> answer.accept(c))));
+            return true;
+        }
+
+        private boolean reaches(NodeInWorld other) {
+            return !cutFrom.contains(other.name) && !other.cutFrom.contains(name);
         }
     }
 
--- a/src/test/java/io/kitepath/peers/MessagesTest.java
+++ b/src/test/java/io/kitepath/peers/MessagesTest.java
@@ -26,9 +26,9 @@
         Report r = new Report("i-1", "10.1.0.1:9000", "m", "a", true, 2, 88, 41, null, List.of(
                 new Report.TaskReport("j-1", 3, 2, Report.State.RUNNING, null),
                 new Report.TaskReport("j-1", 4, 2, Report.State.ENDED, Report.Cause.DONE)));
-        assertEquals(new Messages.Ask(7, r), sent(new Messages.Ask(7, r)));
+        assertEquals(new Messages.Ask(7, r, true), sent(new Messages.Ask(7, r, true)));
         Report notice = new Report("i-1", "", "m", "a", true, 2, 89, 41, 12.5, List.of());
-        assertEquals(new Messages.Ask(8, notice), sent(new Messages.Ask(8, notice)));
+        assertEquals(new Messages.Ask(8, notice, false), sent(new Messages.Ask(8, notice, false)));
     }
 
     @Test
