--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -6,10 +6,10 @@
 import io.kitepath.core.Store.Transaction;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -313,25 +313,21 @@
         int budget = (int) Math.min(facts.store().txnOps(), available);
         Round r = new Round();
         r.transaction.when(blockKey, blockRevision);
-        List<Job> dropped = new ArrayList<>();
-        for (Job job : scheduler.jobs.values()) {
-            if (job.over) {
-                if (job.live.isEmpty() && !job.recorded()) {
-                    dropped.add(job);
-                }
-            } else if (job.complete()) {
-                if (r.transaction.writes().size() + 2 > budget) {
-                    budget = 0; // Guards against placings that leave no job's end its two writes, round after round.
-                } else {
-                    finish(r, job);
-                }
-            }
+        // In turns: a swarm's ends, two writes each, would leave nothing to what is to start, and the other way round.
+        boolean endsFirst = rounds % 2 == 0;
+        if (endsFirst) {
+            budget = ends(r, budget);
         }
-        dropped.forEach(scheduler::dropJob);
         // The longest waiting change goes along in any case, so that a stream of placings does not put it off for ever.
-        take(r, scheduler.changes, Math.min(budget, r.transaction.writes().size() + 1));
-        take(r, scheduler.placings, budget);
-        take(r, scheduler.changes, (int) Math.min(budget, available - facts.store().writeRps() * WRITE_SHARE / 2));
+        take(r, List.copyOf(scheduler.changes), Math.min(budget, r.transaction.writes().size() + 1));
+        // Guards against a gang that waits for the records of hundreds of small jobs that were placed before it.
+        List<Job.Part> placings = new ArrayList<>(scheduler.placings);
+        placings.sort(Comparator.comparingInt(p -> ServiceOrder.rank(p.job)));
+        take(r, placings, budget);
+        if (!endsFirst) {
+            ends(r, budget);
+        }
+        take(r, List.copyOf(scheduler.changes), (int) Math.min(budget, available - facts.store().writeRps() * WRITE_SHARE / 2));
         if (r.transaction.writes().size() < budget) {
             Store.Write images = scheduler.images.due(scheduler.machines.values(), now);
             if (images != null) {
@@ -348,15 +344,38 @@
         send(epoch, done);
     }
 
-    private void take(Round r, Set<Job.Part> from, int budget) {
-        Iterator<Job.Part> parts = from.iterator();
-        while (parts.hasNext() && r.transaction.writes().size() < budget && r.bytes < MAX_BYTES) {
-            Job.Part p = parts.next();
+    /** Moves jobs that are done from open to over; returns the budget for what comes after, 0 if it did not suffice. */
+    private int ends(Round r, int budget) {
+        List<Job> dropped = new ArrayList<>();
+        int left = budget;
+        for (Job job : scheduler.jobs.values()) {
+            if (job.over) {
+                if (job.live.isEmpty() && !job.recorded()) {
+                    dropped.add(job);
+                }
+            } else if (job.complete()) {
+                if (r.transaction.writes().size() + 2 > left) {
+                    left = 0; // Guards against placings that leave no job's end its two writes, round after round.
+                } else {
+                    finish(r, job);
+                }
+            }
+        }
+        dropped.forEach(scheduler::dropJob);
+        return left;
+    }
+
+    private void take(Round r, List<Job.Part> from, int budget) {
+        for (Job.Part p : from) {
+            if (r.transaction.writes().size() >= budget || r.bytes >= MAX_BYTES) {
+                return;
+            }
             Job job = p.job;
             if (!job.over && job.complete()) {
                 continue; // Once the job is written as done.
             }
-            parts.remove();
+            scheduler.placings.remove(p);
+            scheduler.changes.remove(p);
             if (p.changed <= p.written || !r.taken.add(p)) {
                 continue;
             }
--- a/src/main/java/io/kitepath/core/ServiceOrder.java
+++ b/src/main/java/io/kitepath/core/ServiceOrder.java
@@ -52,7 +52,8 @@
         return out;
     }
 
-    private static int rank(Job j) {
+    /** The lower, the sooner served. */
+    static int rank(Job j) {
         return (j.guaranteed ? 0 : JobSpec.Priority.values().length) + j.spec.priority().ordinal();
     }
 
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -785,4 +785,23 @@
         assertTrue(w.cloud.released.contains("i-000000"));
         assertEquals(1, w.onMachines("j-1"));
     }
+
+    @Test
+    void aGangsRecordsDoNotWaitForThoseOfASwarm() {
+        w.writeRps = 20;
+        World.NodeInWorld n = settled(1, 30);
+        w.workers.values().forEach(x -> x.runsFor = 6);
+        for (int i = 0; i < 100; i++) {
+            n.controller.registry().submit(with(job("j-" + i, Shape.ARRAY, 1, 1), "red", Priority.LOW, false),
+                    a -> { });
+        }
+        w.run(1);
+        for (int i = 0; i < 4; i++) {
+            w.workers.values().forEach(x -> x.runsFor = 100);
+            w.submit(n, with(job("j-90" + i, Shape.GANG, 2, 1), "red", Priority.HIGH, false));
+            w.run(2);
+            assertEquals(2, w.onMachines("j-90" + i));
+            w.workers.values().forEach(x -> x.runsFor = 6);
+        }
+    }
 }
