--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -91,6 +91,8 @@
 
     void addJob(Job job) {
         jobs.put(job.spec.id(), job);
+        LOG.debug("job {} of {}: {} tasks of {} CPUs, image {}", job.spec.id(), job.spec.jobClass(), job.spec.tasks(),
+                job.spec.cpus(), job.spec.image());
         changed = true;
         lately.addLast(job);
         if (lately.size() > 200) {
@@ -532,6 +534,7 @@
             a.state = t.state();
             if (t.state() == State.RUNNING) {
                 a.runningSince = now;
+                LOG.debug("attempt {} runs, {} s after it was placed", a, Math.round(now - a.placedAt));
                 MachineType type = types.get(a.machine.type);
                 a.machine.ran(a.job.spec.image(), a.job.spec.imageGb(), type == null ? 0 : type.cacheGb());
             }
