--- a/src/main/java/io/kitepath/core/Placement.java
+++ b/src/main/java/io/kitepath/core/Placement.java
@@ -129,6 +129,15 @@
             return null; // A scan found the candidates full.
         }
 
+        /**
+         * Guards against work that may go anywhere filling just those ordinary machines that have most images, which
+         * large work would start on at once: it takes those first that have few. Less than what a full machine counts.
+         */
+        private double worthKeeping(Machine m) {
+            int n = m.images().size();
+            return 0.25 * n / (n + 4);
+        }
+
         /** The fullest machine that has room, those with the image first. */
         private Machine scan() {
             scans++;
@@ -140,7 +149,7 @@
                     if (room(m, spec)) {
                         order.add(m);
                         score.put(m, (m.holdingCpus() + m.usedCpus / 4) / types.get(m.type).cpus()
-                                + (m.has(spec.image()) ? 1 : 0));
+                                + (m.has(spec.image()) ? 1 : 0) - (spec.spot() && !m.spot ? worthKeeping(m) : 0));
                     }
                 }
                 order.sort(Comparator.comparing(score::get, Comparator.reverseOrder()));
