A gang whose image takes longer than its tasks wait for each other fetches on and restarts where it is

Now the others fetch on, the room of those that gave up is held, and all restart where the image is. A machine counts as having the image as soon as a task waits there.

--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -255,14 +255,42 @@
             }
             default -> LOG.debug("attempt {} ended: {}", a, cause);
         }
-        if (job.spec.gang() && cause != Cause.DONE && !job.live.isEmpty()) {
-            // One task of a gang is gone: the rest can't finish. They restart together once all are proven over.
+        if (job.spec.gang() && cause != Cause.DONE) {
+            if (cause == Cause.ALONE) {
+                hasImage(a);
+            }
+            if (cause == Cause.ALONE && fetching(job) && (m.reservedFor == null || m.kept)) {
+                m.reservedFor = job;
+                m.kept = false;
+                m.reservedUntil = now + 3 * fetchS(job.spec) + facts.workers().gangWaitS();
+            }
+            restartOnceFetched(job);
+        }
+    }
+
+    /**
+     * One task of a gang is gone: the rest can't finish, and all restart together once they are proven over. Guards
+     * against a gang that never starts because its image takes longer than its tasks wait for each other: those that
+     * have it give up, and if the others were stopped then, what they had fetched was lost, and it began anew. So
+     * they fetch on, the room of those that gave up is held, and all restart where the image is.
+     */
+    private void restartOnceFetched(Job job) {
+        if (!job.live.isEmpty() && job.live.size() < job.spec.tasks() && !fetching(job)) {
             for (Attempt other : new ArrayList<>(job.live.values())) {
                 stop(other, 0);
             }
         }
     }
 
+    private static boolean fetching(Job job) {
+        return job.live.values().stream().anyMatch(a -> a.seen && !a.unwanted() && a.state == State.FETCHING);
+    }
+
+    private double fetchS(JobSpec s) {
+        double rate = types.values().stream().mapToDouble(MachineType::fetchGbPerS).filter(r -> r > 0).min().orElse(1);
+        return s.imageGb() / rate;
+    }
+
     void stop(Attempt a, double graceS) {
         if (a.ended) {
             return;
@@ -532,11 +560,12 @@
         a.launched = true;
         if (t.state() != a.state) {
             a.state = t.state();
-            if (t.state() == State.RUNNING) {
+            if (t.state() == State.WAITING) {
+                hasImage(a);
+            } else if (t.state() == State.RUNNING) {
                 a.runningSince = now;
                 LOG.debug("attempt {} runs, {} s after it was placed", a, Math.round(now - a.placedAt));
-                MachineType type = types.get(a.machine.type);
-                a.machine.ran(a.job.spec.image(), a.job.spec.imageGb(), type == null ? 0 : type.cacheGb());
+                hasImage(a);
             }
         }
         if (t.state() == State.ENDED) {
@@ -544,6 +573,11 @@
         }
     }
 
+    private void hasImage(Attempt a) {
+        MachineType type = types.get(a.machine.type);
+        a.machine.ran(a.job.spec.image(), a.job.spec.imageGb(), type == null ? 0 : type.cacheGb());
+    }
+
     /** A report newer than any launch of this attempt does not show it. */
     private void absent(Attempt a, double now) {
         if (a.seen) {
@@ -756,7 +790,11 @@
 
     private int placeGang(Job job, List<Machine> open, double now) {
         // Until every task of the old attempt is proven over, the gang can't start anew.
-        if (!job.live.isEmpty() || quotaLeft(job.spec) < job.spec.tasks()) {
+        if (!job.live.isEmpty()) {
+            restartOnceFetched(job);
+            return 0;
+        }
+        if (quotaLeft(job.spec) < job.spec.tasks()) {
             return 0;
         }
         List<Machine> found = placement.chooseGang(job.spec, candidates(job, open));
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -804,4 +804,18 @@
             w.workers.values().forEach(x -> x.runsFor = 6);
         }
     }
+
+    @Test
+    void aGangWhoseImageTakesLongerThanItsTasksWaitStartsOnceAllHaveIt() {
+        World.NodeInWorld n = settled(1, 4);
+        w.fetchS = machine -> machine.equals("i-000000") ? 1 : machine.equals("i-000001") ? 45 : 80;
+        w.submit(n, job("j-1", Shape.GANG, 4, 4));
+        w.run(50);
+        // Lesser work does not take the room of those that gave up.
+        w.submit(n, with(job("j-2", Shape.ARRAY, 8, 1), "red", Priority.LOW, false));
+        w.run(35);
+        assertEquals(4, w.onMachines("j-1"));
+        w.run(25);
+        assertEquals("done", w.status(n, "j-1"));
+    }
 }
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntPredicate;
 import java.util.function.IntToDoubleFunction;
+import java.util.function.ToDoubleFunction;
 
 /**
  * A small world in memory for stories: a clock, a store, a cloud, workers and up to three controllers. Nothing here
@@ -50,6 +51,12 @@
     boolean refuseDirect;
     /** How late they come. */
     double directDelayS = 0.002;
+    /**
+     * How long a machine fetches an image that it does not have, by its name; with this set, the tasks of a gang wait
+     * for each other, and give up after the settings' time.
+     */
+    ToDoubleFunction<String> fetchS;
+    private final Map<String, JobSpec> specs = new HashMap<>();
     /** What broke: a task that starts while it is on another machine. */
     final List<String> broken = new ArrayList<>();
     MachineType type = new MachineType("m4", 4, 0, 16, 50, 1, 1.0, 0.4, 40, List.of("a", "b"));
@@ -124,6 +131,7 @@
 
     Registry.Answer submit(NodeInWorld n, JobSpec s) {
         Registry.Answer[] got = new Registry.Answer[1];
+        specs.put(s.id(), s);
         n.controller.registry().submit(s, a -> got[0] = a);
         run(0.1);
         return got[0];
@@ -551,6 +559,7 @@
         final String id;
         final String zone;
         final Map<String, Task> tasks = new LinkedHashMap<>();
+        final Set<String> images = new HashSet<>();
         long session = 1;
         long sequence;
         long token;
@@ -660,6 +669,30 @@
             }
         }
 
+        private void fetched(Task t, String key, JobSpec s) {
+            if (tasks.get(key) != t || t.state != State.FETCHING) {
+                return; // Given up, and what was fetched with it.
+            }
+            images.add(s.image());
+            t.state = State.WAITING;
+            List<Task> gang = workers.values().stream().flatMap(w -> w.tasks.values().stream()).filter(x ->
+                    x.job.equals(t.job) && x.attempt == t.attempt && x.state == State.WAITING).toList();
+            if (gang.size() == s.tasks()) {
+                gang.forEach(x -> x.state = State.RUNNING);
+                World.this.after(runsFor, () -> gang.stream().filter(x -> x.state == State.RUNNING).forEach(x -> {
+                    x.state = State.ENDED;
+                    x.cause = Cause.DONE;
+                }));
+                return;
+            }
+            World.this.after(30, () -> {
+                if (t.state == State.WAITING) {
+                    t.state = State.ENDED;
+                    t.cause = Cause.ALONE;
+                }
+            });
+        }
+
         private void start(Order o, String key) {
             for (Worker w : workers.values()) {
                 for (Task other : w.tasks.values()) {
@@ -671,6 +704,12 @@
             started++;
             Task t = new Task(o.job(), o.task(), o.attempt(), State.RUNNING);
             tasks.put(key, t);
+            JobSpec s = specs.get(o.job());
+            if (fetchS != null && s.gang()) {
+                t.state = State.FETCHING;
+                World.this.after(images.contains(s.image()) ? 0 : fetchS.applyAsDouble(id), () -> fetched(t, key, s));
+                return;
+            }
             boolean error = fails || mistaken.contains(o.job());
             World.this.after(error ? 0.1 : runsFor, () -> {
                 if (up && tasks.get(key) == t && t.state != State.ENDED) {
