--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -496,7 +496,7 @@
         f.put("attempts.ended", new Figure(true, "attempts proven over", () -> scheduler.ends));
         f.put("attempts.lost", new Figure(true, "attempts lost with machine or session", () -> scheduler.lost));
         f.put("attempts.evicted", new Figure(true, "attempts stopped for work of more right",
-                () -> scheduler.evictions));
+                () -> scheduler.givingWay.evictions));
         f.put("direct.commands", new Figure(true, "machines told directly to stop tasks", () -> directCommands));
         f.put("probes", new Figure(true, "machines probed", () -> scheduler.placement.probes));
         f.put("probes.passed", new Figure(true, "probes that passed", () -> scheduler.placement.passed));
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -10,7 +10,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,8 +17,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.ToDoubleFunction;
-import java.util.function.ToIntFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,6 +37,7 @@
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final TreeMap<String, Machine> machines = new TreeMap<>();
     final Placement placement;
+    final GivingWay givingWay = new GivingWay(this);
     final Failures failures;
     final ImageRecords images;
     final Boots boots;
@@ -60,7 +58,6 @@
     long token;
     long ends;
     long lost;
-    long evictions;
     /** Something changed that may let work be placed. */
     boolean changed;
     /** Whether work waited after the last placing. */
@@ -662,6 +659,12 @@
         }
     }
 
+    /** CPUs of the team's attempts that are not proven over. */
+    double usedCpus(String team) {
+        double[] u = teamUse.get(team);
+        return u == null ? 0 : u[0];
+    }
+
     /** How many more tasks of this kind the team's limit allows. */
     int quotaLeft(JobSpec s) {
         Facts.Team t = facts.teams().get(s.team());
@@ -722,7 +725,7 @@
             if (now < job.notBefore) {
                 continue;
             }
-            boolean small = small(job.spec);
+            boolean small = givingWay.small(job.spec);
             if (small && !expected.contains(job) && job.failedOn.isEmpty() && full.contains(Want.of(job))) {
                 continue;
             }
@@ -730,7 +733,7 @@
             placed += n;
             if (!failures.mistaken(job, now) && job.waiting() > 0
                     && quotaLeft(job.spec) >= (job.spec.gang() ? job.spec.tasks() : 1)
-                    && !makeRoom(job, open, now) && small && job.failedOn.isEmpty()) {
+                    && !givingWay.makeRoom(job, open, now) && small && job.failedOn.isEmpty()) {
                 full.add(Want.of(job));
             }
         }
@@ -743,7 +746,7 @@
         List<Machine> failed = new ArrayList<>();
         String onlyZone = s.oneZone() && !job.live.isEmpty() ? job.live.firstEntry().getValue().machine.zone : null;
         for (Machine m : open) {
-            if ((m.reservedFor == null || m.reservedFor == job || m.kept && yields(job, m.reservedFor))
+            if ((m.reservedFor == null || m.reservedFor == job || m.kept && givingWay.yields(job, m.reservedFor))
                     && placement.allowed(m, s)
                     && (onlyZone == null || onlyZone.equals(m.zone)) && !(m.draining && s.spot())) {
                 (job.failedOn.contains(m.id) ? failed : out).add(m);
@@ -816,179 +819,6 @@
         LOG.debug("placed {}/{}#{} on {}", job.spec.id(), task, number, m.id);
     }
 
-    /**
-     * A machine that a job might be given room on: tasks that fit now, with others stopped, and if it were empty; what
-     * stopping them and fetching the image would lose, and what there is to wait for, both in CPU seconds.
-     */
-    private record Offer(Machine machine, int now, int stopping, int empty, double loss, double pending) {}
-
-    /**
-     * For a job that found no room: stops lesser work where that is enough, and keeps machines for it, so that
-     * smaller work behind it does not take every gap. Returns whether anything was stopped or kept.
-     */
-    private boolean makeRoom(Job job, List<Machine> open, double now) {
-        JobSpec s = job.spec;
-        boolean small = small(s);
-        Set<Job> yielding = Collections.newSetFromMap(new IdentityHashMap<>());
-        for (Job j : jobs.values()) {
-            if (!j.live.isEmpty() && (j.over || j.stopping > 0 || yields(j, job))) {
-                yielding.add(j);
-            }
-        }
-        if (small && yielding.isEmpty()) {
-            return false;
-        }
-        int need = s.gang() ? job.waiting() : Math.min(job.waiting(), quotaLeft(s));
-        Map<String, List<Offer>> byZone = new LinkedHashMap<>();
-        for (Machine m : open) {
-            if ((m.reservedFor == null || m.reservedFor == job) && placement.allowed(m, s)) {
-                byZone.computeIfAbsent(s.oneZone() ? m.zone : "", k -> new ArrayList<>())
-                        .add(offer(job, m, yielding, now));
-            }
-        }
-        List<Offer> best = null;
-        double bestLoss = Double.MAX_VALUE;
-        for (List<Offer> in : byZone.values()) {
-            List<Offer> take = cheapest(in, need, Offer::stopping, Offer::loss);
-            double loss = take == null ? 0 : take.stream().mapToDouble(Offer::loss).sum();
-            if (take != null && loss < bestLoss) {
-                best = take;
-                bestLoss = loss;
-            }
-        }
-        if (best != null) {
-            for (Offer o : best) {
-                o.machine.reservedFor = job;
-                // Guards against work that is served before this job although it gives way to it (a guarantee comes
-                // first, a higher priority may stop it): it would take the room again in the next round, and be
-                // stopped again, without an end. So the room is held until the stopped tasks can have been reported.
-                o.machine.reservedUntil = now + 2 * facts.workers().reportS();
-                need -= evict(job, o, need);
-            }
-            return true;
-        }
-        if (small) {
-            return false; // Small tasks find gaps by themselves.
-        }
-        for (List<Offer> in : byZone.values()) {
-            List<Offer> take = cheapest(in, need, Offer::empty, o -> o.loss + o.pending);
-            if (take != null) {
-                for (Offer o : take) {
-                    o.machine.reservedFor = job;
-                    o.machine.kept = true;
-                }
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private boolean small(JobSpec s) {
-        return !s.gang() && !s.oneZone() && !s.spread() && s.cpus() * 2 <= smallestMachine();
-    }
-
-    /** Offers that together hold the tasks, those that cost least first; null if they don't suffice. */
-    private static List<Offer> cheapest(List<Offer> in, int need, ToIntFunction<Offer> slots,
-            ToDoubleFunction<Offer> cost) {
-        List<Offer> sorted = new ArrayList<>(in);
-        sorted.sort(Comparator.comparingDouble((Offer o) -> cost.applyAsDouble(o) / Math.max(1, slots.applyAsInt(o)))
-                .thenComparing(o -> -o.now).thenComparing(o -> o.machine.id));
-        List<Offer> take = new ArrayList<>();
-        for (Offer o : sorted) {
-            if (need <= 0) {
-                break;
-            }
-            int n = slots.applyAsInt(o);
-            if (n > 0) {
-                need -= n;
-                take.add(o);
-            }
-        }
-        return need <= 0 ? take : null;
-    }
-
-    private Offer offer(Job job, Machine m, Set<Job> yielding, double now) {
-        double cpus = 0;
-        double gpus = 0;
-        double memory = 0;
-        double loss = 0;
-        double pending = 0;
-        for (Attempt a : m.attempts) {
-            if (yielding.contains(a.job) && mayEvict(job, a)) {
-                JobSpec v = a.job.spec;
-                cpus += v.cpus();
-                gpus += v.gpus();
-                memory += v.memoryGb();
-                loss += a.stopping() ? 0 : v.cpus() * (a.unsavedS(now) + facts.workers().reportS());
-            } else {
-                pending += a.job.spec.cpus() * a.remainingS(now);
-            }
-        }
-        MachineType type = types.get(m.type);
-        int stopping = placement.freeSlots(m, job.spec, cpus, gpus, memory);
-        if (!m.has(job.spec.image()) && type.fetchGbPerS() > 0) {
-            loss += stopping * job.spec.cpus() * job.spec.imageGb() / type.fetchGbPerS();
-        }
-        return new Offer(m, placement.freeSlots(m, job.spec, 0, 0, 0), stopping, Placement.slots(job.spec, type),
-                loss, pending);
-    }
-
-    private boolean mayEvict(Job job, Attempt victim) {
-        return victim.unwanted() || yields(victim.job, job); // What is unwanted goes anyway.
-    }
-
-    /** Work gives way to work of higher priority, and what a team borrows to the guarantee of another. */
-    private boolean yields(Job holding, Job job) {
-        JobSpec v = holding.spec;
-        if (v.gang() || v.shape() == JobSpec.Shape.SERVICE) {
-            return false;
-        }
-        if (v.priority().compareTo(job.spec.priority()) > 0) {
-            return true;
-        }
-        Facts.Team t = facts.teams().get(v.team());
-        return job.guaranteed && !holding.guaranteed && !v.team().equals(job.spec.team()) && t != null
-                && teamUse.getOrDefault(v.team(), new double[2])[0] - v.cpus() >= t.cpus();
-    }
-
-    /** Stops just enough on the machine, the latest placed first; returns how many tasks of the job it will hold. */
-    private int evict(Job job, Offer o, int need) {
-        List<Attempt> victims = new ArrayList<>();
-        double[] less = new double[3];
-        for (Attempt a : o.machine.attempts) {
-            if (mayEvict(job, a)) {
-                if (a.unwanted()) {
-                    less(less, a);
-                } else {
-                    victims.add(a);
-                }
-            }
-        }
-        victims.sort(Comparator.comparingDouble((Attempt a) -> -a.placedAt).thenComparing(a -> -a.task));
-        int want = Math.min(need, o.stopping);
-        for (Attempt a : victims) {
-            if (placement.freeSlots(o.machine, job.spec, less[0], less[1], less[2]) >= want) {
-                break;
-            }
-            boolean written = a.durable;
-            stop(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
-            evictions++;
-            if (written) {
-                less(less, a);
-            }
-        }
-        return want;
-    }
-
-    private static void less(double[] sum, Attempt a) {
-        sum[0] += a.job.spec.cpus();
-        sum[1] += a.job.spec.gpus();
-        sum[2] += a.job.spec.memoryGb();
-    }
-
-    double smallestMachine() {
-        return types.values().stream().mapToDouble(MachineType::cpus).min().orElse(0);
-    }
 
     // ---- what was written -----------------------------------------------------------------------
 
