--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -387,7 +387,7 @@
         w.run(6);
         assertEquals(2, w.onMachines("j-2"));
         assertEquals(2, w.onMachines("j-1"));
-        assertEquals(6, n.controller.scheduler.evictions);
+        assertEquals(6, n.controller.scheduler.givingWay.evictions);
     }
 
     @Test
