--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -416,7 +416,8 @@
         for (Machine m : scheduler.machines.values()) {
             MachineType t = m.type == null ? null : scheduler.types.get(m.type);
             boolean give = m.releasing;
-            boolean surplus = t != null && !late(m, now) && spare >= t.cpus() && !kept.contains(m) && m.reservedFor == null;
+            boolean surplus = t != null && !late(m, now) && spare >= t.cpus() && !kept.contains(m)
+                    && m.reservedFor == null;
             if (!m.spot && m.attempts.stream().anyMatch(a -> !a.job.spec.spot())) {
                 m.neededAt = now;
             }
--- a/src/main/java/io/kitepath/core/GivingWay.java
+++ b/src/main/java/io/kitepath/core/GivingWay.java
@@ -133,8 +133,8 @@
         if (!m.has(job.spec.image()) && type.fetchGbPerS() > 0) {
             loss += stopping * job.spec.cpus() * job.spec.imageGb() / type.fetchGbPerS();
         }
-        return new Offer(m, scheduler.placement.freeSlots(m, job.spec, 0, 0, 0), stopping, Placement.slots(job.spec, type),
-                loss, pending);
+        return new Offer(m, scheduler.placement.freeSlots(m, job.spec, 0, 0, 0), stopping,
+                Placement.slots(job.spec, type), loss, pending);
     }
 
     private boolean mayEvict(Job job, Attempt victim) {
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/Keeper.java
@@ -327,8 +327,9 @@
         if (!endsFirst) {
             ends(r, budget);
         }
-        take(r, List.copyOf(scheduler.changes), (int) Math.min(budget, available - facts.store().writeRps() * WRITE_SHARE / 2));
-        if (r.transaction.writes().size() < budget) {
+        double spare = available - facts.store().writeRps() * WRITE_SHARE / 2;
+        take(r, List.copyOf(scheduler.changes), (int) Math.min(budget, spare));
+        if (r.transaction.writes().size() < budget && r.bytes < MAX_BYTES / 2) {
             Store.Write images = scheduler.images.due(scheduler.machines.values(), now);
             if (images != null) {
                 r.transaction.put(images.key(), images.value());
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -682,7 +682,7 @@
         return (int) Math.max(0, n);
     }
 
-    /** What a job asks of machines; for jobs that ask the same, what one of them did not find the others won't either. */
+    /** What a job asks of machines; what one did not find, others that ask the same won't find either. */
     private record Want(JobSpec.Priority priority, String team, boolean guaranteed, double cpus, double gpus,
             double memoryGb, List<String> types, String zone, boolean spot) {
         static Want of(Job j) {
--- a/src/test/java/io/kitepath/peers/MessagesTest.java
+++ b/src/test/java/io/kitepath/peers/MessagesTest.java
@@ -34,7 +34,8 @@
     @Test
     void itsAnswerToo() {
         Messages.Answer a = new Messages.Answer(7, new CheckIn(41,
-                List.of(new Order(Order.Verb.START, "j-1", 5, 3, 0), new Order(Order.Verb.STOP, "j-1", 4, 2, 6)), null));
+                List.of(new Order(Order.Verb.START, "j-1", 5, 3, 0), new Order(Order.Verb.STOP, "j-1", 4, 2, 6)),
+                null));
         assertEquals(a, sent(a));
         Messages.Answer no = new Messages.Answer(8, new CheckIn(0, List.of(), "kite-2"));
         assertEquals(no, sent(no));
