--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -147,6 +147,27 @@
         assertEquals(1, s.jobs.get("j-1").live.size());
     }
 
+    @Test
+    void aFrozenLeaderThatGoesOnStartsNothingAndYields() {
+        settled(3, 3);
+        World.NodeInWorld first = w.leader();
+        w.submit(first, job("j-1", Shape.ARRAY, 9, 1));
+        w.run(0.02);
+        first.frozenUntil = w.now + 7;
+        w.run(6.9);
+        World.NodeInWorld second = w.leader();
+        assertTrue(second != first);
+        w.submit(second, job("j-2", Shape.ARRAY, 3, 1));
+        long launched = first.controller.scheduler.launches;
+        w.run(3);
+        assertFalse(first.controller.leadership.leading());
+        assertEquals(launched, first.controller.scheduler.launches);
+        w.run(60);
+        assertEquals("done", w.status(first, "j-1"));
+        assertEquals("done", w.status(first, "j-2"));
+        assertEquals(second, w.leader());
+    }
+
     @Test
     void aLateTransactionOfAFormerLeaderFails() {
         settled(2, 1);
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -168,6 +168,7 @@
         final String name;
         final Controller controller;
         boolean alive = true;
+        double frozenUntil;
         /** Cut off from the store, as is what it sent there unless it is delivered late. */
         boolean cutFromStore;
         /** Siblings that it can't reach, nor they it. */
@@ -214,11 +215,16 @@
 
         @Override
         public void after(double seconds, Runnable run) {
-            World.this.after(Math.max(0.001, seconds), () -> {
-                if (alive) {
-                    run.run();
-                }
-            });
+            World.this.after(Math.max(0.001, seconds), () -> deliver(run));
+        }
+
+        /** What comes while the process stands still waits until it goes on. */
+        void deliver(Runnable run) {
+            if (alive && now < frozenUntil) {
+                World.this.after(frozenUntil - now, () -> deliver(run));
+            } else if (alive) {
+                run.run();
+            }
         }
 
         @Override
@@ -613,14 +619,12 @@
             if (n != null && !cut) {
                 Report r = message();
                 World.this.after(0.002, () -> {
-                    if (n.alive) {
-                        n.controller.checkIn(r, c -> World.this.after(0.002, () -> {
-                            if (!heard[0] && up && session == mySession && !cut) {
-                                heard[0] = true;
-                                hear(c, sent);
-                            }
-                        }));
-                    }
+                    n.deliver(() -> n.controller.checkIn(r, c -> World.this.after(0.002, () -> {
+                        if (!heard[0] && up && session == mySession && !cut) {
+                            heard[0] = true;
+                            hear(c, sent);
+                        }
+                    })));
                 });
             }
             World.this.after(4, () -> {
