--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -839,4 +839,37 @@
         w.run(25);
         assertEquals("done", w.status(n, "j-1"));
     }
+
+    @Test
+    void aHugeArrayCostsFewChangesAndGoesOnAfterItsLeaderCrashed() {
+        settled(2, 20);
+        World.NodeInWorld first = w.leader();
+        w.workers.values().forEach(x -> x.runsFor = 2);
+        int before = w.store.log.size();
+        w.submit(first, job("j-1", Shape.ARRAY, 4000, 0.25));
+        w.run(20);
+        first.crash();
+        w.run(70);
+        assertEquals("done", w.status(w.leader(), "j-1"));
+        int started = w.workers.values().stream().mapToInt(x -> x.started).sum();
+        assertTrue(started < 4400, started + " starts");
+        assertTrue(w.store.log.size() - before < started / 2, w.store.log.size() - before + " changes");
+    }
+
+    @Test
+    void guestsWithoutAGuaranteeMakeRoomForGuaranteedWorkAndFinishAfterIt() {
+        w.teams.put("red", new Facts.Team("red", 8, 0, 0, 0));
+        w.teams.put("guests", new Facts.Team("guests", 0, 0, 0, 0));
+        World.NodeInWorld n = settled(1, 2);
+        w.submit(n, with(job("j-1", Shape.ARRAY, 16, 1), "guests", Priority.LOW, false));
+        w.run(3);
+        assertEquals(8, w.onMachines("j-1"));
+        w.submit(n, with(job("j-2", Shape.ARRAY, 6, 1), "red", Priority.LOW, false));
+        w.run(3);
+        assertEquals(6, w.onMachines("j-2"));
+        assertEquals(2, w.onMachines("j-1"));
+        w.run(90);
+        assertEquals("done", w.status(n, "j-2"));
+        assertEquals("done", w.status(n, "j-1"));
+    }
 }
