--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -295,11 +295,9 @@
         sentAway.putIfAbsent(report.machine(), now);
         relayed++;
         Parked p = park(report, leader, answer);
-        if (p != null && !relay(leader, p)) {
+        if (p != null && !relay(leader, p) && report.tasks().isEmpty()) {
             // One without tasks has nothing to lose; the others wait for another leader, who may come soon.
-            if (report.tasks().isEmpty()) {
-                settle(p, CheckIn.elsewhere(back ? null : leader));
-            }
+            settle(p, CheckIn.elsewhere(back ? null : leader));
         }
     }
 
--- a/src/main/java/io/kitepath/core/Fleet.java
+++ b/src/main/java/io/kitepath/core/Fleet.java
@@ -471,7 +471,7 @@
             room -= m.usedCpus;
             LOG.debug("clearing {} of {} tasks", m.id, m.attempts.size());
             for (Attempt a : new ArrayList<>(m.attempts)) {
-                scheduler.stop(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+                scheduler.stop(a, a.job.spec.stopGraceS());
             }
         }
     }
--- a/src/main/java/io/kitepath/core/GivingWay.java
+++ b/src/main/java/io/kitepath/core/GivingWay.java
@@ -175,7 +175,7 @@
                 break;
             }
             boolean written = a.durable;
-            scheduler.stop(a, a.job.spec.checkpointS() > 0 ? a.job.spec.saveS() : 0);
+            scheduler.stop(a, a.job.spec.stopGraceS());
             evictions++;
             if (written) {
                 less(less, a);
--- a/src/main/java/io/kitepath/core/ImageRecords.java
+++ b/src/main/java/io/kitepath/core/ImageRecords.java
@@ -12,8 +12,8 @@
 
 /**
  * Which machines have which images, kept in the store for whoever holds the block next. Guards against a new holder
- * that knows only the images of what runs, and has tasks fetch on one machine what lies on another. A hint, of which nothing
- * depends but time: written now and then, one of a few records after the other, if it changed.
+ * that knows only the images of what runs, and has tasks fetch on one machine what lies on another. A hint, on which
+ * nothing depends but time: written now and then, one of a few records after the other, if it changed.
  */
 final class ImageRecords {
     private static final int RECORDS = 16;
--- a/src/main/java/io/kitepath/core/Job.java
+++ b/src/main/java/io/kitepath/core/Job.java
@@ -147,12 +147,30 @@
         return m;
     }
 
+    /** How far the records of a job's parts say that it is: tasks done, and placed, running or not. */
+    static Progress recorded(String id, List<Object> records) {
+        int done = 0;
+        int placed = 0;
+        for (Object record : records) {
+            Tree t = Tree.of(record);
+            done += doneBits(t).cardinality();
+            for (Object on : ((Map<?, ?>) t.raw("live")).values()) {
+                placed += ((List<?>) on).size() / 2;
+            }
+        }
+        return new Progress(id, done, placed, null);
+    }
+
+    private static BitSet doneBits(Tree part) {
+        return BitSet.valueOf(Base64.getDecoder().decode(part.text("done")));
+    }
+
     /** Reads a part's done bits and attempt counter; the attempts are for the caller, which knows the machines. */
     Map<?, ?> readPart(int part, Object record, long partRevision) {
         Tree t = Tree.of(record);
         parts[part].revision = partRevision;
         nextAttempt = Math.max(nextAttempt, t.count("next"));
-        BitSet bits = BitSet.valueOf(Base64.getDecoder().decode(t.text("done")));
+        BitSet bits = doneBits(t);
         for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
             done.set(part * partSize + i);
         }
--- a/src/main/java/io/kitepath/core/JobSpec.java
+++ b/src/main/java/io/kitepath/core/JobSpec.java
@@ -20,6 +20,11 @@
         return shape == Shape.GANG;
     }
 
+    /** How long a task that is stopped gets to save its progress; 0 if it can't. */
+    public double stopGraceS() {
+        return checkpointS > 0 ? saveS : 0;
+    }
+
     /** How many tasks the job may have in one zone. */
     public int mostPerZone() {
         return spread ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/io/kitepath/core/Notes.java
+++ b/src/main/java/io/kitepath/core/Notes.java
@@ -1,7 +1,5 @@
 package io.kitepath.core;
 
-import java.util.Collection;
-
 /** A sentence on what an unfinished job waits for, out of what the holder knows; null if there is nothing to say. */
 final class Notes {
     private final Scheduler scheduler;
@@ -20,7 +18,7 @@
         }
         int waiting = job.waiting();
         if (waiting == 0) {
-            return fetching(job.live.values(), job);
+            return fetching(job);
         }
         JobSpec s = job.spec;
         String tasks = waiting == 1 ? "1 task waits" : waiting + " tasks wait";
@@ -46,8 +44,8 @@
         return note;
     }
 
-    private static String fetching(Collection<Attempt> live, Job job) {
-        long n = live.stream().filter(a -> a.state == Report.State.FETCHING).count();
+    private static String fetching(Job job) {
+        long n = job.live.values().stream().filter(a -> a.state == Report.State.FETCHING).count();
         return n == 0 ? null : (n == 1 ? "1 task fetches" : n + " tasks fetch") + " the image " + job.spec.image();
     }
 
--- a/src/main/java/io/kitepath/core/Questions.java
+++ b/src/main/java/io/kitepath/core/Questions.java
@@ -9,8 +9,6 @@
 import io.kitepath.core.Store.Outcome;
 import io.kitepath.core.Store.Transaction;
 import java.util.ArrayList;
-import java.util.Base64;
-import java.util.BitSet;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -190,16 +188,7 @@
                 tell(batch, id, Answer.LATER);
                 return;
             }
-            int done = 0;
-            int placed = 0;
-            for (Entry p : parts.entries()) {
-                Tree t = Tree.of(p.value());
-                done += BitSet.valueOf(Base64.getDecoder().decode(t.text("done"))).cardinality();
-                for (Object on : ((Map<?, ?>) t.raw("live")).values()) {
-                    placed += ((List<?>) on).size() / 2;
-                }
-            }
-            Progress p = new Progress(id, done, placed, null);
+            Progress p = Job.recorded(id, parts.entries().stream().map(Entry::value).toList());
             lately.put(id, p);
             tell(batch, id, new Answer(Verdict.KNOWN, JobState.unfinished(p)));
         });
--- a/src/main/java/io/kitepath/core/Scheduler.java
+++ b/src/main/java/io/kitepath/core/Scheduler.java
@@ -819,7 +819,6 @@
         LOG.debug("placed {}/{}#{} on {}", job.spec.id(), task, number, m.id);
     }
 
-
     // ---- what was written -----------------------------------------------------------------------
 
     /** Has the part written if it differs from its record. */
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -130,14 +130,15 @@
         long number = ++asked;
         asks.put(number, answer);
         send(ch, new Messages.Ask(number, report, passOn));
-        loop.schedule(() -> settle(number, new CheckIn(0, List.of(), null)), RELAY_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> settle(asks, number, new CheckIn(0, List.of(), null)), RELAY_MS, TimeUnit.MILLISECONDS);
         return true;
     }
 
-    private void settle(long number, CheckIn checkIn) {
-        Consumer<CheckIn> answer = asks.remove(number);
+    /** Answers what waits under that number, unless it has been answered or given up already. */
+    private static <T> void settle(Map<Long, Consumer<T>> asked, long number, T with) {
+        Consumer<T> answer = asked.remove(number);
         if (answer != null) {
-            answer.accept(checkIn);
+            answer.accept(with);
         }
     }
 
@@ -151,14 +152,7 @@
         long number = ++asked;
         progressAsks.put(number, answer);
         send(ch, new Messages.AskProgress(number, jobs));
-        loop.schedule(() -> settleProgress(number, List.of()), PROGRESS_MS, TimeUnit.MILLISECONDS);
-    }
-
-    private void settleProgress(long number, List<Progress> progress) {
-        Consumer<List<Progress>> answer = progressAsks.remove(number);
-        if (answer != null) {
-            answer.accept(progress);
-        }
+        loop.schedule(() -> settle(progressAsks, number, List.of()), PROGRESS_MS, TimeUnit.MILLISECONDS);
     }
 
     private final class Connection extends SimpleChannelInboundHandler<ByteBuf> {
@@ -184,11 +178,11 @@
                 controller.answerFor(a.report(), a.passOn(),
                         c -> send(ctx.channel(), new Messages.Answer(a.number(), c)));
             } else if (message instanceof Messages.Answer a) {
-                settle(a.number(), a.checkIn());
+                settle(asks, a.number(), a.checkIn());
             } else if (message instanceof Messages.AskProgress a) {
                 send(ctx.channel(), new Messages.AnswerProgress(a.number(), controller.progress(a.jobs())));
             } else if (message instanceof Messages.AnswerProgress a) {
-                settleProgress(a.number(), a.progress());
+                settle(progressAsks, a.number(), a.progress());
             }
         }
 
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -34,6 +34,10 @@
         return w.leader();
     }
 
+    private World.NodeInWorld notThe(World.NodeInWorld leader) {
+        return w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+    }
+
     @Test
     void anArrayRunsAndIsDoneOnEveryNode() {
         settled(3, 2);
@@ -474,7 +478,7 @@
     void aWorkerCutOffFromTheLeaderIsAnsweredThroughASibling() {
         settled(2, 1);
         World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        World.NodeInWorld other = notThe(leader);
         Report r = new Report("i-000077", "", "m4", "a", false, 1, 1, 0, null, List.of());
         Controller.CheckIn[] got = new Controller.CheckIn[2];
         other.controller.checkIn(r, c -> got[0] = c);
@@ -488,7 +492,7 @@
     void aWorkerThatLostTheLeaderIsRelayedAtOnce() {
         settled(2, 1);
         World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        World.NodeInWorld other = notThe(leader);
         long token = leader.controller.scheduler.token;
         Controller.CheckIn[] got = new Controller.CheckIn[1];
         other.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of()),
@@ -502,7 +506,7 @@
         w.siblings.addAll(List.of("k0", "k1", "k2"));
         settled(3, 1);
         World.NodeInWorld leader = w.leader();
-        World.NodeInWorld cut = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        World.NodeInWorld cut = notThe(leader);
         long token = leader.controller.scheduler.token;
         cut.cutFrom.add(leader.name);
         w.run(4);
@@ -517,7 +521,7 @@
     void aCheckInThatWaitsForALeaderThatFellSilentGoesToTheNextOne() {
         settled(2, 1);
         World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        World.NodeInWorld other = notThe(leader);
         w.submit(leader, job("j-1", Shape.ARRAY, 1, 1));
         w.run(2);
         long token = leader.controller.scheduler.token;
@@ -590,7 +594,7 @@
     @Test
     void manyQuestionsCostTheStateServiceFewRequests() {
         settled(3, 4);
-        World.NodeInWorld asked = w.nodes.values().stream().filter(n -> n != w.leader()).findFirst().orElseThrow();
+        World.NodeInWorld asked = notThe(w.leader());
         for (int i = 0; i < 300; i++) {
             w.submit(asked, job("j-" + i, Shape.ARRAY, 1, 1));
         }
@@ -611,7 +615,7 @@
     void progressIsToldFromTheHoldersMemoryAndFromTheRecordsWhenItIsSilent() {
         settled(2, 2);
         World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        World.NodeInWorld other = notThe(leader);
         w.submit(leader, job("j-1", Shape.ARRAY, 5, 1));
         w.run(5);
         Registry.JobState seen = w.ask(other, "j-1").state();
@@ -738,7 +742,7 @@
     void anUnfinishedJobSaysWhatItWaitsFor() {
         settled(2, 1);
         World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
+        World.NodeInWorld other = notThe(leader);
         w.submit(other, job("j-1", Shape.ARRAY, 6, 1));
         w.run(5);
         assertEquals("2 tasks wait for room of 1.0 CPUs each", w.ask(other, "j-1").state().note());
