--- a/src/main/java/io/kitepath/cli/CommandLineEntry.java
+++ b/src/main/java/io/kitepath/cli/CommandLineEntry.java
@@ -1,6 +1,6 @@
 package io.kitepath.cli;
 
-import io.kitepath.core.Malformed;
+import io.kitepath.core.model.Malformed;
 import io.kitepath.settings.Settings;
 import io.kitepath.wire.Pack;
 import java.net.URI;
--- a/src/main/java/io/kitepath/cli/Node.java
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -2,7 +2,7 @@
 
 import io.kitepath.cloud.HttpCloud;
 import io.kitepath.core.Controller;
-import io.kitepath.core.Facts;
+import io.kitepath.core.model.Facts;
 import io.kitepath.net.HttpClient;
 import io.kitepath.net.HttpServer;
 import io.kitepath.net.HttpServer.Request;
--- a/src/main/java/io/kitepath/cloud/HttpCloud.java
+++ b/src/main/java/io/kitepath/cloud/HttpCloud.java
@@ -1,9 +1,10 @@
 package io.kitepath.cloud;
 
-import io.kitepath.core.Cloud;
-import io.kitepath.core.MachineType;
-import io.kitepath.core.Malformed;
-import io.kitepath.core.Store.Outcome;
+import io.kitepath.core.port.Cloud;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.port.Store.Outcome;
 import io.kitepath.net.HttpClient;
 import io.kitepath.wire.Pack;
 import io.kitepath.wire.Wire;
@@ -50,9 +51,8 @@
     }
 
     @Override
-    public void rent(String name, String type, String zone, boolean spot, int count,
-            BiConsumer<Outcome, List<String>> answer) {
-        http.call("POST", "/rentals", Wire.rental(name, type, zone, spot, count), timeoutMs, (status, body) -> {
+    public void rent(String name, MachineKind kind, int count, BiConsumer<Outcome, List<String>> answer) {
+        http.call("POST", "/rentals", Wire.rental(name, kind, count), timeoutMs, (status, body) -> {
             if (status == 200) {
                 List<String> names = read(body, Wire::machineNames);
                 answer.accept(names != null ? Outcome.OK : Outcome.UNKNOWN, names == null ? List.of() : names);
@@ -65,7 +65,7 @@
     }
 
     private static boolean outage(byte[] body) {
-        String why = read(body, b -> io.kitepath.core.Tree.of(b).textOr("error", ""));
+        String why = read(body, b -> io.kitepath.core.model.Tree.of(b).textOr("error", ""));
         return why == null || !why.equals("no capacity");
     }
 
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Figures.java
@@ -0,0 +1,113 @@
+package io.kitepath.core;
+
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.CheckIns;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.block.Machine;
+import io.kitepath.core.lead.Leadership;
+import io.kitepath.core.lead.Views;
+import io.kitepath.core.model.Figure;
+import io.kitepath.core.place.Placer;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.serve.CheckInDesk;
+import io.kitepath.core.state.Keeper;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
+
+/** What a node counts, for operators. */
+final class Figures {
+    private final Timers timers;
+    private final Block block;
+    private final CheckIns checkIns;
+    private final Placer placer;
+    private final Leadership leadership;
+    private final Keeper keeper;
+    private final Views views;
+    private final CheckInDesk desk;
+
+    Figures(Timers timers, Block block, CheckIns checkIns, Placer placer, Leadership leadership, Keeper keeper,
+            Views views, CheckInDesk desk) {
+        this.timers = timers;
+        this.block = block;
+        this.checkIns = checkIns;
+        this.placer = placer;
+        this.leadership = leadership;
+        this.keeper = keeper;
+        this.views = views;
+        this.desk = desk;
+    }
+
+    Map<String, Figure> all(DoubleSupplier roundS, DoubleSupplier directCommands) {
+        Map<String, Figure> f = new LinkedHashMap<>();
+        f.put("leading", Figure.now("1 while this node leads", () -> leadership.leading() ? 1 : 0));
+        f.put("token", Figure.now("highest token known", leadership::highest));
+        f.put("store.unserved", Figure.now("seconds since the state service answered", leadership::unservedS));
+        f.put("jobs", Figure.now("jobs in the holder's memory", () -> block.jobs().size()));
+        f.put("tasks.waiting", Figure.now("tasks without a machine",
+                () -> block.jobs().values().stream().mapToInt(Job::waiting).sum()));
+        f.put("attempts", Figure.now("attempts not proven over",
+                () -> block.jobs().values().stream().mapToInt(j -> j.live().size()).sum()));
+        f.put("machines", Figure.now("machines known", () -> block.machines().size()));
+        f.put("machines.starting", Figure.now("machines rented that have not reported yet",
+                () -> machines(m -> !m.reported())));
+        f.put("machines.late", Figure.now("of those, later than boots take these days",
+                () -> machines(m -> block.boots().late(m, timers.now()))));
+        f.put("jobs.mistaken", Figure.now("jobs that fail on every machine", () -> block.jobs().values().stream()
+                .filter(j -> block.failures().mistaken(j, timers.now())).count()));
+        f.put("siblings.silent", Figure.now("siblings from which nothing is heard", views::silentOnes));
+        f.put("machines.set.aside", Figure.now("machines set aside for failing", () -> machines(Machine::setAside)));
+        f.put("checkins", Figure.total("check-ins received", desk::received));
+        f.put("checkins.relayed", Figure.total("check-ins relayed to the leader", desk::relayed));
+        f.put("attempts.ended", Figure.total("attempts proven over", block::ends));
+        f.put("attempts.lost", Figure.total("attempts lost with machine or session", block::lost));
+        f.put("attempts.evicted", Figure.total("attempts stopped for work of more right",
+                () -> placer.givingWay().evictions()));
+        f.put("direct.commands", Figure.total("machines told directly to stop tasks", directCommands));
+        f.put("probes", Figure.total("machines probed", () -> placer.placement().probes()));
+        f.put("probes.passed", Figure.total("probes that passed", () -> placer.placement().passed()));
+        f.put("scans", Figure.total("scans of the block", () -> placer.placement().scans()));
+        f.put("attempts.launched", Figure.total("launch orders given", checkIns::launches));
+        f.put("attempts.launch.delay", Figure.total("seconds from placings to their launch orders, added up",
+                checkIns::launchDelayS));
+        f.put("rounds.time", Figure.total("seconds spent in placing and writing down", roundS));
+        f.put("store.records", Figure.total("records written by the holder", keeper::written));
+        f.put("store.rounds", Figure.total("transactions written by the holder", keeper::rounds));
+        return f;
+    }
+
+    private long machines(Predicate<Machine> which) {
+        return block.machines().values().stream().filter(which).count();
+    }
+
+    /** One line for the log that sums up the block. */
+    static String summary(Block block, CheckIns checkIns) {
+        Map<String, int[]> classes = new TreeMap<>();
+        for (Job j : block.jobs().values()) {
+            int[] c = classes.computeIfAbsent(j.spec.jobClass(), k -> new int[3]);
+            c[0]++;
+            c[1] += j.waiting();
+            c[2] += j.live().size();
+        }
+        StringBuilder b = new StringBuilder("block:");
+        classes.forEach((k, c) -> b.append(' ').append(k).append(" jobs=").append(c[0]).append(" waiting=")
+                .append(c[1]).append(" placed=").append(c[2]).append(';'));
+        int[] n = new int[6];
+        double used = 0;
+        for (Machine m : block.machines().values()) {
+            n[m.spot() ? 1 : 0]++;
+            n[2] += m.proven() ? 0 : 1;
+            n[3] += m.setAside() ? 1 : 0;
+            n[4] += m.busy() ? 0 : 1;
+            n[5] += m.reservedFor() != null ? 1 : 0;
+            used += m.usedCpus();
+        }
+        return b.append(" machines ordinary=").append(n[0]).append(" spot=").append(n[1]).append(" unproven=")
+                .append(n[2]).append(" aside=").append(n[3]).append(" idle=").append(n[4]).append(" reserved=")
+                .append(n[5]).append(" cpus=").append(Math.round(used)).append(" launched=")
+                .append(checkIns.launches()).append(" after=")
+                .append(String.format("%.2f", checkIns.launchDelayS() / Math.max(1, checkIns.launches()))).toString();
+    }
+}
--- a/src/main/java/io/kitepath/core/Attempt.java
+++ b/src/main/java/io/kitepath/core/block/Attempt.java
@@ -1,15 +1,19 @@
-package io.kitepath.core;
+package io.kitepath.core.block;
+
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Report;
 
 /**
  * One placing of one task on one machine. It stays unproven, and counts against every limit, until something
  * proves that it is over; the mere passing of time never does.
  */
-final class Attempt {
-    final Job job;
-    final int task;
-    final long number;
-    final Machine machine;
-    final double placedAt;
+public final class Attempt {
+    public final Job job;
+    public final int task;
+    public final long number;
+    public final Machine machine;
+    /** Seconds on the steady clock. */
+    public final double placedAt;
     /** The job's version when this was placed; a write that covers that version makes it durable. */
     final int placedVersion;
     boolean durable;
@@ -37,17 +41,33 @@
         this.placedVersion = version;
     }
 
-    boolean stopping() {
+    /** Whether the store has it. Only then it may be launched. */
+    public boolean durable() {
+        return durable;
+    }
+
+    /** Whether a report of the current holder's time has shown it. */
+    public boolean seen() {
+        return seen;
+    }
+
+    /** Null until a report has shown it. */
+    public Report.State state() {
+        return state;
+    }
+
+    /** Whether it was wanted stopped, so that its end is under way. */
+    public boolean stopping() {
         return !Double.isNaN(stopGraceS);
     }
 
     /** It has to go, or goes already. */
-    boolean unwanted() {
+    public boolean unwanted() {
         return job.over || stopping();
     }
 
     /** How long it will probably still run, by its owner's estimate. */
-    double remainingS(double now) {
+    public double remainingS(double now) {
         double estimate = job.spec.estimateS();
         if (job.spec.shape() == JobSpec.Shape.SERVICE) {
             return Double.MAX_VALUE;
@@ -60,7 +80,7 @@
     }
 
     /** The work that is lost if it is stopped now: what it did since it began or saved last. */
-    double unsavedS(double now) {
+    public double unsavedS(double now) {
         double every = job.spec.checkpointS();
         return every > 0 ? Math.min(ranS(now), every) : ranS(now);
     }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -0,0 +1,501 @@
+package io.kitepath.core.block;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.model.Report.Cause;
+import io.kitepath.core.model.Report.State;
+import io.kitepath.core.port.Cloud;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What the holder of the block knows: its jobs, its machines, which attempts are not proven over, and what of all that
+ * the store has not been told. It decides nothing about where work goes; it keeps count of what was decided, so that
+ * whatever is unproven counts against every limit.
+ */
+public final class Block {
+    private static final Logger LOG = LoggerFactory.getLogger(Block.class);
+    private static final int TOMBSTONES = 5000;
+
+    private final Facts facts;
+    private final Map<String, MachineType> types = new LinkedHashMap<>();
+    private final Map<String, MachineType> typesView = Collections.unmodifiableMap(types);
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Map<String, Job> jobsView = Collections.unmodifiableMap(jobs);
+    private final TreeMap<String, Machine> machines = new TreeMap<>();
+    private final Map<String, Machine> machinesView = Collections.unmodifiableMap(machines);
+    private final Failures failures;
+    private final Boots boots;
+    private final Notes notes = new Notes(this);
+    /** Is told of every machine that becomes known. */
+    private final Consumer<Machine> newcomers;
+    private final TeamUse teamUse;
+    /** Names of machines that are gone for certain; lists may show them a while longer. */
+    private final Set<String> tombstones = Collections.newSetFromMap(new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > TOMBSTONES;
+        }
+    });
+    private final Lately lately = new Lately();
+    private final Unwritten unwritten = new Unwritten();
+    private long token;
+    private long ends;
+    private long lost;
+    private boolean changed;
+    private boolean backlog;
+
+    /** {@code newcomers} is told of every machine that becomes known. */
+    public Block(Facts facts, Consumer<Machine> newcomers) {
+        this.facts = facts;
+        this.teamUse = new TeamUse(facts);
+        this.newcomers = newcomers;
+        this.failures = new Failures(facts, machines);
+        this.boots = new Boots(types);
+    }
+
+    public Facts facts() {
+        return facts;
+    }
+
+    /** The machine types by name, empty until they are known. */
+    public Map<String, MachineType> types() {
+        return typesView;
+    }
+
+    public void learn(Collection<MachineType> all) {
+        types.clear();
+        all.forEach(t -> types.put(t.name(), t));
+    }
+
+    /** By id: jobs that are open, or over with something of them left. */
+    public Map<String, Job> jobs() {
+        return jobsView;
+    }
+
+    public Map<String, Machine> machines() {
+        return machinesView;
+    }
+
+    public Failures failures() {
+        return failures;
+    }
+
+    public Boots boots() {
+        return boots;
+    }
+
+    public TeamUse teamUse() {
+        return teamUse;
+    }
+
+    public Lately lately() {
+        return lately;
+    }
+
+    public Unwritten unwritten() {
+        return unwritten;
+    }
+
+    public long token() {
+        return token;
+    }
+
+    /** Attempts proven over, and of those the ones that were lost with their machine or its session. */
+    public long ends() {
+        return ends;
+    }
+
+    public long lost() {
+        return lost;
+    }
+
+    /** Whether something changed that may let work be placed. */
+    public boolean changed() {
+        return changed;
+    }
+
+    public void change() {
+        changed = true;
+    }
+
+    /** Whether work waited after the last placing. */
+    public boolean backlog() {
+        return backlog;
+    }
+
+    /** A round of placing begins: what changed until now is looked at. */
+    public void beginRound(double now) {
+        changed = false;
+        backlog = false;
+        machines.values().forEach(m -> m.reconsider(now));
+    }
+
+    /** Work waits in this round. */
+    public void waits() {
+        backlog = true;
+    }
+
+    // ---- holding ------------------------------------------------------------------------------
+
+    /** From now on this token is ours; every machine has to report with it before it gets work. */
+    public void hold(long newToken) {
+        token = newToken;
+        machines.values().forEach(m -> m.proven = false);
+    }
+
+    /** Held by somebody else: what this node knew may be wrong from now on. */
+    public void yield() {
+        forgetJobs();
+        machines.clear();
+    }
+
+    // ---- jobs -----------------------------------------------------------------------------------
+
+    public void forgetJobs() {
+        jobs.clear();
+        teamUse.clear();
+        unwritten.clear();
+        for (Machine m : machines.values()) {
+            m.forgetAttempts();
+        }
+    }
+
+    public void addJob(Job job) {
+        jobs.put(job.spec.id(), job);
+        LOG.debug("job {} of {}: {} tasks of {} CPUs, image {}", job.spec.id(), job.spec.jobClass(), job.spec.tasks(),
+                job.spec.cpus(), job.spec.image());
+        changed = true;
+        lately.came(job);
+    }
+
+    /** A job that is over and has records of its tasks left: something of it may still be on machines. */
+    public void addOver(Job job) {
+        job.over = true;
+        addJob(job);
+    }
+
+    /**
+     * Takes over what a part's record says is done and what is, or may be, on machines.
+     *
+     * @throws io.kitepath.core.model.Malformed if the record is not one of a part
+     */
+    public void adopt(Job job, int part, Object record, long revision, double now) {
+        for (Map.Entry<?, ?> e : job.readPart(part, record, revision).entrySet()) {
+            Machine m = machine((String) e.getKey(), now);
+            List<?> l = (List<?>) e.getValue();
+            for (int i = 0; i + 1 < l.size(); i += 2) {
+                Attempt a = new Attempt(job, ((Number) l.get(i)).intValue(), ((Number) l.get(i + 1)).longValue(), m,
+                        now, 0);
+                a.durable = true;
+                a.launched = true;
+                attach(a);
+                job.nextAttempt = Math.max(job.nextAttempt, a.number + 1);
+            }
+        }
+        if (job.over) {
+            unwritten.queue(job.touchPart(part));
+        }
+    }
+
+    /** The job is done or cancelled in the store; whatever of it is still on machines has to go. */
+    public void jobOver(String id) {
+        Job job = jobs.get(id);
+        if (job == null || job.over) {
+            return;
+        }
+        job.over = true;
+        changed = true;
+        for (Attempt a : new ArrayList<>(job.live.values())) {
+            if (!a.durable) {
+                withdraw(a);
+            }
+        }
+        job.touchAll();
+        for (Job.Part p : job.allParts()) {
+            if (p.revision() > 0) {
+                unwritten.changed(p); // To be removed, or kept for as long as something is on machines.
+            }
+        }
+        LOG.info("job {} over, {} attempts to end", id, job.live.size());
+    }
+
+    /** How far those of the jobs are that are known here. */
+    public List<Progress> progress(List<String> ids, double now) {
+        List<Progress> out = new ArrayList<>();
+        for (String id : ids) {
+            Job job = jobs.get(id);
+            if (job != null) {
+                out.add(job.progress(now, facts.workers().reportS(), notes));
+            }
+        }
+        return out;
+    }
+
+    // ---- attempts -------------------------------------------------------------------------------
+
+    void attach(Attempt a) {
+        a.job.live.put(a.task, a);
+        a.machine.add(a);
+        teamUse.count(a.job.spec, 1);
+        a.job.stopping += a.stopping() ? 1 : 0;
+    }
+
+    /**
+     * Takes back a placing that is not known to be written, so was never launched. Its write may be under way all
+     * the same, hence the part counts as changed.
+     */
+    private void withdraw(Attempt a) {
+        teamUse.count(a.job.spec, -1);
+        a.job.live.remove(a.task, a);
+        unwritten.changed(a.job.touch(a.task));
+        a.job.stopping -= a.stopping() ? 1 : 0;
+        a.machine.remove(a);
+        changed = true;
+    }
+
+    /** The attempt is proven over. It stays on the machine's list until that is written, and is cleared after. */
+    void end(Attempt a, Cause cause, double now) {
+        if (a.ended) {
+            return;
+        }
+        Job job = a.job;
+        teamUse.count(job.spec, -1);
+        a.ended = true;
+        a.state = State.ENDED;
+        job.live.remove(a.task, a);
+        job.stopping -= a.stopping() ? 1 : 0;
+        ends++;
+        changed = true;
+        Machine m = a.machine;
+        m.remove(a);
+        if (a.durable) {
+            m.unwritten.add(a);
+            job.unwritten.add(a);
+        }
+        if (!m.busy()) {
+            m.idleSince = now;
+        }
+        if (!job.over) {
+            judge(a, cause, now);
+        }
+        unwritten.changed(job.touch(a.task));
+        a.endedVersion = job.version();
+    }
+
+    private void judge(Attempt a, Cause cause, double now) {
+        Job job = a.job;
+        Machine m = a.machine;
+        switch (cause == null ? Cause.STOPPED : cause) {
+            case DONE -> {
+                failures.succeeded(a);
+                if (job.spec.shape() == JobSpec.Shape.SERVICE) {
+                    break;
+                }
+                if (job.spec.gang()) {
+                    // The tasks of a gang complete together.
+                    job.done.set(0, job.spec.tasks());
+                    job.touchAll();
+                    job.allParts().forEach(unwritten::changed);
+                } else {
+                    job.done.set(a.task);
+                }
+            }
+            case ERROR -> failures.failed(a, now);
+            case NO_ROOM, BUSY, UNKNOWN -> {
+                LOG.info("attempt {} refused: {}", a, cause);
+                job.notBefore = Math.max(job.notBefore, now + facts.workers().reportS());
+            }
+            default -> LOG.debug("attempt {} ended: {}", a, cause);
+        }
+        if (job.spec.gang() && cause != Cause.DONE) {
+            if (cause == Cause.ALONE) {
+                hasImage(a);
+            }
+            if (cause == Cause.ALONE && fetching(job) && (m.reservedFor == null || m.kept)) {
+                m.reserve(job, now + 3 * fetchS(job.spec) + facts.workers().gangWaitS());
+            }
+            restartOnceFetched(job);
+        }
+    }
+
+    /**
+     * One task of a gang is gone: the rest can't finish, and all restart together once they are proven over. Guards
+     * against a gang that never starts because its image takes longer than its tasks wait for each other: those that
+     * have it give up, and if the others were stopped then, what they had fetched was lost, and it began anew. So
+     * they fetch on, the room of those that gave up is held, and all restart where the image is.
+     */
+    public void restartOnceFetched(Job job) {
+        if (!job.live.isEmpty() && job.live.size() < job.spec.tasks() && !fetching(job)) {
+            for (Attempt other : new ArrayList<>(job.live.values())) {
+                stop(other, 0);
+            }
+        }
+    }
+
+    private static boolean fetching(Job job) {
+        return job.live.values().stream().anyMatch(a -> a.seen && !a.unwanted() && a.state == State.FETCHING);
+    }
+
+    private double fetchS(JobSpec s) {
+        double rate = types.values().stream().mapToDouble(MachineType::fetchGbPerS).filter(r -> r > 0).min().orElse(1);
+        return s.imageGb() / rate;
+    }
+
+    public void stop(Attempt a, double graceS) {
+        if (a.ended) {
+            return;
+        }
+        if (!a.durable) {
+            withdraw(a);
+            return;
+        }
+        if (!a.stopping()) {
+            a.job.stopping++;
+            a.stopGraceS = graceS;
+        }
+        a.stopGraceS = Math.min(a.stopGraceS, graceS);
+    }
+
+    /** A decision: this waiting task goes to that machine, once that is written. See {@link #placedTogether}. */
+    public void place(Job job, int task, Machine m, double now) {
+        Job.Part part = job.placing(task);
+        unwritten.placed(part);
+        attach(new Attempt(job, task, job.nextAttempt, m, now, job.version()));
+        LOG.debug("placed {}/{}#{} on {}", job.spec.id(), task, job.nextAttempt, m.id);
+    }
+
+    /** What was placed of the job since the last call shares an attempt number; the next ones get another. */
+    public void placedTogether(Job job) {
+        job.nextAttempt++;
+    }
+
+    /** A worker has an attempt that nothing placed there: it counts until it is proven over, and is stopped. */
+    void strayed(Job job, int task, long number, State state, Machine m, double now) {
+        LOG.error("machine {} has {}/{} which was not placed there", m.id, job.spec.id(), task);
+        unwritten.changed(job.touch(task));
+        Attempt a = new Attempt(job, task, number, m, now, job.version());
+        a.durable = true;
+        a.launched = true;
+        a.seen = true;
+        a.state = state;
+        a.stopGraceS = 0;
+        job.nextAttempt = Math.max(job.nextAttempt, number + 1);
+        attach(a);
+    }
+
+    // ---- machines -------------------------------------------------------------------------------
+
+    Machine machine(String id, double now) {
+        return machines.computeIfAbsent(id, k -> {
+            Machine m = new Machine(k, now);
+            newcomers.accept(m);
+            return m;
+        });
+    }
+
+    /** The machine and all on it are gone for certain: released, taken, or unknown to the cloud. */
+    public void machineGone(String id, double now) {
+        tombstones.add(id);
+        Machine m = machines.remove(id);
+        if (m == null) {
+            return;
+        }
+        m.gone = true;
+        for (Attempt a : new ArrayList<>(m.attempts)) {
+            lose(a, now);
+        }
+        changed = true;
+        LOG.info("machine {} gone", id);
+    }
+
+    /** The attempt went with its machine or its worker's session. */
+    void lose(Attempt a, double now) {
+        lost++;
+        end(a, Cause.STOPPED, now);
+    }
+
+    /** What the cloud says exists. A list can be old, so it never proves a machine gone. */
+    public void listed(Collection<Cloud.Listed> list, double now) {
+        for (Cloud.Listed l : list) {
+            if (buried(l.machine())) {
+                continue;
+            }
+            boolean fresh = !machines.containsKey(l.machine());
+            Machine m = machine(l.machine(), now);
+            if (fresh) {
+                m.knownSince = now - l.heldS();
+            }
+            m.type = l.type();
+            m.zone = l.zone();
+            m.spot = l.spot();
+            if (l.status().equals("failed")) {
+                m.releasing = true;
+            }
+        }
+    }
+
+    /** The cloud has rented this machine to us just now. */
+    public void rented(String id, MachineKind kind, double now) {
+        if (buried(id)) {
+            return;
+        }
+        Machine m = machine(id, now);
+        m.rentedHere = !m.reported();
+        m.type = kind.type();
+        m.zone = kind.zone();
+        m.spot = kind.spot();
+    }
+
+    /** Whether the machine is gone for certain, whoever still speaks of it. */
+    boolean buried(String machine) {
+        return tombstones.contains(machine);
+    }
+
+    void hasImage(Attempt a) {
+        MachineType type = types.get(a.machine.type);
+        a.machine.ran(a.job.spec.image(), a.job.spec.imageGb(), type == null ? 0 : type.cacheGb());
+    }
+
+    // ---- what was written -----------------------------------------------------------------------
+
+    /** Everything about this part up to {@code version} is in the store now. */
+    public void recorded(Job.Part part, int version, long revision) {
+        Job job = part.job;
+        part.recorded(version, revision);
+        unwritten.queue(part);
+        for (Attempt a : job.liveIn(part.index)) {
+            if (a.placedVersion <= version) {
+                a.durable = true;
+            }
+        }
+        job.unwritten.removeIf(a -> {
+            boolean now = job.partOf(a.task) == part.index && a.endedVersion <= version;
+            if (now) {
+                a.machine.unwritten.remove(a);
+            }
+            return now;
+        });
+    }
+
+    /** A job that is over, with nothing of it left anywhere. */
+    public void dropJob(Job job) {
+        jobs.remove(job.spec.id());
+        if (job.successes == 0) {
+            failures.acquit(job);
+        }
+        job.unwritten.forEach(a -> a.machine.unwritten.remove(a));
+    }
+}
--- a/src/main/java/io/kitepath/core/Boots.java
+++ b/src/main/java/io/kitepath/core/block/Boots.java
@@ -1,5 +1,7 @@
-package io.kitepath.core;
+package io.kitepath.core.block;
 
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -12,7 +14,7 @@
  * against work that waits for minutes for machines that come late or never, which counted as room on its way; and, the
  * other way round, against renting everything twice when all machines come late after all.
  */
-final class Boots {
+public final class Boots {
     private static final Logger LOG = LoggerFactory.getLogger(Boots.class);
     /** Of a kind's last boots, how many count. */
     private static final int LAST = 8;
@@ -20,7 +22,7 @@
     private static final double SPREAD = 1.5;
 
     private final Map<String, MachineType> types;
-    private final Map<Fleet.Kind, Deque<Double>> lately = new HashMap<>();
+    private final Map<MachineKind, Deque<Double>> lately = new HashMap<>();
     /** The same by type alone, for kinds of which too few have come. */
     private final Map<String, Deque<Double>> ofType = new HashMap<>();
 
@@ -31,7 +33,7 @@
     /** The machine's first report has come. */
     void took(Machine m, double now) {
         double seconds = now - m.knownSince;
-        add(lately.computeIfAbsent(new Fleet.Kind(m.type, m.zone, m.spot), k -> new ArrayDeque<>()), seconds);
+        add(lately.computeIfAbsent(m.kind(), k -> new ArrayDeque<>()), seconds);
         add(ofType.computeIfAbsent(m.type, k -> new ArrayDeque<>()), seconds);
         MachineType t = types.get(m.type);
         if (t != null && seconds > SPREAD * t.bootS()) {
@@ -47,7 +49,7 @@
     }
 
     /** The median of the last boots, at least the nominal time: a machine up at once promises nothing for the next. */
-    double expectedS(Fleet.Kind kind) {
+    public double expectedS(MachineKind kind) {
         MachineType t = types.get(kind.type());
         double nominal = t == null ? 0 : t.bootS();
         Deque<Double> of = lately.get(kind);
@@ -61,16 +63,16 @@
     }
 
     /** Longer under way than boots take these days: no room to count on. */
-    boolean late(Machine m, double now) {
+    public boolean late(Machine m, double now) {
         return overdue(m, now, SPREAD);
     }
 
     /** So long under way that it is not worth its price any more; some take several times as long as others. */
-    boolean hopeless(Machine m, double now) {
+    public boolean hopeless(Machine m, double now) {
         return overdue(m, now, 4);
     }
 
     private boolean overdue(Machine m, double now, double times) {
-        return !m.reported() && now - m.knownSince > times * expectedS(new Fleet.Kind(m.type, m.zone, m.spot));
+        return !m.reported() && now - m.knownSince > times * expectedS(m.kind());
     }
 }
--- a/src/main/java/io/kitepath/core/Failures.java
+++ b/src/main/java/io/kitepath/core/block/Failures.java
@@ -1,5 +1,7 @@
-package io.kitepath.core;
+package io.kitepath.core.block;
 
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.Report;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -10,10 +12,12 @@
  * mistaken job may cost little: one task, or one gang, is tried at a time and ever more rarely, in room that is free
  * anyway. A job that succeeded once, or runs on longer than it took to fail, is none.
  */
-final class Failures {
+public final class Failures {
     private static final Logger LOG = LoggerFactory.getLogger(Failures.class);
     /** Machines on which a job has to fail before it is held to be at fault itself. */
     private static final int MACHINES = 3;
+    /** After that many failed starts since its last success a machine is set aside. */
+    private static final int BLAME = 2;
 
     private final Facts facts;
     private final Map<String, Machine> machines;
@@ -81,7 +85,7 @@
      * Failed on several machines, never succeeded, and nothing of it has run for much longer than it took to fail: a
      * good job that met several faulty machines is not held back.
      */
-    boolean mistaken(Job job, double now) {
+    public boolean mistaken(Job job, double now) {
         if (job.successes > 0 || job.failedOn.size() < MACHINES) {
             return false;
         }
@@ -99,7 +103,7 @@
         for (Map.Entry<Job, Integer> e : m.failed.entrySet()) {
             blame += e.getKey().successes > 0 ? e.getValue() : 1;
         }
-        boolean bad = blame >= Placement.THRESHOLD;
+        boolean bad = blame >= BLAME;
         if (bad && !m.setAside) {
             LOG.info("machine {} set aside: starts fail on it", m.id);
         }
--- a/src/main/java/io/kitepath/core/Job.java
+++ b/src/main/java/io/kitepath/core/block/Job.java
@@ -1,9 +1,14 @@
-package io.kitepath.core;
+package io.kitepath.core.block;
 
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.model.Tree;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.BitSet;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,45 +16,78 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.TreeMap;
 
 /** A job in the holder's memory: its tasks' progress, and what of that the store knows already. */
-final class Job {
+public final class Job {
     /** A slice of the job's tasks, which is one record in the store; revision 0: not written yet. */
-    static final class Part {
-        final Job job;
-        final int index;
-        long revision;
-        int changed;
+    public static final class Part {
+        public final Job job;
+        public final int index;
+        private long revision;
+        private int changed;
         /** The version of the last placing in it. */
-        int placed;
-        int written;
+        private int placed;
+        private int written;
 
         Part(Job job, int index) {
             this.job = job;
             this.index = index;
         }
+
+        /** The revision of its record, 0 if there is none. */
+        public long revision() {
+            return revision;
+        }
+
+        /** Whether it differs from its record. */
+        public boolean due() {
+            return changed > written;
+        }
+
+        /** Whether a placing in it is not in its record, which nothing may start before. */
+        boolean placingDue() {
+            return placed > written;
+        }
+
+        /** Nothing about it is in the store, and nothing needs to be. */
+        public void needsNoRecord() {
+            written = job.version;
+        }
+
+        void touched() {
+            changed = job.version;
+        }
+
+        /** Its record holds everything up to that version of the job. */
+        void recorded(int version, long atRevision) {
+            revision = atRevision;
+            written = version;
+        }
     }
 
-    final JobSpec spec;
-    final double submittedMs;
+    public final JobSpec spec;
+    /** Milliseconds since 1970, by the clock of the node that accepted it. */
+    public final double submittedMs;
     /** Revision of the job's open record, on which every write about it depends. */
-    final long revision;
-    final Part[] parts;
+    public final long revision;
+    private final Part[] parts;
     private final int partSize;
     final BitSet done = new BitSet();
     final TreeMap<Integer, Attempt> live = new TreeMap<>();
+    private final SortedMap<Integer, Attempt> liveView = Collections.unmodifiableSortedMap(live);
     /** Proven over, but not written yet. */
     final List<Attempt> unwritten = new ArrayList<>();
     /** Attempts that are wanted stopped. */
     int stopping;
     /** When its tasks have to start to meet what is expected of it, the soonest first. */
-    final double[] goalsMs;
+    private final double[] goalsMs;
     long nextAttempt = 1;
-    int version = 1;
+    private int version = 1;
     /** Done or cancelled; kept only until all attempts are proven over. */
     boolean over;
-    boolean guaranteed;
+    private boolean guaranteed;
     double notBefore;
     /** Machines on which this job's tasks failed, and how often in all. */
     final Set<String> failedOn = new HashSet<>();
@@ -61,7 +99,12 @@
     /** The longest that a task of it ran before it failed. */
     double failedWithinS;
 
-    Job(JobSpec spec, double submittedMs, double[] startWithinS, long revision, int partSize) {
+    /**
+     * @param startWithinS within what time after its submission it has to start to meet each of its goals, in seconds
+     * @param revision of its open record
+     * @param partSize tasks in one part
+     */
+    public Job(JobSpec spec, double submittedMs, double[] startWithinS, long revision, int partSize) {
         this.spec = spec;
         this.submittedMs = submittedMs;
         this.goalsMs = Arrays.stream(startWithinS).map(g -> submittedMs + g * 1000).toArray();
@@ -73,18 +116,107 @@
         }
     }
 
+    public boolean over() {
+        return over;
+    }
+
+    /** How many goals there are for its start, the soonest first. */
+    public int goals() {
+        return goalsMs.length;
+    }
+
+    /** By when its tasks have to start to meet that goal, in milliseconds since 1970. */
+    public double goalMs(int goal) {
+        return goalsMs[goal];
+    }
+
+    /** Whether it fits into its team's guarantee together with the team's earlier unfinished jobs. */
+    public boolean guaranteed() {
+        return guaranteed;
+    }
+
+    public void guarantee(boolean within) {
+        guaranteed = within;
+    }
+
+    /** The lower, the sooner served: work within its team's guarantee first, then by priority. */
+    public int rank() {
+        return (guaranteed ? 0 : JobSpec.Priority.values().length) + spec.priority().ordinal();
+    }
+
+    /** Seconds on the steady clock before which nothing of it is placed. */
+    public double notBefore() {
+        return notBefore;
+    }
+
+    /** Its attempts that are not proven over, by task. */
+    public SortedMap<Integer, Attempt> live() {
+        return liveView;
+    }
+
+    /** Whether some of its attempts are wanted stopped. */
+    public boolean stopping() {
+        return stopping > 0;
+    }
+
+    /** Machines on which its tasks failed. */
+    public Set<String> failedOn() {
+        return Collections.unmodifiableSet(failedOn);
+    }
+
+    public int tasksDone() {
+        return done.cardinality();
+    }
+
+    public int version() {
+        return version;
+    }
+
+    public Part part(int index) {
+        return parts[index];
+    }
+
+    /** How many parts it has. */
+    public int parts() {
+        return parts.length;
+    }
+
+    List<Part> allParts() {
+        return List.of(parts);
+    }
+
     int partOf(int task) {
         return task / partSize;
     }
 
     /** The part that the task is in differs from its record now. */
     Part touch(int task) {
+        version++;
         Part p = parts[partOf(task)];
-        p.changed = ++version;
+        p.touched();
+        return p;
+    }
+
+    Part touchPart(int index) {
+        return touch(index * partSize);
+    }
+
+    /** The same for all its parts. */
+    void touchAll() {
+        version++;
+        for (Part p : parts) {
+            p.touched();
+        }
+    }
+
+    /** The part that the task is in has a placing which its record lacks. */
+    Part placing(int task) {
+        Part p = touch(task);
+        p.placed = version;
         return p;
     }
 
-    boolean complete() {
+    public boolean complete() {
         return spec.shape() != JobSpec.Shape.SERVICE && done.cardinality() == spec.tasks();
     }
 
@@ -102,7 +234,7 @@
     }
 
     /** Whether the store still has anything about its tasks. */
-    boolean recorded() {
+    public boolean recorded() {
         for (Part p : parts) {
             if (p.revision > 0) {
                 return true;
@@ -111,12 +243,12 @@
         return false;
     }
 
-    int waiting() {
+    public int waiting() {
         return over || complete() ? 0 : spec.tasks() - done.cardinality() - live.size();
     }
 
     /** The first task from {@code from} on that is neither done nor placed, or -1. */
-    int nextWaiting(int from) {
+    public int nextWaiting(int from) {
         for (int t = done.nextClearBit(from); t < spec.tasks(); t = done.nextClearBit(t + 1)) {
             if (!live.containsKey(t)) {
                 return t;
@@ -125,11 +257,11 @@
         return -1;
     }
 
-    List<Attempt> liveIn(int part) {
+    public List<Attempt> liveIn(int part) {
         return new ArrayList<>(live.subMap(part * partSize, (part + 1) * partSize).values());
     }
 
-    Map<String, Object> partRecord(int part) {
+    public Map<String, Object> partRecord(int part) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("next", nextAttempt);
         int from = part * partSize;
@@ -148,7 +280,7 @@
     }
 
     /** How far the records of a job's parts say that it is: tasks done, and placed, running or not. */
-    static Progress recorded(String id, List<Object> records) {
+    public static Progress recorded(String id, List<Object> records) {
         int done = 0;
         int placed = 0;
         for (Object record : records) {
--- a/src/main/java/io/kitepath/core/Machine.java
+++ b/src/main/java/io/kitepath/core/block/Machine.java
@@ -1,6 +1,10 @@
-package io.kitepath.core;
+package io.kitepath.core.block;
 
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -8,8 +12,8 @@
 import java.util.Map;
 
 /** A rented machine as the holder knows it: from the cloud's list, its worker's reports and the jobs' records. */
-final class Machine {
-    final String id;
+public final class Machine {
+    public final String id;
     String type;
     String zone;
     /** Where its worker takes direct commands; empty until it reported. */
@@ -37,6 +41,7 @@
     final Map<Job, Integer> failed = new HashMap<>();
     /** Attempts not proven over. */
     final List<Attempt> attempts = new ArrayList<>();
+    private final List<Attempt> attemptsView = Collections.unmodifiableList(attempts);
     /** Attempts proven over, which the store does not know yet; they are cleared once it does. */
     final List<Attempt> unwritten = new ArrayList<>();
     /** Tasks on the machine that belong to no job we know; until they are gone, the machine takes nothing. */
@@ -74,16 +79,162 @@
         this.neededAt = now;
     }
 
-    boolean reported() {
+    /** Its type's name; null until something has said it. */
+    public String type() {
+        return type;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public boolean spot() {
+        return spot;
+    }
+
+    public MachineKind kind() {
+        return new MachineKind(type, zone, spot);
+    }
+
+    public String address() {
+        return address;
+    }
+
+    public long session() {
+        return session;
+    }
+
+    /** Seconds on the steady clock; NaN until the first report. */
+    public double lastReport() {
+        return lastReport;
+    }
+
+    /** Whether a report with the holder's own token has come: nothing that an earlier one sent can start here. */
+    public boolean proven() {
+        return proven;
+    }
+
+    public boolean releasing() {
+        return releasing;
+    }
+
+    public boolean gone() {
+        return gone;
+    }
+
+    public boolean setAside() {
+        return setAside;
+    }
+
+    /** Whether the cloud has said that it takes the machine away. */
+    public boolean recalled() {
+        return !Double.isNaN(takenAt);
+    }
+
+    /** Attempts not proven over. */
+    public List<Attempt> attempts() {
+        return attemptsView;
+    }
+
+    /** Whether its worker still has ended attempts that the store does not know. */
+    public boolean awaitsRecords() {
+        return !unwritten.isEmpty();
+    }
+
+    public double idleSince() {
+        return idleSince;
+    }
+
+    public double neededAt() {
+        return neededAt;
+    }
+
+    public boolean draining() {
+        return draining;
+    }
+
+    public double usedCpus() {
+        return usedCpus;
+    }
+
+    public double usedGpus() {
+        return usedGpus;
+    }
+
+    public double usedMemory() {
+        return usedMemory;
+    }
+
+    /** Starts that no report has shown. */
+    public int unconfirmed() {
+        return unconfirmed;
+    }
+
+    public Job reservedFor() {
+        return reservedFor;
+    }
+
+    /** Whether work that would give way to the job that it is reserved for may run here meanwhile. */
+    public boolean kept() {
+        return kept;
+    }
+
+    // ---- what others decide about it ----------------------------------------------------------
+
+    /** Holds the room here for the job, for which other work is being stopped. */
+    public void reserve(Job job, double until) {
+        reservedFor = job;
+        kept = false;
+        reservedUntil = until;
+    }
+
+    /** Keeps the room for the job once other work ends; see {@link #kept()}. */
+    public void keepFor(Job job) {
+        reservedFor = job;
+        kept = true;
+    }
+
+    /** A new round: what was only kept is decided anew, and room is not held longer than its job needs or may. */
+    public void reconsider(double now) {
+        if (kept || now >= reservedUntil || reservedFor != null && reservedFor.waiting() == 0) {
+            unreserve();
+        }
+    }
+
+    private void unreserve() {
+        reservedFor = null;
+        kept = false;
+    }
+
+    /** It has work that could not run on a cheaper machine. */
+    public void needed(double now) {
+        neededAt = now;
+    }
+
+    public void drain(boolean so) {
+        draining = so;
+    }
+
+    /** It is to be given back and takes no work any more. */
+    public void release() {
+        releasing = true;
+    }
+
+    /** Direct commands are under way to it, or have been answered. */
+    public void commanded(boolean underWay) {
+        commanded = underWay;
+    }
+
+    public boolean reported() {
         return !Double.isNaN(lastReport);
     }
 
     /** Whether new tasks may be placed here. */
-    boolean open() {
-        return proven && !releasing && !gone && !setAside && Double.isNaN(takenAt) && strangers == 0;
+    public boolean open() {
+        return proven && !releasing && !gone && !setAside && !recalled() && strangers == 0;
     }
 
-    boolean fits(JobSpec s, MachineType t) {
+    public boolean fits(JobSpec s, MachineType t) {
         return usedCpus + s.cpus() <= t.cpus() + 1e-6 && usedGpus + s.gpus() <= t.gpus() + 1e-6
                 && usedMemory + s.memoryGb() <= t.memoryGb() + 1e-6;
     }
@@ -92,21 +243,21 @@
      * CPUs by which the machine counts as in use: on an ordinary machine only work that may not use spot ones. Guards
      * against work that could run cheaper elsewhere keeping ordinary machines rented, each with a little of the rest.
      */
-    double holdingCpus() {
+    public double holdingCpus() {
         return spot ? usedCpus : boundCpus;
     }
 
-    boolean has(String image) {
+    public boolean has(String image) {
         return images.containsKey(image);
     }
 
     /** What an earlier holder knew to be here; nothing that this one saw is displaced by it. */
-    void recall(String image, double gb) {
+    public void recall(String image, double gb) {
         images.putIfAbsent(image, gb);
     }
 
-    Map<String, Double> images() {
-        return images;
+    public Map<String, Double> images() {
+        return Collections.unmodifiableMap(images);
     }
 
     /** A task with this image runs here; the machine keeps the most recently used ones. */
@@ -166,12 +317,12 @@
     }
 
     /** Counts a task that is about to be placed here (1), or is not after all (-1). */
-    void expect(JobSpec s, int sign) {
+    public void expect(JobSpec s, int sign) {
         count(s, sign);
         unconfirmed += sign;
     }
 
-    boolean busy() {
+    public boolean busy() {
         return strangers > 0 || !attempts.isEmpty();
     }
 }
--- a/src/main/java/io/kitepath/core/Notes.java
+++ b/src/main/java/io/kitepath/core/block/Notes.java
@@ -1,18 +1,21 @@
-package io.kitepath.core;
+package io.kitepath.core.block;
+
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Report.State;
 
 /** A sentence on what an unfinished job waits for, out of what the holder knows; null if there is nothing to say. */
 final class Notes {
-    private final Scheduler scheduler;
+    private final Block block;
 
-    Notes(Scheduler scheduler) {
-        this.scheduler = scheduler;
+    Notes(Block block) {
+        this.block = block;
     }
 
     String of(Job job, double now) {
         if (job.over) {
             return null;
         }
-        if (scheduler.failures.mistaken(job, now)) {
+        if (block.failures().mistaken(job, now)) {
             return "fails on every machine it was tried on, " + job.failures + " times so far"
                     + (job.notBefore > now ? "; tried again in " + seconds(job.notBefore - now) : "");
         }
@@ -22,7 +25,7 @@
         }
         JobSpec s = job.spec;
         String tasks = waiting == 1 ? "1 task waits" : waiting + " tasks wait";
-        if (scheduler.quotaLeft(s) < (s.gang() ? s.tasks() : 1)) {
+        if (block.teamUse().left(s) < (s.gang() ? s.tasks() : 1)) {
             return tasks + ": team " + s.team() + " is at its limit";
         }
         if (s.gang() && !job.live.isEmpty()) {
@@ -30,7 +33,7 @@
         }
         int starting = 0;
         int unheard = 0;
-        for (Machine m : scheduler.machines.values()) {
+        for (Machine m : block.machines().values()) {
             starting += m.reported() || !m.attempts.isEmpty() ? 0 : 1;
             unheard += m.reported() && !m.proven ? 1 : 0;
         }
@@ -45,7 +48,7 @@
     }
 
     private static String fetching(Job job) {
-        long n = job.live.values().stream().filter(a -> a.state == Report.State.FETCHING).count();
+        long n = job.live.values().stream().filter(a -> a.state == State.FETCHING).count();
         return n == 0 ? null : (n == 1 ? "1 task fetches" : n + " tasks fetch") + " the image " + job.spec.image();
     }
 
--- /dev/null
+++ b/src/main/java/io/kitepath/core/block/TeamUse.java
@@ -0,0 +1,51 @@
+package io.kitepath.core.block;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import java.util.HashMap;
+import java.util.Map;
+
+/** What each team's attempts take that are not proven over, against its limit. */
+public final class TeamUse {
+    private final Facts facts;
+    /** CPUs and GPUs by team. */
+    private final Map<String, double[]> used = new HashMap<>();
+
+    TeamUse(Facts facts) {
+        this.facts = facts;
+    }
+
+    void clear() {
+        used.clear();
+    }
+
+    /** An attempt of this kind was placed (1), or is proven over (-1). */
+    void count(JobSpec s, int sign) {
+        double[] u = used.computeIfAbsent(s.team(), k -> new double[2]);
+        u[0] += sign * s.cpus();
+        u[1] += sign * s.gpus();
+    }
+
+    /** CPUs of the team's attempts that are not proven over. */
+    public double cpus(String team) {
+        double[] u = used.get(team);
+        return u == null ? 0 : u[0];
+    }
+
+    /** How many more tasks of this kind the team's limit allows. */
+    public int left(JobSpec s) {
+        Facts.Team t = facts.teams().get(s.team());
+        if (t == null) {
+            return 0;
+        }
+        double[] u = used.getOrDefault(s.team(), new double[2]);
+        double n = Integer.MAX_VALUE;
+        if (t.cpusMax() > 0 && s.cpus() > 0) {
+            n = Math.min(n, (t.cpusMax() - u[0] + 1e-6) / s.cpus());
+        }
+        if (t.gpusMax() > 0 && s.gpus() > 0) {
+            n = Math.min(n, (t.gpusMax() - u[1] + 1e-6) / s.gpus());
+        }
+        return (int) Math.max(0, n);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/block/Unwritten.java
@@ -0,0 +1,49 @@
+package io.kitepath.core.block;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Parts of jobs that differ from their records, the longest waiting first. */
+public final class Unwritten {
+    private final Set<Job.Part> placings = new LinkedHashSet<>();
+    private final Set<Job.Part> changes = new LinkedHashSet<>();
+
+    void clear() {
+        placings.clear();
+        changes.clear();
+    }
+
+    void placed(Job.Part p) {
+        placings.add(p);
+    }
+
+    void changed(Job.Part p) {
+        changes.add(p);
+    }
+
+    /** Parts with placings that their records lack; nothing of those may start before. */
+    public List<Job.Part> placings() {
+        return List.copyOf(placings);
+    }
+
+    /** Parts that differ otherwise. */
+    public List<Job.Part> changes() {
+        return List.copyOf(changes);
+    }
+
+    /** The part is being written. */
+    public void taken(Job.Part p) {
+        placings.remove(p);
+        changes.remove(p);
+    }
+
+    /** Has the part written if it differs from its record. */
+    public void queue(Job.Part p) {
+        if (p.placingDue()) {
+            placings.add(p);
+        } else if (p.due()) {
+            changes.add(p);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/fleet/Fleet.java
@@ -0,0 +1,274 @@
+package io.kitepath.core.fleet;
+
+import io.kitepath.core.block.Attempt;
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.block.Machine;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.place.Placement;
+import io.kitepath.core.place.Placer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** How many machines are wanted: what to rent for the work that waits, and what to give back. */
+public final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+
+    /** What to rent by kind, the soonest wanted first, and what to give back. */
+    public record Plan(Map<MachineKind, Integer> rent, List<String> release) {}
+
+    private final Facts facts;
+    private final Block block;
+    private final Placer placer;
+    private final Market market;
+    private final Presence presence;
+    private final Returns returns;
+    /** CPUs of what is up or coming. */
+    private double usableCpus;
+    /** CPU seconds of waiting work that may use spot machines. */
+    private double spotBacklog;
+
+    public Fleet(Block block, Placer placer) {
+        this.facts = block.facts();
+        this.block = block;
+        this.placer = placer;
+        this.market = new Market(block);
+        this.presence = new Presence(block);
+        this.returns = new Returns(block, market, presence);
+    }
+
+    /** The cloud refused this kind, in whole or in part. */
+    public void refused(MachineKind k, double now) {
+        market.refused(k, now);
+    }
+
+    public void granted(MachineKind k) {
+        market.granted(k);
+    }
+
+    /** {@code leadingSince}: silence is counted from then at the earliest. */
+    public Plan plan(double now, double wallMs, double leadingSince) {
+        presence.since(leadingSince);
+        survey(now);
+        Map<MachineKind, Integer> rent = new LinkedHashMap<>();
+        List<Room> rooms = rooms(now, null);
+        List<Job> queue = placer.queue(now, wallMs);
+        for (Job job : queue) {
+            want(job, rooms, rent, now, wallMs);
+        }
+        Set<Machine> kept = idle() ? Set.of() : reserve(queue, rent, now, wallMs);
+        floor(rent, now);
+        List<String> release = returns.returns(now, kept, usableCpus - guaranteedCpus());
+        returns.clear(now, wallMs);
+        return new Plan(rent, release);
+    }
+
+    private void survey(double now) {
+        market.survey();
+        usableCpus = 0;
+        for (Machine m : block.machines().values()) {
+            MachineType t = m.type() == null ? null : block.types().get(m.type());
+            if (t == null) {
+                continue;
+            }
+            if (Presence.usable(m) && !presence.late(m, now)) {
+                usableCpus += t.cpus();
+            }
+        }
+        spotBacklog = 0;
+        for (Job j : block.jobs().values()) {
+            if (j.spec.spot() && !block.failures().mistaken(j, now)) {
+                spotBacklog += j.waiting() * j.spec.cpus() * j.spec.estimateS();
+            }
+        }
+    }
+
+    /**
+     * The room of all machines that are up or coming: as it will be by the time a new machine could be up, or, for a
+     * job that may come at any moment, as it is now with lesser work stopped.
+     */
+    private List<Room> rooms(double now, JobSpec forNow) {
+        List<Room> rooms = new ArrayList<>();
+        for (Machine m : block.machines().values()) {
+            MachineType t = m.type() == null ? null : block.types().get(m.type());
+            if (t == null || !Presence.usable(m) || presence.late(m, now)) {
+                continue;
+            }
+            Room r = new Room(t, m.kind(), m);
+            for (Attempt a : m.attempts()) {
+                if (!a.unwanted() && (forNow == null
+                        ? a.remainingS(now) > t.bootS()
+                        : a.job.spec.gang() || a.job.spec.priority().compareTo(forNow.priority()) <= 0)) {
+                    r.then.less(a.job.spec, 1);
+                }
+                if (!a.unwanted()) {
+                    r.now.less(a.job.spec, 1);
+                }
+            }
+            rooms.add(r);
+        }
+        return rooms;
+    }
+
+    /**
+     * Classes that are expected to start sooner than a machine boots need room that is there already: enough for
+     * all but the largest of the gangs that came lately, by the share that the objective names.
+     */
+    private Set<Machine> reserve(List<Job> queue, Map<MachineKind, Integer> rent, double now, double wallMs) {
+        Set<Machine> kept = new HashSet<>();
+        double boot = block.types().values().stream().mapToDouble(MachineType::bootS).min().orElse(0);
+        for (Facts.Objective o : facts.objectives()) {
+            boolean wait = o.kind().equals("wait") && o.withinS() < boot
+                    && queue.stream().noneMatch(j -> j.spec.jobClass().equals(o.jobClass()));
+            JobSpec typical = wait || o.kind().equals("deadline")
+                    ? block.lately().typical(o.jobClass(), o.share(), wallMs, boot) : null;
+            if (typical == null) {
+                continue;
+            }
+            int atOnce = typical.tasks();
+            if (typical.shape() == JobSpec.Shape.ARRAY && typical.deadlineS() != null) {
+                double rounds = Math.max(1, typical.deadlineS() / 2 / Math.max(1, typical.estimateS()));
+                atOnce = (int) Math.min(block.teamUse().left(typical), Math.ceil(typical.tasks() / rounds));
+            }
+            List<Room> rooms = rooms(now, typical);
+            String zone = typical.zone() != null ? typical.zone()
+                    : typical.oneZone() ? bestZone(typical, rooms, now) : null;
+            rooms.removeIf(r -> !Market.allowed(r.kind, typical, zone));
+            rooms.sort(Comparator.comparingDouble(r -> r.then.cpus - r.type.cpus()));
+            for (Room r : rooms) {
+                int n = r.take(typical, atOnce, false);
+                atOnce -= n;
+                if (n > 0) {
+                    kept.add(r.machine);
+                }
+            }
+            rentFor(typical, atOnce, zone, rent, now, k -> true);
+        }
+        return kept;
+    }
+
+    /**
+     * Adds machines for that many tasks to what is to be rented, of the cheapest kinds; stops at one that is not
+     * worth it. Returns the new machines' rooms, with the tasks in them.
+     */
+    private List<Room> rentFor(JobSpec s, int tasks, String zone, Map<MachineKind, Integer> rent, double now,
+            Predicate<MachineKind> worth) {
+        List<Room> rented = new ArrayList<>();
+        int left = tasks;
+        while (left > 0) {
+            MachineKind k = market.cheapest(s, zone, rent, now);
+            if (k == null || !worth.test(k)) {
+                break;
+            }
+            Room r = new Room(block.types().get(k.type()), k, null);
+            int n = r.take(s, left, false);
+            if (n == 0) {
+                break;
+            }
+            left -= n;
+            rent.merge(k, 1, Integer::sum);
+            rented.add(r);
+        }
+        return rented;
+    }
+
+    /** Guards against a fleet kept rented for work that may come when none has come for long. */
+    private boolean idle() {
+        return block.jobs().values().stream().allMatch(j -> j.over());
+    }
+
+    private double guaranteedCpus() {
+        return idle() ? 0 : facts.teams().values().stream().mapToDouble(Facts.Team::cpus).sum();
+    }
+
+    /** What teams are guaranteed must not wait for a boot: all guarantees together are kept rented. */
+    private void floor(Map<MachineKind, Integer> rent, double now) {
+        double missing = guaranteedCpus() - usableCpus;
+        for (Map.Entry<MachineKind, Integer> e : rent.entrySet()) {
+            missing -= e.getValue() * block.types().get(e.getKey().type()).cpus();
+        }
+        while (missing > 0) {
+            MachineKind best = market.cheapestByCpu(rent, now);
+            if (best == null) {
+                return;
+            }
+            rent.merge(best, 1, Integer::sum);
+            missing -= block.types().get(best.type()).cpus();
+        }
+    }
+
+    private void want(Job job, List<Room> rooms, Map<MachineKind, Integer> rent, double now, double wallMs) {
+        if (block.failures().mistaken(job, now)) {
+            return; // It is tried in what is free anyway.
+        }
+        JobSpec s = job.spec;
+        int waiting = Math.min(job.waiting(), block.teamUse().left(s));
+        if (s.gang()) {
+            waiting = waiting == s.tasks() ? waiting : 0;
+        } else if (s.shape() == JobSpec.Shape.ARRAY) {
+            // Not a place for every task at once: as many as finish the job in good time, one after the other.
+            double aim = facts.finishWithinS(s.jobClass(), 10 * facts.workers().leaseS()) / 2.5;
+            if (s.deadlineS() != null) {
+                aim = s.deadlineS() - (wallMs - job.submittedMs) / 1000;
+            }
+            double each = Math.max(1, s.estimateS());
+            double places = Math.ceil((job.waiting() + job.live().size()) * each / Math.max(each, aim));
+            waiting = (int) Math.max(0, Math.min(waiting, places - job.live().size()));
+        }
+        if (waiting == 0) {
+            return;
+        }
+        String zone = s.zone();
+        if (zone == null && s.oneZone()) {
+            zone = bestZone(s, rooms, now);
+        }
+        // Guards against work that could run on spot machines filling ordinary ones for good, at several times the
+        // price: it may use what is free there, but spot machines are rented for it as if it could not.
+        boolean spotOnly = s.spot() && market.spotToBeHad(s, now);
+        // Room that frees within a boot time is as good as a new machine, but not for a job that has to start sooner
+        // to meet its deadline: such work needs the room that is free now, or more of it.
+        boolean atOnce = s.deadlineS() != null;
+        for (Room r : rooms) {
+            if (waiting > 0 && Market.allowed(r.kind, s, zone) && (r.kind.spot() || !spotOnly)) {
+                waiting -= r.take(s, waiting, atOnce);
+            }
+        }
+        rooms.addAll(rentFor(s, waiting, zone, rent, now, k -> !s.spot() || k.spot() || !inTime(job, wallMs)));
+    }
+
+    /**
+     * Whether the job will be done when it should be even if it only gets its turn on what is rented. Guards against
+     * ordinary machines rented at several times the price because spot ones have run out for the moment.
+     */
+    private boolean inTime(Job job, double wallMs) {
+        double left = job.goalMs(job.goals() - 1) - wallMs;
+        return spotBacklog / Math.max(1, usableCpus) < left / 1000;
+    }
+
+    /** For a job that must stay in one zone: where it could use most of what is there or coming. */
+    private String bestZone(JobSpec s, List<Room> rooms, double now) {
+        Map<String, Double> score = new LinkedHashMap<>();
+        for (String z : facts.zones()) {
+            score.put(z, market.cheapest(s, z, Map.of(), now) != null ? 0.1 : 0);
+        }
+        for (Room r : rooms) {
+            if (Market.allowed(r.kind, s, null) && s.cpus() > 0) {
+                score.merge(r.kind.zone(), Math.floor(r.then.cpus / s.cpus()), Double::sum);
+            }
+        }
+        return score.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse(null);
+    }
+
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/fleet/Room.java
@@ -0,0 +1,58 @@
+package io.kitepath.core.fleet;
+
+import io.kitepath.core.block.Machine;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.place.Placement;
+
+/** The room that a machine has, or will have once it is up. */
+final class Room {
+    final MachineType type;
+    final MachineKind kind;
+    final Machine machine;
+    /** Of the machine's room, what is left by the time that the plan looks at, and what is left until then. */
+    final Space then;
+    final Space now;
+
+    Room(MachineType type, MachineKind kind, Machine machine) {
+        this.type = type;
+        this.kind = kind;
+        this.machine = machine;
+        this.then = new Space(type);
+        this.now = new Space(type);
+    }
+
+    /** Takes in as many of the tasks as fit, at once or by then; returns how many. */
+    int take(JobSpec s, int tasks, boolean atOnce) {
+        int n = Math.min(tasks, then.slots(s));
+        if (atOnce) {
+            n = Math.min(n, now.slots(s));
+        }
+        then.less(s, n);
+        now.less(s, n);
+        return n;
+    }
+
+    static final class Space {
+        double cpus;
+        double gpus;
+        double memory;
+
+        Space(MachineType t) {
+            cpus = t.cpus();
+            gpus = t.gpus();
+            memory = t.memoryGb();
+        }
+
+        int slots(JobSpec s) {
+            return Placement.slots(s, cpus, gpus, memory);
+        }
+
+        void less(JobSpec s, int tasks) {
+            cpus -= tasks * s.cpus();
+            gpus -= tasks * s.gpus();
+            memory -= tasks * s.memoryGb();
+        }
+    }
+}
--- a/src/main/java/io/kitepath/core/Leadership.java
+++ b/src/main/java/io/kitepath/core/lead/Leadership.java
@@ -1,7 +1,12 @@
-package io.kitepath.core;
+package io.kitepath.core.lead;
 
-import io.kitepath.core.Store.Outcome;
-import io.kitepath.core.Store.Transaction;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.Tree;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Store.Transaction;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.state.Keys;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Random;
@@ -13,10 +18,10 @@
  * stored token in the same transaction, so two nodes never hold the same one. What a former leader may still
  * send to the store fails, because its writes depend on the revision of a key that is gone.
  */
-final class Leadership {
+public final class Leadership {
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
 
-    interface Listener {
+    public interface Listener {
         void won(long token, long lease, long blockRevision);
 
         void lost(String why);
@@ -43,7 +48,7 @@
     /** When the store last answered us. */
     private double servedAt;
 
-    Leadership(Facts facts, Store store, Timers timers, Random random, Listener listener) {
+    public Leadership(Facts facts, Store store, Timers timers, Random random, Listener listener) {
         this.facts = facts;
         this.store = store;
         this.timers = timers;
@@ -54,38 +59,38 @@
         this.servedAt = timers.now();
     }
 
-    void start() {
+    public void start() {
         look();
     }
 
-    boolean leading() {
+    public boolean leading() {
         return leading;
     }
 
-    String leader() {
+    public String leader() {
         return leader;
     }
 
-    double lifeS() {
+    public double lifeS() {
         return lifeS;
     }
 
-    long highest() {
+    public long highest() {
         return highest;
     }
 
     /** Seconds since the store last answered us. */
-    double unservedS() {
+    public double unservedS() {
         return timers.now() - servedAt;
     }
 
     /** While the store does not serve us, a leader starts nothing. */
-    boolean inTouch() {
+    public boolean inTouch() {
         return timers.now() - renewedAt < lifeS;
     }
 
     /** A worker or sibling has seen a higher token than ours: somebody else leads. */
-    void outbid(long seen, String by) {
+    public void outbid(long seen, String by) {
         if (seen > highest) {
             highest = seen;
             if (by != null && !leading) {
@@ -97,11 +102,11 @@
         }
     }
 
-    long token() {
+    public long token() {
         return token;
     }
 
-    void stepDown(String why) {
+    public void stepDown(String why) {
         if (!leading) {
             return;
         }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/lead/Views.java
@@ -0,0 +1,75 @@
+package io.kitepath.core.lead;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.port.Timers;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What the siblings say of themselves, and since when one of them says nothing. */
+public final class Views {
+    private static final Logger LOG = LoggerFactory.getLogger(Views.class);
+    /** Views come every second; what is older than three of them says nothing of now. */
+    private static final double FRESH_S = 3;
+
+    private final List<String> siblings;
+    private final Timers timers;
+    /** When a sibling was last heard from. */
+    private final Map<String, Double> heard = new HashMap<>();
+    /** When a sibling last said that the store serves it, or that it does not. */
+    private final Map<String, Double> served = new HashMap<>();
+    private final Map<String, Double> unserved = new HashMap<>();
+    private final Set<String> said = new HashSet<>();
+
+    public Views(Facts facts, Timers timers) {
+        this.siblings = facts.siblings();
+        this.timers = timers;
+    }
+
+    public void told(String by, boolean isServed) {
+        heard.put(by, timers.now());
+        (isServed ? served : unserved).put(by, timers.now());
+        (isServed ? unserved : served).remove(by);
+    }
+
+    /** Guards against waiting for a silent sibling's answer again and again: views come every second. */
+    public boolean silent(String sibling) {
+        return timers.now() - heard.getOrDefault(sibling, -1e9) > 2.5;
+    }
+
+    /** Seconds since the sibling was heard; NaN if it never was. */
+    public double silentS(String sibling) {
+        return timers.now() - heard.getOrDefault(sibling, Double.NaN);
+    }
+
+    public long silentOnes() {
+        return siblings.stream().filter(this::silent).count();
+    }
+
+    /** Whether every sibling says that the store is out for it too. */
+    public boolean allUnserved() {
+        double now = timers.now();
+        return siblings.stream().allMatch(s -> now - unserved.getOrDefault(s, -1e9) < FRESH_S);
+    }
+
+    /** Whether some sibling says that the store serves it. */
+    public boolean someServed() {
+        double now = timers.now();
+        return served.values().stream().anyMatch(t -> now - t < FRESH_S);
+    }
+
+    /** Logs who fell silent and who is heard again; {@code leader}: who leads, or null. */
+    public void watch(String leader) {
+        for (String s : siblings) {
+            boolean silent = silent(s);
+            if (silent ? heard.containsKey(s) && said.add(s) : said.remove(s)) {
+                LOG.info(silent ? "nothing is heard from {} any more{}" : "{} is heard again{}", s,
+                        s.equals(leader) ? ", which leads" : "");
+            }
+        }
+    }
+}
--- a/src/main/java/io/kitepath/core/Bucket.java
+++ b/src/main/java/io/kitepath/core/model/Bucket.java
@@ -1,17 +1,17 @@
-package io.kitepath.core;
+package io.kitepath.core.model;
 
 /** A token bucket with one second's burst, as the outside services count. */
-final class Bucket {
+public final class Bucket {
     private final double perSecond;
     private double filled;
     private double at = Double.NaN;
 
-    Bucket(double perSecond) {
+    public Bucket(double perSecond) {
         this.perSecond = perSecond;
         this.filled = perSecond;
     }
 
-    double available(double now) {
+    public double available(double now) {
         if (!Double.isNaN(at)) {
             filled = Math.min(perSecond, filled + (now - at) * perSecond);
         }
@@ -19,7 +19,7 @@
         return filled;
     }
 
-    boolean take(double n, double now) {
+    public boolean take(double n, double now) {
         if (available(now) < n) {
             return false;
         }
@@ -28,7 +28,7 @@
     }
 
     /** In how many seconds that many will be there, if nobody else takes any. */
-    double inS(double n, double now) {
+    public double inS(double n, double now) {
         return Math.max(0, (n - available(now)) / perSecond);
     }
 }
--- a/src/main/java/io/kitepath/core/JobSpec.java
+++ b/src/main/java/io/kitepath/core/model/JobSpec.java
@@ -1,4 +1,4 @@
-package io.kitepath.core;
+package io.kitepath.core.model;
 
 import java.util.LinkedHashMap;
 import java.util.List;
--- /dev/null
+++ b/src/main/java/io/kitepath/core/model/JobState.java
@@ -0,0 +1,21 @@
+package io.kitepath.core.model;
+
+/**
+ * What a user is told of a job.
+ *
+ * @param id the job
+ * @param status pending, running, done or cancelled
+ * @param done tasks that are done
+ * @param running tasks that run
+ * @param note what it waits for, in a sentence, or null if there is nothing to say
+ */
+public record JobState(String id, String status, int done, int running, String note) {
+    public JobState(String id, String status, int done, int running) {
+        this(id, status, done, running, null);
+    }
+
+    /** The state of a job that is neither done nor cancelled. */
+    public static JobState unfinished(Progress p) {
+        return new JobState(p.job(), p.running() > 0 ? "running" : "pending", p.done(), p.running(), p.note());
+    }
+}
--- a/src/main/java/io/kitepath/core/Malformed.java
+++ b/src/main/java/io/kitepath/core/model/Malformed.java
@@ -1,4 +1,4 @@
-package io.kitepath.core;
+package io.kitepath.core.model;
 
 /** Input that is not what its interface promises; the message names the field and the reason. */
 public final class Malformed extends RuntimeException {
--- a/src/main/java/io/kitepath/core/Progress.java
+++ b/src/main/java/io/kitepath/core/model/Progress.java
@@ -1,4 +1,4 @@
-package io.kitepath.core;
+package io.kitepath.core.model;
 
 /**
  * How far an unfinished job is, for display: tasks done and running, and a sentence on what it waits for, or null if
--- a/src/main/java/io/kitepath/core/GivingWay.java
+++ b/src/main/java/io/kitepath/core/place/GivingWay.java
@@ -1,5 +1,12 @@
-package io.kitepath.core;
+package io.kitepath.core.place;
 
+import io.kitepath.core.block.Attempt;
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.block.Machine;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineType;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -12,12 +19,19 @@
 import java.util.function.ToIntFunction;
 
 /** Whose work gives way to whose, where the least is lost by it, and what room is held or kept for a job. */
-final class GivingWay {
-    private final Scheduler scheduler;
-    long evictions;
+public final class GivingWay {
+    private final Block block;
+    private final Placement placement;
+    private long evictions;
 
-    GivingWay(Scheduler scheduler) {
-        this.scheduler = scheduler;
+    GivingWay(Block block, Placement placement) {
+        this.block = block;
+        this.placement = placement;
+    }
+
+    /** Attempts stopped for work of more right. */
+    public long evictions() {
+        return evictions;
     }
 
     /**
@@ -34,19 +48,19 @@
         JobSpec s = job.spec;
         boolean small = small(s);
         Set<Job> yielding = Collections.newSetFromMap(new IdentityHashMap<>());
-        for (Job j : scheduler.jobs.values()) {
-            if (!j.live.isEmpty() && (j.over || j.stopping > 0 || yields(j, job))) {
+        for (Job j : block.jobs().values()) {
+            if (!j.live().isEmpty() && (j.over() || j.stopping() || yields(j, job))) {
                 yielding.add(j);
             }
         }
         if (small && yielding.isEmpty()) {
             return false;
         }
-        int need = s.gang() ? job.waiting() : Math.min(job.waiting(), scheduler.quotaLeft(s));
+        int need = s.gang() ? job.waiting() : Math.min(job.waiting(), block.teamUse().left(s));
         Map<String, List<Offer>> byZone = new LinkedHashMap<>();
         for (Machine m : open) {
-            if ((m.reservedFor == null || m.reservedFor == job) && scheduler.placement.allowed(m, s)) {
-                byZone.computeIfAbsent(s.oneZone() ? m.zone : "", k -> new ArrayList<>())
+            if ((m.reservedFor() == null || m.reservedFor() == job) && placement.allowed(m, s)) {
+                byZone.computeIfAbsent(s.oneZone() ? m.zone() : "", k -> new ArrayList<>())
                         .add(offer(job, m, yielding, now));
             }
         }
@@ -62,11 +76,10 @@
         }
         if (best != null) {
             for (Offer o : best) {
-                o.machine.reservedFor = job;
                 // Guards against work that is served before this job although it gives way to it (a guarantee comes
                 // first, a higher priority may stop it): it would take the room again in the next round, and be
                 // stopped again, without an end. So the room is held until the stopped tasks can have been reported.
-                o.machine.reservedUntil = now + 2 * scheduler.facts.workers().reportS();
+                o.machine.reserve(job, now + 2 * block.facts().workers().reportS());
                 need -= evict(job, o, need);
             }
             return true;
@@ -78,8 +91,7 @@
             List<Offer> take = cheapest(in, need, Offer::empty, o -> o.loss + o.pending);
             if (take != null) {
                 for (Offer o : take) {
-                    o.machine.reservedFor = job;
-                    o.machine.kept = true;
+                    o.machine.keepFor(job);
                 }
                 return true;
             }
@@ -117,23 +129,23 @@
         double memory = 0;
         double loss = 0;
         double pending = 0;
-        for (Attempt a : m.attempts) {
+        for (Attempt a : m.attempts()) {
             if (yielding.contains(a.job) && mayEvict(job, a)) {
                 JobSpec v = a.job.spec;
                 cpus += v.cpus();
                 gpus += v.gpus();
                 memory += v.memoryGb();
-                loss += a.stopping() ? 0 : v.cpus() * (a.unsavedS(now) + scheduler.facts.workers().reportS());
+                loss += a.stopping() ? 0 : v.cpus() * (a.unsavedS(now) + block.facts().workers().reportS());
             } else {
                 pending += a.job.spec.cpus() * a.remainingS(now);
             }
         }
-        MachineType type = scheduler.types.get(m.type);
-        int stopping = scheduler.placement.freeSlots(m, job.spec, cpus, gpus, memory);
+        MachineType type = block.types().get(m.type());
+        int stopping = placement.freeSlots(m, job.spec, cpus, gpus, memory);
         if (!m.has(job.spec.image()) && type.fetchGbPerS() > 0) {
             loss += stopping * job.spec.cpus() * job.spec.imageGb() / type.fetchGbPerS();
         }
-        return new Offer(m, scheduler.placement.freeSlots(m, job.spec, 0, 0, 0), stopping,
+        return new Offer(m, placement.freeSlots(m, job.spec, 0, 0, 0), stopping,
                 Placement.slots(job.spec, type), loss, pending);
     }
 
@@ -150,16 +162,16 @@
         if (v.priority().compareTo(job.spec.priority()) > 0) {
             return true;
         }
-        Facts.Team t = scheduler.facts.teams().get(v.team());
-        return job.guaranteed && !holding.guaranteed && !v.team().equals(job.spec.team()) && t != null
-                && scheduler.usedCpus(v.team()) - v.cpus() >= t.cpus();
+        Facts.Team t = block.facts().teams().get(v.team());
+        return job.guaranteed() && !holding.guaranteed() && !v.team().equals(job.spec.team()) && t != null
+                && block.teamUse().cpus(v.team()) - v.cpus() >= t.cpus();
     }
 
     /** Stops just enough on the machine, the latest placed first; returns how many tasks of the job it will hold. */
     private int evict(Job job, Offer o, int need) {
         List<Attempt> victims = new ArrayList<>();
         double[] less = new double[3];
-        for (Attempt a : o.machine.attempts) {
+        for (Attempt a : o.machine.attempts()) {
             if (mayEvict(job, a)) {
                 if (a.unwanted()) {
                     less(less, a);
@@ -171,11 +183,11 @@
         victims.sort(Comparator.comparingDouble((Attempt a) -> -a.placedAt).thenComparing(a -> -a.task));
         int want = Math.min(need, o.stopping);
         for (Attempt a : victims) {
-            if (scheduler.placement.freeSlots(o.machine, job.spec, less[0], less[1], less[2]) >= want) {
+            if (placement.freeSlots(o.machine, job.spec, less[0], less[1], less[2]) >= want) {
                 break;
             }
-            boolean written = a.durable;
-            scheduler.stop(a, a.job.spec.stopGraceS());
+            boolean written = a.durable();
+            block.stop(a, a.job.spec.stopGraceS());
             evictions++;
             if (written) {
                 less(less, a);
@@ -191,6 +203,6 @@
     }
 
     private double smallestMachine() {
-        return scheduler.types.values().stream().mapToDouble(MachineType::cpus).min().orElse(0);
+        return block.types().values().stream().mapToDouble(MachineType::cpus).min().orElse(0);
     }
 }
--- a/src/main/java/io/kitepath/core/Placement.java
+++ b/src/main/java/io/kitepath/core/place/Placement.java
@@ -1,5 +1,8 @@
-package io.kitepath.core;
+package io.kitepath.core.place;
 
+import io.kitepath.core.block.Machine;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineType;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -13,33 +16,50 @@
  * Which machine a task goes to: the first of up to {@link #PROBES} random ones that passes, else the best fit
  * of a scan over the block. See docs/design.md.
  */
-final class Placement {
+public final class Placement {
     /** T of the paper: a machine passes a probe with fewer unconfirmed starts than this. */
-    static final int THRESHOLD = 2;
+    public static final int THRESHOLD = 2;
     /** Lp of the paper. */
-    static final int PROBES = 3;
+    public static final int PROBES = 3;
 
     private final Random random;
     private final Map<String, MachineType> types;
-    long probes;
-    long passed;
-    long scans;
-    /** Machines looked at by scans and for gangs. */
-    long looks;
+    private long probes;
+    private long passed;
+    private long scans;
+    private long looks;
 
     Placement(Random random, Map<String, MachineType> types) {
         this.random = random;
         this.types = types;
     }
 
+    /** Machines probed, and how many of them passed. */
+    public long probes() {
+        return probes;
+    }
+
+    public long passed() {
+        return passed;
+    }
+
+    public long scans() {
+        return scans;
+    }
+
+    /** Machines looked at by scans and for gangs. */
+    public long looks() {
+        return looks;
+    }
+
     /** Whether the machine may run the task by everything but its present load. */
     boolean allowed(Machine m, JobSpec s) {
-        return types.containsKey(m.type) && (s.types() == null || s.types().contains(m.type))
-                && (s.zone() == null || s.zone().equals(m.zone)) && (s.spot() || !m.spot);
+        return types.containsKey(m.type()) && (s.types() == null || s.types().contains(m.type()))
+                && (s.zone() == null || s.zone().equals(m.zone())) && (s.spot() || !m.spot());
     }
 
     private boolean room(Machine m, JobSpec s) {
-        return m.fits(s, types.get(m.type));
+        return m.fits(s, types.get(m.type()));
     }
 
     /** A search for machines for the tasks of one job, out of candidates that are all allowed. */
@@ -62,7 +82,7 @@
             this.candidates = candidates;
             if (spec.spot()) {
                 // Work that may use spot machines leaves the others to work that may not.
-                walks(candidates.stream().filter(m -> m.spot).toList());
+                walks(candidates.stream().filter(m -> m.spot()).toList());
             }
             walks(candidates);
         }
@@ -148,8 +168,8 @@
                     looks++;
                     if (room(m, spec)) {
                         order.add(m);
-                        score.put(m, (m.holdingCpus() + m.usedCpus / 4) / types.get(m.type).cpus()
-                                + (m.has(spec.image()) ? 1 : 0) - (spec.spot() && !m.spot ? worthKeeping(m) : 0));
+                        score.put(m, (m.holdingCpus() + m.usedCpus() / 4) / types.get(m.type()).cpus()
+                                + (m.has(spec.image()) ? 1 : 0) - (spec.spot() && !m.spot() ? worthKeeping(m) : 0));
                     }
                 }
                 order.sort(Comparator.comparing(score::get, Comparator.reverseOrder()));
@@ -173,7 +193,7 @@
             from.set(j, from.get(i));
             from.set(i, m);
             probes++;
-            if (m.unconfirmed < THRESHOLD && room(m, s)) {
+            if (m.unconfirmed() < THRESHOLD && room(m, s)) {
                 passed++;
                 return m;
             }
@@ -189,7 +209,7 @@
             looks++;
             int n = freeSlots(m, s, 0, 0, 0);
             total += n;
-            slots.merge(m.zone, n, Integer::sum);
+            slots.merge(m.zone(), n, Integer::sum);
         }
         if (total < s.tasks()) {
             return null;
@@ -203,7 +223,7 @@
         zones.removeIf(z -> slots.get(z) < s.tasks());
         zones.sort(Comparator.comparing(slots::get));
         for (String z : zones) {
-            List<Machine> found = whole(s, all.within(m -> m.zone.equals(z)));
+            List<Machine> found = whole(s, all.within(m -> m.zone().equals(z)));
             if (found != null) {
                 return found;
             }
@@ -222,8 +242,8 @@
             }
             m.expect(s, 1);
             found.add(m);
-            if (perZone.merge(m.zone, 1, Integer::sum) >= s.mostPerZone()) {
-                search = search.within(x -> !x.zone.equals(m.zone));
+            if (perZone.merge(m.zone(), 1, Integer::sum) >= s.mostPerZone()) {
+                search = search.within(x -> !x.zone().equals(m.zone()));
             }
         }
         for (Machine m : found) {
@@ -234,17 +254,17 @@
 
     /** How many such tasks fit on the machine if that much of its load were gone. */
     int freeSlots(Machine m, JobSpec s, double lessCpus, double lessGpus, double lessMemory) {
-        MachineType t = types.get(m.type);
-        return slots(s, t.cpus() - m.usedCpus + lessCpus, t.gpus() - m.usedGpus + lessGpus,
-                t.memoryGb() - m.usedMemory + lessMemory);
+        MachineType t = types.get(m.type());
+        return slots(s, t.cpus() - m.usedCpus() + lessCpus, t.gpus() - m.usedGpus() + lessGpus,
+                t.memoryGb() - m.usedMemory() + lessMemory);
     }
 
     /** How many such tasks an empty machine of the type holds. */
-    static int slots(JobSpec s, MachineType t) {
+    public static int slots(JobSpec s, MachineType t) {
         return slots(s, t.cpus(), t.gpus(), t.memoryGb());
     }
 
-    static int slots(JobSpec s, double cpus, double gpus, double memoryGb) {
+    public static int slots(JobSpec s, double cpus, double gpus, double memoryGb) {
         double n = s.tasks();
         if (s.cpus() > 0) {
             n = Math.min(n, Math.floor((cpus + 1e-6) / s.cpus()));
--- a/src/main/java/io/kitepath/core/ServiceOrder.java
+++ b/src/main/java/io/kitepath/core/place/ServiceOrder.java
@@ -1,5 +1,8 @@
-package io.kitepath.core;
+package io.kitepath.core.place;
 
+import io.kitepath.core.block.Attempt;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.JobSpec;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -14,11 +17,11 @@
  * has to start, and where the work up to some job is more than the machines get done until then, the largest one so
  * far goes without. Guards against an overload in which, by due times alone, each job gets its turn just too late.
  */
-final class ServiceOrder {
+public final class ServiceOrder {
     /** A job, which of its goals is tried for, and its work in CPU seconds. */
     private record Entry(Job job, int goal, double work) {
         double startMs() {
-            return job.goalsMs[goal];
+            return job.goalMs(goal);
         }
     }
 
@@ -41,7 +44,7 @@
         Map<Integer, List<Job>> ranks = new LinkedHashMap<>();
         int least = 2 * JobSpec.Priority.values().length;
         for (Job j : jobs) {
-            ranks.computeIfAbsent(rank(j), k -> new ArrayList<>()).add(j);
+            ranks.computeIfAbsent(j.rank(), k -> new ArrayList<>()).add(j);
         }
         List<Job> out = new ArrayList<>();
         for (int rank = 0; rank < least; rank++) {
@@ -52,18 +55,13 @@
         return out;
     }
 
-    /** The lower, the sooner served. */
-    static int rank(Job j) {
-        return (j.guaranteed ? 0 : JobSpec.Priority.values().length) + j.spec.priority().ordinal();
-    }
-
     private void runs(Job j) {
         double sum = 0;
-        for (Attempt a : j.live.values()) {
+        for (Attempt a : j.live().values()) {
             sum += a.remainingS(now);
         }
-        if (!j.live.isEmpty()) {
-            running.add(new double[] {j.live.size() * j.spec.cpus(), sum / j.live.size()});
+        if (!j.live().isEmpty()) {
+            running.add(new double[] {j.live().size() * j.spec.cpus(), sum / j.live().size()});
         }
     }
 
@@ -80,7 +78,7 @@
         List<Entry> tried = new ArrayList<>();
         List<Job> last = new ArrayList<>();
         for (Job j : jobs) {
-            if (!j.over && j.waiting() > 0) {
+            if (!j.over() && j.waiting() > 0) {
                 aim(new Entry(j, -1, j.spec.cpus() * j.spec.estimateS() * j.waiting()), tried, last);
             }
         }
@@ -114,10 +112,10 @@
     /** Puts the job among those that try for their next goal that is not past, or last if it has none. */
     private void aim(Entry e, List<Entry> tried, List<Job> last) {
         int goal = e.goal + 1;
-        while (goal < e.job.goalsMs.length && e.job.goalsMs[goal] < wallMs) {
+        while (goal < e.job.goals() && e.job.goalMs(goal) < wallMs) {
             goal++;
         }
-        if (goal < e.job.goalsMs.length) {
+        if (goal < e.job.goals()) {
             tried.add(new Entry(e.job, goal, e.work));
         } else {
             last.add(e.job);
--- a/src/main/java/io/kitepath/core/Cloud.java
+++ b/src/main/java/io/kitepath/core/port/Cloud.java
@@ -1,5 +1,7 @@
-package io.kitepath.core;
+package io.kitepath.core.port;
 
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
 import java.util.List;
 import java.util.function.BiConsumer;
 
@@ -10,8 +12,7 @@
     void types(BiConsumer<Store.Outcome, List<MachineType>> answer);
 
     /** NO: no capacity. The same name must be used again after an unknown outcome, and never for anything else. */
-    void rent(String name, String type, String zone, boolean spot, int count,
-            BiConsumer<Store.Outcome, List<String>> answer);
+    void rent(String name, MachineKind kind, int count, BiConsumer<Store.Outcome, List<String>> answer);
 
     /** OK: the machines and everything on them are gone. */
     void release(List<String> machines, java.util.function.Consumer<Store.Outcome> answer);
--- a/src/main/java/io/kitepath/core/DirectCommands.java
+++ b/src/main/java/io/kitepath/core/port/DirectCommands.java
@@ -1,5 +1,7 @@
-package io.kitepath.core;
+package io.kitepath.core.port;
 
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Report;
 import java.util.List;
 import java.util.function.Consumer;
 
--- /dev/null
+++ b/src/main/java/io/kitepath/core/port/Siblings.java
@@ -0,0 +1,29 @@
+package io.kitepath.core.port;
+
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.model.Report;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** What nodes tell and ask each other. */
+public interface Siblings {
+    /**
+     * To all: this node's view.
+     *
+     * @param token the highest token it knows
+     * @param leader itself if it leads, else null
+     * @param served whether the store answers it
+     */
+    void tell(long token, String leader, boolean served);
+
+    /** To all: the store has it that this job is over. */
+    void over(JobState job);
+
+    /** Asks the leader how far jobs are; answers an empty list if that can't be had soon. */
+    void progress(String leader, List<String> jobs, Consumer<List<Progress>> answer);
+
+    /** Has a sibling answer a check-in, or pass it on to the leader if it may; false if it can't be asked now. */
+    boolean relay(String sibling, Report report, boolean passOn, Consumer<CheckIn> answer);
+}
--- a/src/main/java/io/kitepath/core/Timers.java
+++ b/src/main/java/io/kitepath/core/port/Timers.java
@@ -1,4 +1,4 @@
-package io.kitepath.core;
+package io.kitepath.core.port;
 
 /** The steady clock, the time of day, and things to do later, all on the event loop. */
 public interface Timers {
--- /dev/null
+++ b/src/main/java/io/kitepath/core/serve/CheckInDesk.java
@@ -0,0 +1,255 @@
+package io.kitepath.core.serve;
+
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.CheckIns;
+import io.kitepath.core.lead.Leadership;
+import io.kitepath.core.lead.Views;
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.port.Siblings;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.state.Keeper;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Where workers' reports arrive, at any node: answered by the holder, sent or relayed to it by others, or kept waiting
+ * a moment for a leader, or for work that is about to be placed.
+ */
+public final class CheckInDesk {
+    /** Of the 4 s after which a worker drops an answer. */
+    private static final double MAX_PARK_S = 3;
+    private static final int SENT_AWAY = 2000;
+
+    private final Facts facts;
+    private final Block block;
+    private final CheckIns checkIns;
+    private final Leadership leadership;
+    private final Keeper keeper;
+    private final Views views;
+    private final Entitlement entitlement;
+    private final Siblings siblings;
+    private final Timers timers;
+    private final Runnable changed;
+    /** Workers that were sent to the leader, and when. */
+    private final Map<String, Double> sentAway = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+            return size() > SENT_AWAY;
+        }
+    };
+    private final Map<String, Parked> parked = new LinkedHashMap<>();
+    private final Map<String, Held> held = new LinkedHashMap<>();
+    private long received;
+    private long relayed;
+
+    /** A check-in that waits for a leader: while nobody was known to lead ({@code asked} null), or for one's answer. */
+    private record Parked(Report report, String asked, Consumer<CheckIn> answer) {}
+
+    /** A check-in whose answer waits a moment, so that work placed meanwhile starts at once. */
+    private record Held(Consumer<CheckIn> answer, List<Order> orders, long token) {}
+
+    /** {@code changed} runs when a report may let work be placed. */
+    public CheckInDesk(Block block, CheckIns checkIns, Leadership leadership, Keeper keeper, Views views,
+            Siblings siblings, Timers timers, Runnable changed) {
+        this.facts = block.facts();
+        this.block = block;
+        this.checkIns = checkIns;
+        this.leadership = leadership;
+        this.keeper = keeper;
+        this.views = views;
+        this.entitlement = new Entitlement(block, leadership, keeper, views);
+        this.siblings = siblings;
+        this.timers = timers;
+        this.changed = changed;
+    }
+
+    public long received() {
+        return received;
+    }
+
+    public long relayed() {
+        return relayed;
+    }
+
+    /** A worker's report. */
+    public void checkIn(Report report, Consumer<CheckIn> answer) {
+        received++;
+        if (report.token() > leadership.highest()) {
+            leadership.outbid(report.token(), null);
+        }
+        if (leadership.leading()) {
+            answer(report, answer);
+            return;
+        }
+        String leader = leadership.leader();
+        if (leader == null || leader.equals(facts.node())) {
+            park(report, null, answer);
+            return;
+        }
+        // A worker that we sent to the leader and that is back did not get through to it, and one that comes with
+        // tasks and a token has lost it, this one or the last: ask on its behalf. Sending it away once more would cost
+        // it up to 5 s, of a lease that may be 10 s long. From time to time it is sent to try again.
+        double now = timers.now();
+        double lease = facts.workers().leaseS();
+        Double sent = sentAway.get(report.machine());
+        boolean back = sent != null && now - sent < 2 * lease;
+        boolean lost = sent == null && report.token() > 0
+                && (report.token() == leadership.highest() || !report.tasks().isEmpty());
+        if (!back && !lost) {
+            sentAway.put(report.machine(), now);
+            answer.accept(CheckIn.elsewhere(leader));
+            return;
+        }
+        sentAway.putIfAbsent(report.machine(), now);
+        relayed++;
+        Parked p = park(report, leader, answer);
+        if (p != null && !relay(leader, p) && report.tasks().isEmpty()) {
+            // One without tasks has nothing to lose; the others wait for another leader, who may come soon.
+            settle(p, CheckIn.elsewhere(back ? null : leader));
+        }
+    }
+
+    // ---- for siblings ---------------------------------------------------------------------------
+
+    /**
+     * Asks the leader about a check-in, or a sibling that may still reach it. Guards against work that dies with its
+     * lease because two zones can't reach each other: its worker loses the leader, and so does the node next to it.
+     */
+    private boolean relay(String leader, Parked p) {
+        if (!views.silent(leader) && siblings.relay(leader, p.report, false, x -> settle(p, x))) {
+            return true;
+        }
+        for (String s : facts.siblings()) {
+            if (!s.equals(leader) && !views.silent(s) && siblings.relay(s, p.report, true, x -> {
+                if (x.token() > 0) {
+                    settle(p, x);
+                }
+            })) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A check-in that a sibling asks about. */
+    public void answerFor(Report report, boolean passOn, Consumer<CheckIn> answer) {
+        String leader = leadership.leader();
+        if (!passOn || leadership.leading() || leader == null || leader.equals(facts.node()) || views.silent(leader)
+                || !siblings.relay(leader, report, false, answer)) {
+            answer.accept(answer(report));
+        }
+    }
+
+    // ---- waiting for a leader -------------------------------------------------------------------
+
+    /**
+     * Guards against work that dies with its lease although a leader is about to be there: a worker that is told
+     * nothing comes back a second later, to another node, where it may wait 4 s if that one is silent, while a takeover
+     * takes less. So it waits here until a leader is known: one with tasks for as long as it may, any other for as long
+     * as it would have waited before its next try.
+     */
+    private Parked park(Report report, String asked, Consumer<CheckIn> answer) {
+        if (parked.size() >= facts.limits().sockets() / 2) {
+            answer.accept(CheckIn.elsewhere(null));
+            return null;
+        }
+        Parked p = new Parked(report, asked, answer);
+        Parked older = parked.put(report.machine(), p);
+        if (older != null) {
+            older.answer.accept(CheckIn.elsewhere(null));
+        }
+        timers.after(report.tasks().isEmpty() ? 1 : MAX_PARK_S, () -> settle(p, CheckIn.elsewhere(null)));
+        return p;
+    }
+
+    /** Answers a check-in that waits; nothing happens if it has been answered already. */
+    private void settle(Parked p, CheckIn a) {
+        if (parked.get(p.report.machine()) == p) {
+            parked.remove(p.report.machine());
+            p.answer.accept(a);
+        }
+    }
+
+    /** Another leader is known: what waits for one, or for the answer of the last one, goes to it. */
+    public void leaderKnown() {
+        String leader = leadership.leader();
+        for (Parked p : new ArrayList<>(parked.values())) {
+            if (p.asked == null || !p.asked.equals(leader)) {
+                parked.remove(p.report.machine(), p);
+                checkIn(p.report, p.answer);
+            }
+        }
+    }
+
+    // ---- the holder's answers -------------------------------------------------------------------
+
+    /** The holder's answer to a report that a sibling asks about: at once, for the worker's time is running. */
+    private CheckIn answer(Report report) {
+        if (!entitlement.toAnswer(report)) {
+            return CheckIn.elsewhere(leadership.leading() ? null : leadership.leader());
+        }
+        List<Order> orders = new ArrayList<>(checkIns.checkIn(report, keeper.loaded(), timers.now()));
+        orders.addAll(checkIns.commands(report.machine(), leadership.inTouch(), timers.now()));
+        if (block.changed()) {
+            changed.run();
+        }
+        return new CheckIn(block.token(), orders, null);
+    }
+
+    private void answer(Report report, Consumer<CheckIn> answer) {
+        String machine = report.machine();
+        release(machine);
+        CheckIn now = answer(report);
+        boolean idle = now.token() > 0 && now.orders().stream().allMatch(o -> o.verb() == Order.Verb.FORGET);
+        double patience = idle && keeper.loaded() && leadership.inTouch() ? checkIns.patience(machine) : 0;
+        if (patience == 0) {
+            answer.accept(now);
+            return;
+        }
+        Held h = new Held(answer, now.orders(), now.token());
+        held.put(machine, h);
+        timers.after(patience, () -> {
+            if (held.get(machine) == h) {
+                release(machine);
+            }
+        });
+    }
+
+    /** Answers the machine's check-in now if its answer is held; returns whether it was. */
+    public boolean release(String machine) {
+        Held h = held.remove(machine);
+        if (h == null) {
+            return false;
+        }
+        if (!leadership.leading() || block.token() != h.token) {
+            h.answer.accept(CheckIn.elsewhere(leadership.leader()));
+            return true;
+        }
+        List<Order> orders = new ArrayList<>(h.orders);
+        orders.addAll(checkIns.commands(machine, leadership.inTouch(), timers.now()));
+        h.answer.accept(new CheckIn(h.token, orders, null));
+        return true;
+    }
+
+    /** What was just written may be launched. */
+    public void written() {
+        for (String machine : new ArrayList<>(held.keySet())) {
+            if (checkIns.hasCommands(machine)) {
+                release(machine);
+            }
+        }
+    }
+
+    /** This node leads no more. */
+    public void releaseAll() {
+        for (String machine : new ArrayList<>(held.keySet())) {
+            release(machine);
+        }
+    }
+}
--- a/src/main/java/io/kitepath/core/Questions.java
+++ b/src/main/java/io/kitepath/core/serve/Questions.java
@@ -1,13 +1,21 @@
-package io.kitepath.core;
-
+package io.kitepath.core.serve;
+
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.Bucket;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Store.Transaction;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.serve.Registry.Answer;
+import io.kitepath.core.serve.Registry.Verdict;
+import io.kitepath.core.state.Keys;
+import io.kitepath.core.state.Pages;
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
-import io.kitepath.core.Registry.Answer;
-import io.kitepath.core.Registry.JobState;
-import io.kitepath.core.Registry.Verdict;
-import io.kitepath.core.Store.Entry;
-import io.kitepath.core.Store.Outcome;
-import io.kitepath.core.Store.Transaction;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -25,7 +33,7 @@
  * of its questions came, so no answer is older than one that a user got before. How far a job is comes from the
  * holder's memory, which costs the state service nothing.
  */
-final class Questions {
+public final class Questions {
     /** Of the state service's requests, what all nodes together spend on comparing. */
     private static final double RATE_SHARE = 0.2;
     /** How long the first question waits for others. */
@@ -33,7 +41,7 @@
     private static final int MAX_TRIES = 3;
 
     /** Who knows how far jobs are; answers an empty list if nobody can be asked. */
-    interface Holder {
+    public interface Holder {
         void progress(List<String> jobs, Consumer<List<Progress>> answer);
 
         /** Why nobody can be asked, as far as known. */
--- a/src/main/java/io/kitepath/core/Registry.java
+++ b/src/main/java/io/kitepath/core/serve/Registry.java
@@ -1,9 +1,16 @@
-package io.kitepath.core;
-
+package io.kitepath.core.serve;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Tree;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Store.Transaction;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.state.Keys;
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
-import io.kitepath.core.Store.Outcome;
-import io.kitepath.core.Store.Transaction;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -16,17 +23,6 @@
 public final class Registry {
     public enum Verdict { CREATED, KNOWN, NOT_FOUND, LATER }
 
-    /** {@code status}: pending, running, done or cancelled. {@code note}: what it waits for, or null. */
-    public record JobState(String id, String status, int done, int running, String note) {
-        JobState(String id, String status, int done, int running) {
-            this(id, status, done, running, null);
-        }
-
-        static JobState unfinished(Progress p) {
-            return new JobState(p.job(), p.running() > 0 ? "running" : "pending", p.done(), p.running(), p.note());
-        }
-    }
-
     public record Answer(Verdict verdict, JobState state) {
         static final Answer LATER = new Answer(Verdict.LATER, null);
         static final Answer NOT_FOUND = new Answer(Verdict.NOT_FOUND, null);
@@ -45,14 +41,14 @@
      */
     private final BooleanSupplier served;
 
-    Registry(Facts facts, Store store, Timers timers, BooleanSupplier served, Questions.Holder holder) {
+    public Registry(Facts facts, Store store, Timers timers, BooleanSupplier served, Questions.Holder holder) {
         this.store = store;
         this.timers = timers;
         this.served = served;
         this.questions = new Questions(facts, store, timers, holder, this::readOver);
     }
 
-    void onCancelled(Consumer<JobState> listener) {
+    public void onCancelled(Consumer<JobState> listener) {
         onCancelled = listener;
     }
 
@@ -70,7 +66,7 @@
     }
 
     /** The store has the job's end, which never changes: a word of the node that wrote it saves a read. */
-    void ended(JobState s) {
+    public void ended(JobState s) {
         over.put(s.id(), s);
     }
 
--- a/src/main/java/io/kitepath/core/ImageRecords.java
+++ b/src/main/java/io/kitepath/core/state/ImageRecords.java
@@ -1,6 +1,9 @@
-package io.kitepath.core;
+package io.kitepath.core.state;
 
-import io.kitepath.core.Store.Entry;
+import io.kitepath.core.block.Machine;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Entry;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -15,7 +18,7 @@
  * that knows only the images of what runs, and has tasks fetch on one machine what lies on another. A hint, on which
  * nothing depends but time: written now and then, one of a few records after the other, if it changed.
  */
-final class ImageRecords {
+public final class ImageRecords {
     private static final int RECORDS = 16;
 
     private final Facts facts;
@@ -24,7 +27,7 @@
     private int next;
     private double nextAt;
 
-    ImageRecords(Facts facts) {
+    public ImageRecords(Facts facts) {
         this.facts = facts;
         for (int i = 0; i < RECORDS; i++) {
             written.add(null);
@@ -55,7 +58,7 @@
         Map<String, List<Object>> by = new TreeMap<>();
         int bytes = 0;
         for (Machine m : machines) {
-            if (indexOf(m.id) != index || m.gone || m.releasing) {
+            if (indexOf(m.id) != index || m.gone() || m.releasing()) {
                 continue;
             }
             for (Map.Entry<String, Double> e : m.images().entrySet()) {
@@ -87,7 +90,7 @@
         }
     }
 
-    void recall(Machine m) {
+    public void recall(Machine m) {
         Map<String, Double> images = remembered.remove(m.id);
         if (images != null) {
             images.forEach(m::recall);
--- a/src/main/java/io/kitepath/core/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -1,16 +1,23 @@
-package io.kitepath.core;
-
-import io.kitepath.core.Store.Committed;
-import io.kitepath.core.Store.Entry;
-import io.kitepath.core.Store.Outcome;
-import io.kitepath.core.Store.Transaction;
-import java.util.ArrayDeque;
+package io.kitepath.core.state;
+
+import io.kitepath.core.block.Attempt;
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.Bucket;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Tree;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Committed;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Store.Transaction;
+import io.kitepath.core.port.Timers;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,21 +28,18 @@
  * Keeps the jobs' records equal to what the holder has decided, one transaction at a time, and loads them when a
  * holder begins. Every write depends on the block's revision, the job's and the part's: none can land late.
  */
-final class Keeper {
+public final class Keeper {
     private static final Logger LOG = LoggerFactory.getLogger(Keeper.class);
     /** Of the store's write rate; the rest is for submissions, cancellations and leases. */
     private static final double WRITE_SHARE = 0.7;
     /** Of the 64 KiB that a transaction may hold, by an estimate of its JSON form. */
     private static final int MAX_BYTES = 48 * 1024;
 
-    private static final int PAGE_TRIES = 20;
-    /** Records read at the same time, of jobs that are over. */
-    private static final int READS_AT_ONCE = 8;
-
     private final Facts facts;
     private final Store store;
     private final Timers timers;
-    private final Scheduler scheduler;
+    private final Block block;
+    private final ImageRecords images;
     private final Listener listener;
     private final Bucket writes;
     private long epoch;
@@ -44,15 +48,15 @@
     private boolean loaded;
     private double loadingSince;
     private Round round;
-    long rounds;
-    long written;
+    private long rounds;
+    private long written;
 
-    interface Listener {
+    public interface Listener {
         /** Somebody else holds the block, or nobody. */
         void blockLost();
 
         /** The store has it that this job is done. */
-        void done(Registry.JobState job);
+        void done(JobState job);
 
         /** The memory and the store may differ. */
         void outOfStep(String why);
@@ -70,43 +74,52 @@
         int bytes;
     }
 
-    Keeper(Facts facts, Store store, Timers timers, Scheduler scheduler,
-            Listener listener) {
-        this.facts = facts;
+    public Keeper(Store store, Timers timers, Block block, ImageRecords images, Listener listener) {
+        this.facts = block.facts();
         this.store = store;
         this.timers = timers;
-        this.scheduler = scheduler;
+        this.block = block;
+        this.images = images;
         this.listener = listener;
         this.writes = new Bucket(facts.store().writeRps() * WRITE_SHARE);
     }
 
-    boolean loaded() {
+    /** Transactions, and records, that this holder has written. */
+    public long rounds() {
+        return rounds;
+    }
+
+    public long written() {
+        return written;
+    }
+
+    public boolean loaded() {
         return loaded;
     }
 
     /** For how long the jobs have not been known. */
-    double unloadedS() {
+    public double unloadedS() {
         return loaded ? 0 : timers.now() - loadingSince;
     }
 
-    long blockRevision() {
+    public long blockRevision() {
         return blockRevision;
     }
 
-    boolean writing() {
+    public boolean writing() {
         return round != null;
     }
 
-    void stop() {
+    public void stop() {
         epoch++;
         loaded = false;
         round = null;
-        scheduler.images.forget();
+        images.forget();
     }
 
     // ---- loading --------------------------------------------------------------------------------
 
-    void start(String key, long revision, Runnable ready) {
+    public void start(String key, long revision, Runnable ready) {
         blockKey = key;
         blockRevision = revision;
         loadingSince = timers.now();
@@ -123,130 +136,52 @@
         }
         loaded = false;
         round = null;
-        Pages.read(store, timers, Keys.OPEN, PAGE_TRIES, open -> {
-            if (e != epoch) {
-                return;
-            }
-            if (open.outcome() != Outcome.OK) {
+        new Reading(store, timers, () -> e != epoch).read(found -> {
+            if (found != null && adopt(found)) {
+                readImages(e);
+                follow(e, found.revision(), ready);
+                ready.run();
+            } else {
                 again(e, ready);
-                return;
             }
-            Pages.read(store, timers, Keys.PART, PAGE_TRIES, parts -> {
-                if (e != epoch) {
-                    return;
-                }
-                if (parts.outcome() != Outcome.OK) {
-                    again(e, ready);
-                    return;
-                }
-                Set<String> closed = new LinkedHashSet<>();
-                Set<String> known = new LinkedHashSet<>();
-                for (Entry x : open.entries()) {
-                    known.add(x.key().substring(Keys.OPEN.length()));
-                }
-                for (Entry x : parts.entries()) {
-                    String id = jobOf(x.key());
-                    if (!known.contains(id)) {
-                        closed.add(id);
-                    }
-                }
-                Map<String, Entry> over = new HashMap<>();
-                readClosed(e, new ArrayDeque<>(closed), over, () -> {
-                    if (adopt(open, parts.entries(), over)) {
-                        readImages(e);
-                        follow(e, open.revision(), ready);
-                        ready.run();
-                    } else {
-                        again(e, ready);
-                    }
-                });
-            });
         });
     }
 
     /** After all that work waits for, and without a word if it can't be had. */
     private void readImages(long e) {
-        Pages.read(store, timers, Keys.IMAGES, 3, images -> {
-            if (e == epoch && images.outcome() == Outcome.OK) {
-                scheduler.images.read(images.entries());
-                scheduler.machines.values().forEach(scheduler.images::recall);
-            }
-        });
-    }
-
-    /** Jobs that are over but have parts left: something of them may still be on machines. */
-    private void readClosed(long e, Deque<String> ids, Map<String, Entry> into, Runnable then) {
-        int[] missing = {ids.size()};
-        if (missing[0] == 0) {
-            then.run();
-            return;
-        }
-        for (int i = 0; i < READS_AT_ONCE; i++) {
-            readClosed(e, ids, into, missing, 1, ids.poll(), then);
-        }
-    }
-
-    private void readClosed(long e, Deque<String> ids, Map<String, Entry> into, int[] missing, int attempt, String id,
-            Runnable then) {
-        if (e != epoch || id == null) {
-            return;
-        }
-        store.get(Keys.OVER + id, (outcome, entry) -> {
-            if (e != epoch) {
-                return;
-            }
-            if (outcome != Outcome.OK && outcome != Outcome.NO) {
-                timers.after(Math.min(1, 0.1 * attempt),
-                        () -> readClosed(e, ids, into, missing, attempt + 1, id, then));
-                return;
-            }
-            if (outcome == Outcome.OK) {
-                into.put(id, entry);
-            }
-            if (--missing[0] == 0) {
-                then.run();
-            } else {
-                readClosed(e, ids, into, missing, 1, ids.poll(), then);
+        Pages.read(store, timers, Keys.IMAGES, 3, records -> {
+            if (e == epoch && records.outcome() == Outcome.OK) {
+                images.read(records.entries());
+                block.machines().values().forEach(images::recall);
             }
         });
     }
 
-    private static String jobOf(String partKey) {
-        return partKey.substring(Keys.PART.length(), partKey.lastIndexOf('/'));
-    }
-
-    private boolean adopt(Store.Listing open, List<Entry> parts, Map<String, Entry> over) {
+    /** False if what was read does not fit together: jobs came or ended while it was read. */
+    private boolean adopt(Reading.Found found) {
         double now = timers.now();
-        scheduler.forgetJobs();
-        for (Entry x : open.entries()) {
-            opened(x);
-        }
-        over.forEach((id, x) -> {
+        block.forgetJobs();
+        found.open().forEach(this::opened);
+        found.over().forEach((id, x) -> {
             try {
-                Job job = job(id, x);
-                job.over = true;
-                scheduler.addJob(job);
+                block.addOver(job(id, x));
             } catch (Malformed | IllegalArgumentException bad) {
                 LOG.error("record {} is unreadable: {}", x.key(), bad.getMessage());
             }
         });
-        for (Entry x : parts) {
-            Job job = scheduler.jobs.get(jobOf(x.key()));
+        for (Entry x : found.parts()) {
+            Job job = block.jobs().get(Keys.jobOfPart(x.key()));
             if (job == null) {
                 // Created after the list of open jobs was read, or just moved: read everything once more.
                 return false;
             }
-            int part = Integer.parseInt(x.key().substring(x.key().lastIndexOf('/') + 1));
-            if (part < job.parts.length) {
-                scheduler.adopt(job, job.readPart(part, x.value(), x.revision()), now);
-                if (job.over) {
-                    job.parts[part].changed = ++job.version;
-                    scheduler.queue(job.parts[part]);
-                }
+            int part = Keys.indexOfPart(x.key());
+            if (part < job.parts()) {
+                block.adopt(job, part, x.value(), x.revision(), now);
             }
         }
         loaded = true;
-        LOG.info("loaded {} jobs, {} parts", scheduler.jobs.size(), parts.size());
+        LOG.info("loaded {} jobs, {} parts", block.jobs().size(), found.parts().size());
         return true;
     }
 
@@ -258,11 +193,11 @@
 
     private void opened(Entry x) {
         String id = x.key().substring(Keys.OPEN.length());
-        if (scheduler.jobs.containsKey(id)) {
+        if (block.jobs().containsKey(id)) {
             return;
         }
         try {
-            scheduler.addJob(job(id, x));
+            block.addJob(job(id, x));
         } catch (Malformed | IllegalArgumentException bad) {
             LOG.error("record {} is unreadable: {}", x.key(), bad.getMessage());
         }
@@ -282,7 +217,7 @@
                     if (x.value() != null) {
                         opened(x);
                     } else {
-                        scheduler.jobOver(x.key().substring(Keys.OPEN.length()));
+                        block.jobOver(x.key().substring(Keys.OPEN.length()));
                     }
                 }
                 follow(e, Math.max(after, c.revision()), ready);
@@ -304,7 +239,7 @@
      * wait for goes first: jobs that end, then placings, which nothing may start before. Other changes take what is
      * left of the rate: until an end is written, its worker just goes on reporting it.
      */
-    void write(Runnable done) {
+    public void write(Runnable done) {
         if (!loaded || round != null) {
             return;
         }
@@ -319,20 +254,20 @@
             budget = ends(r, budget);
         }
         // The longest waiting change goes along in any case, so that a stream of placings does not put it off for ever.
-        take(r, List.copyOf(scheduler.changes), Math.min(budget, r.transaction.writes().size() + 1));
+        take(r, block.unwritten().changes(), Math.min(budget, r.transaction.writes().size() + 1));
         // Guards against a gang that waits for the records of hundreds of small jobs that were placed before it.
-        List<Job.Part> placings = new ArrayList<>(scheduler.placings);
-        placings.sort(Comparator.comparingInt(p -> ServiceOrder.rank(p.job)));
+        List<Job.Part> placings = new ArrayList<>(block.unwritten().placings());
+        placings.sort(Comparator.comparingInt(p -> p.job.rank()));
         take(r, placings, budget);
         if (!endsFirst) {
             ends(r, budget);
         }
         double spare = available - facts.store().writeRps() * WRITE_SHARE / 2;
-        take(r, List.copyOf(scheduler.changes), (int) Math.min(budget, spare));
+        take(r, block.unwritten().changes(), (int) Math.min(budget, spare));
         if (r.transaction.writes().size() < budget && r.bytes < MAX_BYTES / 2) {
-            Store.Write images = scheduler.images.due(scheduler.machines.values(), now);
-            if (images != null) {
-                r.transaction.put(images.key(), images.value());
+            Store.Write due = images.due(block.machines().values(), now);
+            if (due != null) {
+                r.transaction.put(due.key(), due.value());
             }
         }
         if (r.transaction.writes().isEmpty()) {
@@ -349,9 +284,9 @@
     private int ends(Round r, int budget) {
         List<Job> dropped = new ArrayList<>();
         int left = budget;
-        for (Job job : scheduler.jobs.values()) {
-            if (job.over) {
-                if (job.live.isEmpty() && !job.recorded()) {
+        for (Job job : block.jobs().values()) {
+            if (job.over()) {
+                if (job.live().isEmpty() && !job.recorded()) {
                     dropped.add(job);
                 }
             } else if (job.complete()) {
@@ -362,7 +297,7 @@
                 }
             }
         }
-        dropped.forEach(scheduler::dropJob);
+        dropped.forEach(block::dropJob);
         return left;
     }
 
@@ -372,15 +307,14 @@
                 return;
             }
             Job job = p.job;
-            if (!job.over && job.complete()) {
+            if (!job.over() && job.complete()) {
                 continue; // Once the job is written as done.
             }
-            scheduler.placings.remove(p);
-            scheduler.changes.remove(p);
-            if (p.changed <= p.written || !r.taken.add(p)) {
+            block.unwritten().taken(p);
+            if (!p.due() || !r.taken.add(p)) {
                 continue;
             }
-            if (!job.over && r.conditioned.add(job)) {
+            if (!job.over() && r.conditioned.add(job)) {
                 r.transaction.when(Keys.OPEN + job.spec.id(), job.revision);
             }
             putPart(r, p);
@@ -402,19 +336,19 @@
         Job job = p.job;
         String key = Keys.part(job.spec.id(), p.index);
         List<Attempt> live = job.liveIn(p.index);
-        boolean remove = job.over && live.isEmpty();
-        if (remove && p.revision == 0) {
-            p.written = job.version;
+        boolean remove = job.over() && live.isEmpty();
+        if (remove && p.revision() == 0) {
+            p.needsNoRecord();
             return;
         }
-        r.transaction.when(key, p.revision);
+        r.transaction.when(key, p.revision());
         if (remove) {
             r.transaction.remove(key);
         } else {
             r.bytes += 96 + 12 * live.size() + 32;
             r.transaction.put(key, job.partRecord(p.index));
         }
-        r.parts.add(new Written(p, job.version, remove));
+        r.parts.add(new Written(p, job.version(), remove));
     }
 
     private void send(long e, Runnable done) {
@@ -446,19 +380,19 @@
     private void committed(Round r, long revision, Runnable done) {
         round = null;
         for (Written w : r.parts) {
-            scheduler.recorded(w.part, w.version, w.removed ? 0 : revision);
+            block.recorded(w.part, w.version, w.removed ? 0 : revision);
         }
         for (Job job : r.finishing) {
             LOG.info("job {} done", job.spec.id());
-            scheduler.jobOver(job.spec.id());
-            listener.done(new Registry.JobState(job.spec.id(), "done", job.spec.tasks(), 0));
+            block.jobOver(job.spec.id());
+            listener.done(new JobState(job.spec.id(), "done", job.spec.tasks(), 0));
         }
         done.run();
     }
 
     private void refused(Round r, Committed c) {
         round = null;
-        r.parts.forEach(w -> scheduler.queue(w.part));
+        r.parts.forEach(w -> block.unwritten().queue(w.part));
         if (c.failed().contains(blockKey)) {
             listener.blockLost();
             return;
@@ -473,7 +407,7 @@
                 return;
             }
             // Cancelled just now; the next round goes without it.
-            scheduler.jobOver(key.substring(Keys.OPEN.length()));
+            block.jobOver(key.substring(Keys.OPEN.length()));
         }
         if (c.failed().isEmpty()) {
             listener.outOfStep("a write was refused without a reason");
--- /dev/null
+++ b/src/main/java/io/kitepath/core/state/Keys.java
@@ -0,0 +1,34 @@
+package io.kitepath.core.state;
+
+/** Where things are kept in the state service. */
+public final class Keys {
+    /** Highest token ever given out; never removed. */
+    public static final String TOKEN = "kitepath/token";
+    /** Who leads; hangs on the leader's lease. */
+    public static final String LEADER = "kitepath/leader";
+    /** The blocks of machines and who holds each; hang on the holder's lease. */
+    public static final String BLOCKS = "kitepath/blocks/";
+    public static final String TYPES = "kitepath/types";
+    /** Which machines have which images, in a few records. */
+    public static final String IMAGES = "kitepath/images/";
+    /** Jobs that are accepted and neither done nor cancelled. */
+    public static final String OPEN = "jobs/open/";
+    /** Jobs that are over, kept for ever. */
+    public static final String OVER = "jobs/over/";
+    /** What is done and what is on machines, by job and slice of its tasks. */
+    public static final String PART = "jobs/part/";
+
+    private Keys() {}
+
+    public static String part(String job, int part) {
+        return PART + job + "/" + part;
+    }
+
+    static String jobOfPart(String partKey) {
+        return partKey.substring(PART.length(), partKey.lastIndexOf('/'));
+    }
+
+    static int indexOfPart(String partKey) {
+        return Integer.parseInt(partKey.substring(partKey.lastIndexOf('/') + 1));
+    }
+}
--- a/src/main/java/io/kitepath/core/Pages.java
+++ b/src/main/java/io/kitepath/core/state/Pages.java
@@ -1,8 +1,10 @@
-package io.kitepath.core;
+package io.kitepath.core.state;
 
-import io.kitepath.core.Store.Entry;
-import io.kitepath.core.Store.Listing;
-import io.kitepath.core.Store.Outcome;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.port.Store.Listing;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Timers;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -11,7 +13,7 @@
  * Reads everything under a prefix, page by page. Guards against a reading that begins anew for every page that is
  * refused: while many ask the state service, a new holder would never get to the end of its jobs.
  */
-final class Pages {
+public final class Pages {
     private static final int PAGE = 500;
 
     private final Store store;
@@ -31,7 +33,7 @@
     }
 
     /** {@code tries}: how often a page is asked for. The revision is from before the first page was read. */
-    static void read(Store store, Timers timers, String prefix, int tries, Consumer<Listing> answer) {
+    public static void read(Store store, Timers timers, String prefix, int tries, Consumer<Listing> answer) {
         new Pages(store, timers, prefix, tries, answer).next(1);
     }
 
--- /dev/null
+++ b/src/main/java/io/kitepath/core/state/Reading.java
@@ -0,0 +1,107 @@
+package io.kitepath.core.state;
+
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.port.Store.Listing;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Timers;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** Reads the records of all jobs that are open or still have something of them left, once, for a new holder. */
+final class Reading {
+    private static final int PAGE_TRIES = 20;
+    /** Records read at the same time, of jobs that are over. */
+    private static final int READS_AT_ONCE = 8;
+
+    /**
+     * What was read.
+     *
+     * @param revision from before the first record was read: from there on changes have to be followed
+     * @param over by id: jobs that are over and have parts left, so that something of them may be on machines
+     */
+    record Found(long revision, List<Entry> open, List<Entry> parts, Map<String, Entry> over) {}
+
+    private final Store store;
+    private final Timers timers;
+    /** Whether nobody waits for what is read any more. */
+    private final BooleanSupplier stale;
+    private Consumer<Found> answer;
+    private final Deque<String> closed = new ArrayDeque<>();
+    private final Map<String, Entry> over = new HashMap<>();
+    private int missing;
+
+    Reading(Store store, Timers timers, BooleanSupplier stale) {
+        this.store = store;
+        this.timers = timers;
+        this.stale = stale;
+    }
+
+    /** Answers null if it can't be had now; not at all once it is stale. */
+    void read(Consumer<Found> then) {
+        answer = then;
+        pages(Keys.OPEN, open -> pages(Keys.PART, parts -> readClosed(open, parts)));
+    }
+
+    private void pages(String prefix, Consumer<Listing> then) {
+        Pages.read(store, timers, prefix, PAGE_TRIES, l -> {
+            if (stale.getAsBoolean()) {
+                return;
+            }
+            if (l.outcome() == Outcome.OK) {
+                then.accept(l);
+            } else {
+                answer.accept(null);
+            }
+        });
+    }
+
+    private void readClosed(Listing open, Listing parts) {
+        Set<String> known = new HashSet<>();
+        open.entries().forEach(x -> known.add(x.key().substring(Keys.OPEN.length())));
+        Set<String> ids = new LinkedHashSet<>();
+        parts.entries().forEach(x -> ids.add(Keys.jobOfPart(x.key())));
+        ids.removeAll(known);
+        closed.addAll(ids);
+        missing = closed.size();
+        Runnable done = () -> answer.accept(new Found(open.revision(), open.entries(), parts.entries(), over));
+        if (missing == 0) {
+            done.run();
+            return;
+        }
+        for (int i = 0; i < READS_AT_ONCE; i++) {
+            readOver(closed.poll(), 1, done);
+        }
+    }
+
+    private void readOver(String id, int attempt, Runnable done) {
+        if (id == null || stale.getAsBoolean()) {
+            return;
+        }
+        store.get(Keys.OVER + id, (outcome, entry) -> {
+            if (stale.getAsBoolean()) {
+                return;
+            }
+            if (outcome != Outcome.OK && outcome != Outcome.NO) {
+                timers.after(Math.min(1, 0.1 * attempt), () -> readOver(id, attempt + 1, done));
+                return;
+            }
+            if (outcome == Outcome.OK) {
+                over.put(id, entry);
+            }
+            if (--missing == 0) {
+                done.run();
+            } else {
+                readOver(closed.poll(), 1, done);
+            }
+        });
+    }
+}
--- a/src/main/java/io/kitepath/net/LoopTimers.java
+++ b/src/main/java/io/kitepath/net/LoopTimers.java
@@ -1,6 +1,6 @@
 package io.kitepath.net;
 
-import io.kitepath.core.Timers;
+import io.kitepath.core.port.Timers;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
--- a/src/main/java/io/kitepath/peers/Messages.java
+++ b/src/main/java/io/kitepath/peers/Messages.java
@@ -3,12 +3,12 @@
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
-import io.kitepath.core.Controller.CheckIn;
-import io.kitepath.core.Malformed;
-import io.kitepath.core.Order;
-import io.kitepath.core.Progress;
-import io.kitepath.core.Registry.JobState;
-import io.kitepath.core.Report;
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Report;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -1,11 +1,12 @@
 package io.kitepath.peers;
 
 import io.kitepath.core.Controller;
-import io.kitepath.core.Controller.CheckIn;
-import io.kitepath.core.Malformed;
-import io.kitepath.core.Progress;
-import io.kitepath.core.Registry;
-import io.kitepath.core.Report;
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.port.Siblings;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -35,7 +36,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The nodes' own channel: one kept connection to each sibling, length-prefixed frames. */
-public final class Peers implements Controller.Siblings {
+public final class Peers implements Siblings {
     private static final Logger LOG = LoggerFactory.getLogger(Peers.class);
     /** A worker drops answers after 4 s; a relayed one has to be back well before. */
     private static final long RELAY_MS = 3000;
@@ -117,7 +118,7 @@
     private Messages.View view;
 
     @Override
-    public void over(Registry.JobState job) {
+    public void over(JobState job) {
         channels.values().forEach(ch -> send(ch, new Messages.Over(job)));
     }
 
--- a/src/main/java/io/kitepath/store/HttpStore.java
+++ b/src/main/java/io/kitepath/store/HttpStore.java
@@ -1,7 +1,7 @@
 package io.kitepath.store;
 
-import io.kitepath.core.Malformed;
-import io.kitepath.core.Store;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.port.Store;
 import io.kitepath.net.HttpClient;
 import io.kitepath.wire.Pack;
 import io.kitepath.wire.Wire;
--- a/src/main/java/io/kitepath/users/UsersApi.java
+++ b/src/main/java/io/kitepath/users/UsersApi.java
@@ -1,10 +1,10 @@
 package io.kitepath.users;
 
 import io.kitepath.core.Controller;
-import io.kitepath.core.JobSpec;
-import io.kitepath.core.Malformed;
-import io.kitepath.core.Registry;
-import io.kitepath.core.Registry.Answer;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.serve.Registry;
+import io.kitepath.core.serve.Registry.Answer;
 import io.kitepath.net.HttpServer.Request;
 import io.kitepath.net.HttpServer.Responder;
 import io.kitepath.wire.Pack;
--- a/src/main/java/io/kitepath/wire/Pack.java
+++ b/src/main/java/io/kitepath/wire/Pack.java
@@ -1,6 +1,6 @@
 package io.kitepath.wire;
 
-import io.kitepath.core.Malformed;
+import io.kitepath.core.model.Malformed;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/src/main/java/io/kitepath/wire/Wire.java
+++ b/src/main/java/io/kitepath/wire/Wire.java
@@ -1,14 +1,15 @@
 package io.kitepath.wire;
 
-import io.kitepath.core.Cloud;
-import io.kitepath.core.JobSpec;
-import io.kitepath.core.MachineType;
-import io.kitepath.core.Malformed;
-import io.kitepath.core.Order;
-import io.kitepath.core.Registry.JobState;
-import io.kitepath.core.Report;
-import io.kitepath.core.Store;
-import io.kitepath.core.Tree;
+import io.kitepath.core.port.Cloud;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.model.Tree;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -196,12 +197,12 @@
         return out;
     }
 
-    public static byte[] rental(String name, String type, String zone, boolean spot, int count) {
+    public static byte[] rental(String name, MachineKind kind, int count) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("hire", name);
-        m.put("frame", type);
-        m.put("field", zone);
-        m.put("loaners", spot);
+        m.put("frame", kind.type());
+        m.put("field", kind.zone());
+        m.put("loaners", kind.spot());
         m.put("count", (long) count);
         return Pack.bytes(m);
     }
--- a/src/main/java/io/kitepath/workers/HttpDirectCommands.java
+++ b/src/main/java/io/kitepath/workers/HttpDirectCommands.java
@@ -1,9 +1,9 @@
 package io.kitepath.workers;
 
-import io.kitepath.core.DirectCommands;
-import io.kitepath.core.Malformed;
-import io.kitepath.core.Order;
-import io.kitepath.core.Report;
+import io.kitepath.core.port.DirectCommands;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Report;
 import io.kitepath.net.HttpClient;
 import io.kitepath.wire.Pack;
 import io.kitepath.wire.Wire;
--- a/src/main/java/io/kitepath/workers/WorkersApi.java
+++ b/src/main/java/io/kitepath/workers/WorkersApi.java
@@ -1,8 +1,8 @@
 package io.kitepath.workers;
 
 import io.kitepath.core.Controller;
-import io.kitepath.core.Malformed;
-import io.kitepath.core.Report;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Report;
 import io.kitepath.net.HttpServer.Request;
 import io.kitepath.net.HttpServer.Responder;
 import io.kitepath.wire.Pack;
--- /dev/null
+++ b/src/test/java/io/kitepath/ArchitectureTest.java
@@ -0,0 +1,68 @@
+package io.kitepath;
+
+import static com.tngtech.archunit.lang.conditions.ArchConditions.haveNameMatching;
+import static com.tngtech.archunit.lang.conditions.ArchConditions.not;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.members;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Who may know whom; what docs/design.md says of the packages holds in the code. */
+class ArchitectureTest {
+    private static final JavaClasses CODE = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("io.kitepath");
+
+    @Test
+    void theCoreKnowsNoSocketsFilesOrWire() {
+        noClasses().that().resideInAPackage("io.kitepath.core..").should().dependOnClassesThat().resideInAnyPackage(
+                "io.netty..", "io.kitepath.wire..", "io.kitepath.net..", "java.net..", "java.nio..", "java.io..",
+                "com.esotericsoftware..", "org.msgpack..", "com.fasterxml..", "io.micrometer..").check(CODE);
+    }
+
+    @Test
+    void theCoreTakesTimeAndThreadsFromOutside() {
+        noClasses().that().resideInAPackage("io.kitepath.core..").should().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().dependOnClassesThat().resideInAnyPackage("java.util.concurrent..", "java.time..")
+                .check(CODE);
+    }
+
+    @Test
+    void packagesHaveNoCycles() {
+        slices().matching("io.kitepath.core.(*)").should().beFreeOfCycles().check(CODE);
+        slices().matching("io.kitepath.(*)..").should().beFreeOfCycles().check(CODE);
+    }
+
+    @Test
+    void eachRoomOfTheCoreKnowsOnlyWhatItMay() {
+        layeredArchitecture().consideringOnlyDependenciesInAnyPackage("io.kitepath.core..")
+                .layer("whole").definedBy("io.kitepath.core")
+                .layer("serve").definedBy("io.kitepath.core.serve")
+                .layer("fleet").definedBy("io.kitepath.core.fleet")
+                .layer("place").definedBy("io.kitepath.core.place")
+                .layer("lead").definedBy("io.kitepath.core.lead")
+                .layer("state").definedBy("io.kitepath.core.state")
+                .layer("block").definedBy("io.kitepath.core.block")
+                .layer("port").definedBy("io.kitepath.core.port")
+                .whereLayer("whole").mayNotBeAccessedByAnyLayer()
+                .whereLayer("serve").mayOnlyBeAccessedByLayers("whole")
+                .whereLayer("fleet").mayOnlyBeAccessedByLayers("whole")
+                .whereLayer("place").mayOnlyBeAccessedByLayers("whole", "fleet")
+                .whereLayer("lead").mayOnlyBeAccessedByLayers("whole", "serve")
+                .whereLayer("state").mayOnlyBeAccessedByLayers("whole", "serve", "lead", "fleet")
+                .whereLayer("block").mayOnlyBeAccessedByLayers("whole", "serve", "fleet", "place", "state")
+                .check(CODE);
+    }
+
+    @Test
+    void onlyTheWireHasTheProtocolsNames() {
+        members().that().areDeclaredInClassesThat().resideOutsideOfPackage("io.kitepath.wire..")
+                .should(not(haveNameMatching("(?i).*(baton|sheet|tenure|crew|loaner|winddown|tether|urgency).*")))
+                .check(CODE);
+    }
+}
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -6,9 +6,21 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.kitepath.core.JobSpec.Priority;
-import io.kitepath.core.JobSpec.Shape;
-import io.kitepath.core.Registry.Verdict;
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Machine;
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobSpec.Priority;
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.model.Tree;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.serve.Registry;
+import io.kitepath.core.serve.Registry.Verdict;
+import io.kitepath.core.state.Keys;
 import java.util.HashSet;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -133,7 +145,7 @@
         first.crash();
         w.run(60);
         World.NodeInWorld second = w.leader();
-        assertTrue(second.controller.scheduler.token > first.controller.scheduler.token);
+        assertTrue(second.controller.block.token() > first.controller.block.token());
         assertEquals("done", w.status(second, "j-1"));
     }
 
@@ -146,9 +158,9 @@
         w.workers.get("i-000000").cut = true;
         first.crash();
         w.run(5);
-        Scheduler s = w.leader().controller.scheduler;
-        assertFalse(s.machines.get("i-000000").open());
-        assertEquals(1, s.jobs.get("j-1").live.size());
+        Block s = w.leader().controller.block;
+        assertFalse(s.machines().get("i-000000").open());
+        assertEquals(1, s.jobs().get("j-1").live().size());
     }
 
     @Test
@@ -162,10 +174,10 @@
         World.NodeInWorld second = w.leader();
         assertTrue(second != first);
         w.submit(second, job("j-2", Shape.ARRAY, 3, 1));
-        long launched = first.controller.scheduler.launches;
+        long launched = first.controller.checkIns.launches();
         w.run(3);
         assertFalse(first.controller.leadership.leading());
-        assertEquals(launched, first.controller.scheduler.launches);
+        assertEquals(launched, first.controller.checkIns.launches());
         w.run(60);
         assertEquals("done", w.status(first, "j-1"));
         assertEquals("done", w.status(first, "j-2"));
@@ -269,7 +281,7 @@
         w.run(5);
         assertEquals(0, w.onMachines("j-1"));
         assertEquals("cancelled", w.status(n, "j-1"));
-        assertTrue(n.controller.scheduler.jobs.isEmpty());
+        assertTrue(n.controller.block.jobs().isEmpty());
         assertTrue(w.store.keys.keySet().stream().noneMatch(k -> k.startsWith(Keys.PART)));
     }
 
@@ -412,7 +424,7 @@
         w.run(6);
         assertEquals(2, w.onMachines("j-2"));
         assertEquals(2, w.onMachines("j-1"));
-        assertEquals(6, n.controller.scheduler.givingWay.evictions);
+        assertEquals(6, n.controller.placer.givingWay().evictions());
     }
 
     @Test
@@ -480,12 +492,12 @@
         World.NodeInWorld leader = w.leader();
         World.NodeInWorld other = notThe(leader);
         Report r = new Report("i-000077", "", "m4", "a", false, 1, 1, 0, null, List.of());
-        Controller.CheckIn[] got = new Controller.CheckIn[2];
+        CheckIn[] got = new CheckIn[2];
         other.controller.checkIn(r, c -> got[0] = c);
         assertEquals(leader.name, got[0].anchor());
         other.controller.checkIn(r, c -> got[1] = c);
         w.run(0.1);
-        assertEquals(leader.controller.scheduler.token, got[1].token());
+        assertEquals(leader.controller.block.token(), got[1].token());
     }
 
     @Test
@@ -493,8 +505,8 @@
         settled(2, 1);
         World.NodeInWorld leader = w.leader();
         World.NodeInWorld other = notThe(leader);
-        long token = leader.controller.scheduler.token;
-        Controller.CheckIn[] got = new Controller.CheckIn[1];
+        long token = leader.controller.block.token();
+        CheckIn[] got = new CheckIn[1];
         other.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of()),
                 c -> got[0] = c);
         w.run(0.1);
@@ -507,10 +519,10 @@
         settled(3, 1);
         World.NodeInWorld leader = w.leader();
         World.NodeInWorld cut = notThe(leader);
-        long token = leader.controller.scheduler.token;
+        long token = leader.controller.block.token();
         cut.cutFrom.add(leader.name);
         w.run(4);
-        Controller.CheckIn[] got = new Controller.CheckIn[1];
+        CheckIn[] got = new CheckIn[1];
         cut.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of(
                 new Report.TaskReport("j-1", 0, 1, Report.State.RUNNING, null))), c -> got[0] = c);
         w.run(0.1);
@@ -524,13 +536,13 @@
         World.NodeInWorld other = notThe(leader);
         w.submit(leader, job("j-1", Shape.ARRAY, 1, 1));
         w.run(2);
-        long token = leader.controller.scheduler.token;
+        long token = leader.controller.block.token();
         leader.crash();
-        Controller.CheckIn[] got = new Controller.CheckIn[1];
+        CheckIn[] got = new CheckIn[1];
         other.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of(
                 new Report.TaskReport("j-1", 0, 1, Report.State.RUNNING, null))), c -> got[0] = c);
         w.run(3);
-        assertEquals(w.leader().controller.scheduler.token, got[0].token());
+        assertEquals(w.leader().controller.block.token(), got[0].token());
         assertTrue(got[0].token() > token);
     }
 
@@ -542,7 +554,7 @@
         w.nodes.values().forEach(World.NodeInWorld::crash);
         w.run(5);
         World.NodeInWorld n = w.node("k0");
-        Controller.CheckIn[] got = new Controller.CheckIn[1];
+        CheckIn[] got = new CheckIn[1];
         n.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, 1, null, List.of()), c -> got[0] = c);
         w.run(0.9);
         assertEquals(2, got[0].token());
@@ -582,13 +594,13 @@
         }
         w.run(6);
         assertEquals(tasks, w.workers.values().stream().mapToInt(x -> x.started).sum());
-        Scheduler s = n.controller.scheduler;
+        Block s = n.controller.block;
         // A look at every machine for every task would be 400 a task, a record for every task 1.
-        assertTrue(s.placement.looks < 15L * tasks, "machines looked at: " + s.placement.looks);
-        assertTrue(n.controller.keeper.written < tasks / 20, "records written: " + n.controller.keeper.written);
+        assertTrue(n.controller.placer.placement().looks() < 15L * tasks, "machines looked at: " + n.controller.placer.placement().looks());
+        assertTrue(n.controller.keeper.written() < tasks / 20, "records written: " + n.controller.keeper.written());
         w.run(60);
-        assertTrue(s.jobs.isEmpty(), s::summary);
-        assertTrue(n.controller.keeper.written < tasks / 4, "records written: " + n.controller.keeper.written);
+        assertTrue(s.jobs().isEmpty(), () -> Figures.summary(s, n.controller.checkIns));
+        assertTrue(n.controller.keeper.written() < tasks / 4, "records written: " + n.controller.keeper.written());
     }
 
     @Test
@@ -618,7 +630,7 @@
         World.NodeInWorld other = notThe(leader);
         w.submit(leader, job("j-1", Shape.ARRAY, 5, 1));
         w.run(5);
-        Registry.JobState seen = w.ask(other, "j-1").state();
+        JobState seen = w.ask(other, "j-1").state();
         assertEquals("running", seen.status());
         assertEquals(5, seen.running());
         World.NodeInWorld fresh = w.node("k2");
@@ -651,7 +663,7 @@
         w.store.refusePage = n -> n % 2 == 1;
         first.crash();
         w.run(8);
-        assertTrue(w.leader().controller.scheduler.jobs.size() >= 510);
+        assertTrue(w.leader().controller.block.jobs().size() >= 510);
         // Two pages of open jobs, one of parts, one of where images are, each refused once.
         assertEquals(8, w.store.pages);
     }
@@ -690,7 +702,7 @@
         assertTrue(w.store.log.size() - writes < 80, w.store.log.size() - writes + " changes");
         assertEquals("done", w.status(n, "j-3"));
         assertEquals(rentals, w.cloud.rentals.size());
-        assertEquals(List.of(), n.controller.scheduler.machines.values().stream().filter(m -> m.setAside).toList());
+        assertEquals(List.of(), n.controller.block.machines().values().stream().filter(Machine::setAside).toList());
         assertEquals("cancelled", w.cancel(n, "j-1").state().status());
         w.run(3);
         assertEquals(0, w.onMachines("j-1"));
@@ -732,7 +744,7 @@
         w.submit(n, job("j-1", Shape.ARRAY, 6, 4));
         w.run(119);
         assertTrue(w.cloud.rentals.size() <= 6, w.cloud.rentals.toString());
-        int before = n.controller.scheduler.machines.size();
+        int before = n.controller.block.machines().size();
         assertTrue(before <= 12, before + " machines");
         w.run(60);
         assertEquals("done", w.status(n, "j-1"));
@@ -766,7 +778,7 @@
         first.crash();
         w.run(10);
         assertTrue(w.leader() != first);
-        assertTrue(w.leader().controller.scheduler.machines.values().stream().allMatch(m -> m.has("img")));
+        assertTrue(w.leader().controller.block.machines().values().stream().allMatch(m -> m.has("img")));
         // Nothing changed since, so nothing is written again.
         long revision = w.store.keys.get(Keys.IMAGES + 0) == null ? 0 : w.store.keys.get(Keys.IMAGES + 0).revision();
         w.run(30);
@@ -784,10 +796,10 @@
             n.controller.registry().submit(job("j-" + i, Shape.ARRAY, 1, 1), a -> { });
         }
         w.run(1);
-        long looks = n.controller.scheduler.placement.looks;
+        long looks = n.controller.placer.placement().looks();
         w.run(1);
-        assertTrue(n.controller.scheduler.placement.looks - looks < 200, "looks: "
-                + (n.controller.scheduler.placement.looks - looks));
+        assertTrue(n.controller.placer.placement().looks() - looks < 200, "looks: "
+                + (n.controller.placer.placement().looks() - looks));
         w.run(150);
         for (int i = 0; i < 200; i++) {
             assertEquals("done", w.status(n, "j-" + i));
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -1,8 +1,24 @@
 package io.kitepath.core;
 
-import io.kitepath.core.Report.Cause;
-import io.kitepath.core.Report.State;
-import io.kitepath.core.Report.TaskReport;
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.model.Report.Cause;
+import io.kitepath.core.model.Report.State;
+import io.kitepath.core.model.Report.TaskReport;
+import io.kitepath.core.model.Tree;
+import io.kitepath.core.port.Cloud;
+import io.kitepath.core.port.Siblings;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.serve.Registry;
+import io.kitepath.core.state.Keys;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -164,7 +180,7 @@
 
     // ---- controllers ----------------------------------------------------------------------------
 
-    final class NodeInWorld implements Timers, Controller.Siblings {
+    final class NodeInWorld implements Timers, Siblings {
         final String name;
         final Controller controller;
         boolean alive = true;
@@ -234,7 +250,7 @@
         }
 
         @Override
-        public void over(Registry.JobState job) {
+        public void over(JobState job) {
             nodes.values().stream().filter(n -> n != this && n.alive && reaches(n)).forEach(n ->
                     n.after(0.001, () -> n.controller.toldOver(job)));
         }
@@ -257,7 +273,7 @@
         }
 
         @Override
-        public boolean relay(String sibling, Report report, boolean passOn, Consumer<Controller.CheckIn> answer) {
+        public boolean relay(String sibling, Report report, boolean passOn, Consumer<CheckIn> answer) {
             NodeInWorld n = nodes.get(sibling);
             if (n == null || !reaches(n)) {
                 return false;
@@ -494,15 +510,14 @@
         }
 
         @Override
-        public void rent(String name, String t, String zone, boolean spot, int count,
-                BiConsumer<Store.Outcome, List<String>> answer) {
+        public void rent(String name, MachineKind kind, int count, BiConsumer<Store.Outcome, List<String>> answer) {
             World.this.after(0.05, () -> {
                 cloud.rentals.add(name);
                 List<String> got = new ArrayList<>();
                 for (int i = 0; i < count && cloud.capacity > 0; i++, cloud.capacity--) {
                     String id = String.format("i-9%05d", cloud.named++);
                     got.add(id);
-                    boot(id, zone);
+                    boot(id, kind.zone());
                 }
                 node.after(0.05, () -> answer.accept(got.isEmpty() ? Store.Outcome.NO : Store.Outcome.OK, got));
             });
@@ -636,7 +651,7 @@
             });
         }
 
-        private void hear(Controller.CheckIn c, double sent) {
+        private void hear(CheckIn c, double sent) {
             if (c.token() == 0) {
                 node = c.anchor();
                 World.this.after(c.anchor() == null ? 1 : 0.1, this::report);
--- a/src/test/java/io/kitepath/core/ServiceOrderTest.java
+++ b/src/test/java/io/kitepath/core/place/ServiceOrderTest.java
@@ -1,7 +1,9 @@
-package io.kitepath.core;
+package io.kitepath.core.place;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.JobSpec;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -50,7 +52,7 @@
     @Test
     void theGuaranteedComeFirstWhateverTheirPriority() {
         job("j-1", 10, 10);
-        job("j-2", 10, 90).guaranteed = true;
+        job("j-2", 10, 90).guarantee(true);
         assertEquals(List.of("j-2", "j-1"), order(100, 0));
     }
 }
--- a/src/test/java/io/kitepath/settings/SettingsTest.java
+++ b/src/test/java/io/kitepath/settings/SettingsTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.kitepath.core.Malformed;
+import io.kitepath.core.model.Malformed;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/io/kitepath/wire/WireTest.java
+++ b/src/test/java/io/kitepath/wire/WireTest.java
@@ -5,12 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.kitepath.core.JobSpec;
-import io.kitepath.core.Malformed;
-import io.kitepath.core.Order;
-import io.kitepath.core.Registry.JobState;
-import io.kitepath.core.Report;
-import io.kitepath.core.Store;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.port.Store;
 import io.kitepath.settings.Settings;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
