--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -13,6 +13,8 @@
 import io.kitepath.core.model.MachineType;
 import io.kitepath.core.model.Progress;
 import io.kitepath.core.model.Report;
+import io.kitepath.core.model.Spent;
+import io.kitepath.core.model.Spent.On;
 import io.kitepath.core.place.Placer;
 import io.kitepath.core.port.Cloud;
 import io.kitepath.core.port.DirectCommands;
@@ -26,6 +28,7 @@
 import io.kitepath.core.state.Keeper;
 import io.kitepath.core.state.Keys;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -50,11 +53,15 @@
     final Leadership leadership;
     final Keeper keeper;
     private final Views views;
+    private final Spent spent;
+    private final Takeover takeover;
     private final Rentals rentals;
     private final Registry registry;
     private final CheckInDesk desk;
     private boolean ticking;
     private long ticks;
+    private long rounds;
+    private long launchesBefore;
     private double roundS;
     private double roundTook;
     private double roundEnded;
@@ -68,16 +75,18 @@
         this.direct = direct;
         this.timers = timers;
         this.siblings = siblings;
+        this.spent = new Spent(timers::now);
         ImageRecords images = new ImageRecords(facts);
         this.block = new Block(facts, images::recall);
         this.checkIns = new CheckIns(block);
-        this.placer = new Placer(block, random);
+        this.takeover = new Takeover(block);
+        this.placer = new Placer(block, random, spent);
         this.views = new Views(facts, timers);
         this.leadership = new Leadership(facts, store, timers, random, new Leading());
         this.keeper = new Keeper(store, timers, block, images, new Keeping());
         this.rentals = new Rentals(block, new Fleet(block, placer), store, cloud, timers, leadership::leading,
                 this::soon);
-        this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, siblings, timers, this::soon);
+        this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, siblings, timers, spent, this::soon);
         this.registry = new Registry(facts, store, timers, this::served, new Holder());
         registry.onCancelled(job -> {
             block.jobOver(job.id());
@@ -114,9 +123,22 @@
         desk.answerFor(report, passOn, answer);
     }
 
+    /** Rounds of placing so far. */
+    long rounds() {
+        return rounds;
+    }
+
     public Map<String, Figure> figures() {
-        return new Figures(timers, block, checkIns, placer, leadership, keeper, views, desk)
+        Map<String, Figure> all = new Figures(timers, block, checkIns, placer, leadership, keeper, views, desk)
                 .all(() -> roundS, () -> directCommands);
+        all.put("takeover.read", Figure.now("seconds from winning the lease until the jobs were read", takeover::readS));
+        all.put("takeover.reported", Figure.now("seconds from winning the lease until nearly all machines had reported",
+                takeover::mostS));
+        for (On on : On.values()) {
+            all.put("time." + on.name().toLowerCase(Locale.ROOT).replace('_', '.'),
+                    Figure.total("seconds of the event loop, by activity", () -> spent.seconds(on)));
+        }
+        return all;
     }
 
     // ---- leading --------------------------------------------------------------------------------
@@ -127,6 +149,8 @@
             block.hold(token);
             rentals.hold(leaseId);
             tell();
+            takeover.begins(timers.now());
+            launchesBefore = checkIns.launches();
             keeper.start(Keys.BLOCKS + "all", blockRevision, Controller.this::soon);
             if (!ticking) {
                 ticking = true;
@@ -192,10 +216,16 @@
             return;
         }
         round();
+        if (keeper.loaded()) {
+            takeover.read(timers.now());
+            takeover.look(timers.now(), checkIns.launches() - launchesBefore);
+        }
+        double began = timers.now();
         rentals.tend(keeper.loaded() && leadership.inTouch());
+        spent.on(On.PLANNING, began);
         if (LOG.isDebugEnabled() && ++ticks % 20 == 0) {
-            LOG.debug("{} rounds={} writes={} checkins={} busy={}", Figures.summary(block, checkIns), keeper.rounds(),
-                    keeper.written(), desk.received(), String.format("%.1f", roundS));
+            LOG.debug("{} rounds={} writes={} checkins={} busy={}", Figures.summary(block, checkIns, placer),
+                    keeper.rounds(), keeper.written(), desk.received(), String.format("%.1f", roundS) + spent);
         }
         timers.after(TICK_S, this::tick);
     }
@@ -204,10 +234,16 @@
         if (!leadership.leading() || !keeper.loaded() || keeper.writing() || !leadership.inTouch()) {
             return;
         }
+        rounds++;
         double began = timers.now();
         placer.place(began, timers.wallMs(), 20 * facts.store().txnOps());
+        double placed = timers.now();
+        spent.on(On.PLACING, began);
         keeper.write(this::written);
+        double wrote = timers.now();
+        spent.on(On.WRITING, placed);
         stopDirectly();
+        spent.on(On.STOPPING, wrote);
         roundEnded = timers.now();
         roundTook = roundEnded - began;
         roundS += roundTook;
--- a/src/main/java/io/kitepath/core/Figures.java
+++ b/src/main/java/io/kitepath/core/Figures.java
@@ -65,6 +65,8 @@
         f.put("attempts.lost", Figure.total("attempts lost with machine or session", block::lost));
         f.put("attempts.evicted", Figure.total("attempts stopped for work of more right",
                 () -> placer.givingWay().evictions()));
+        f.put("attempts.evicted.for.guarantees", Figure.total("of those, the ones that a guarantee was the reason for",
+                () -> placer.givingWay().forGuarantees()));
         f.put("direct.commands", Figure.total("machines told directly to stop tasks", directCommands));
         f.put("probes", Figure.total("machines probed", () -> placer.placement().probes()));
         f.put("probes.passed", Figure.total("probes that passed", () -> placer.placement().passed()));
@@ -83,7 +85,7 @@
     }
 
     /** One line for the log that sums up the block. */
-    static String summary(Block block, CheckIns checkIns) {
+    static String summary(Block block, CheckIns checkIns, Placer placer) {
         Map<String, int[]> classes = new TreeMap<>();
         for (Job j : block.jobs().values()) {
             int[] c = classes.computeIfAbsent(j.spec.jobClass(), k -> new int[3]);
@@ -106,7 +108,9 @@
         }
         return b.append(" machines ordinary=").append(n[0]).append(" spot=").append(n[1]).append(" unproven=")
                 .append(n[2]).append(" aside=").append(n[3]).append(" idle=").append(n[4]).append(" reserved=")
-                .append(n[5]).append(" cpus=").append(Math.round(used)).append(" launched=")
+                .append(n[5]).append(" cpus=").append(Math.round(used)).append(" evicted=")
+                .append(placer.givingWay().evictions()).append('/').append(placer.givingWay().forGuarantees())
+                .append(" lost=").append(block.lost()).append(" launched=")
                 .append(checkIns.launches()).append(" after=")
                 .append(String.format("%.2f", checkIns.launchDelayS() / Math.max(1, checkIns.launches()))).toString();
     }
--- a/src/main/java/io/kitepath/core/block/Attempt.java
+++ b/src/main/java/io/kitepath/core/block/Attempt.java
@@ -56,6 +56,11 @@
         return state;
     }
 
+    /** Whether it waits for its image, or will if the machine does not have it. */
+    boolean fetching() {
+        return !unwanted() && (state == null || state == Report.State.FETCHING);
+    }
+
     /** Whether it was wanted stopped, so that its end is under way. */
     public boolean stopping() {
         return !Double.isNaN(stopGraceS);
@@ -79,10 +84,10 @@
         return Double.isNaN(runningSince) ? 0 : now - runningSince;
     }
 
-    /** The work that is lost if it is stopped now: what it did since it began or saved last. */
+    /** The time that is lost if it is stopped now: what it did since it began or saved last, or what saving takes. */
     public double unsavedS(double now) {
         double every = job.spec.checkpointS();
-        return every > 0 ? Math.min(ranS(now), every) : ranS(now);
+        return every > 0 ? Math.min(ranS(now), Math.min(every, job.spec.saveS())) : ranS(now);
     }
 
     boolean is(Report.TaskReport t) {
--- a/src/main/java/io/kitepath/core/block/Block.java
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -50,6 +50,7 @@
         }
     });
     private final Lately lately = new Lately();
+    private final Leads leads = new Leads();
     private final Unwritten unwritten = new Unwritten();
     private long token;
     private long ends;
@@ -105,6 +106,10 @@
         return lately;
     }
 
+    public Leads leads() {
+        return leads;
+    }
+
     public Unwritten unwritten() {
         return unwritten;
     }
@@ -374,6 +379,7 @@
         Job.Part part = job.placing(task);
         unwritten.placed(part);
         attach(new Attempt(job, task, job.nextAttempt, m, now, job.version()));
+        job.placed.add(now);
         LOG.debug("placed {}/{}#{} on {}", job.spec.id(), task, job.nextAttempt, m.id);
     }
 
--- a/src/main/java/io/kitepath/core/block/CheckIns.java
+++ b/src/main/java/io/kitepath/core/block/CheckIns.java
@@ -126,10 +126,15 @@
         a.launched = true;
         if (t.state() != a.state) {
             a.state = t.state();
+            a.machine.progressed();
             if (t.state() == State.WAITING) {
                 block.hasImage(a);
             } else if (t.state() == State.RUNNING) {
                 a.runningSince = now;
+                a.job.ran.add(now);
+                if (a.placedVersion > 0) {
+                    block.leads().took(a.job.spec.jobClass(), now - a.placedAt);
+                }
                 LOG.debug("attempt {} runs, {} s after it was placed", a, Math.round(now - a.placedAt));
                 block.hasImage(a);
             }
--- a/src/main/java/io/kitepath/core/block/Job.java
+++ b/src/main/java/io/kitepath/core/block/Job.java
@@ -98,6 +98,27 @@
     long lastFailed;
     /** The longest that a task of it ran before it failed. */
     double failedWithinS;
+    /** Of this holder's placings and of the starts it saw: how many, when on average, and when the last one was. */
+    final Times placed = new Times();
+    final Times ran = new Times();
+
+    /** Moments on the steady clock, in seconds. */
+    static final class Times {
+        private int count;
+        private double sum;
+        private double last;
+
+        void add(double at) {
+            count++;
+            sum += at;
+            last = Math.max(last, at);
+        }
+
+        /** How long before {@code now} they were, on average and the last of them. */
+        String before(double now) {
+            return count == 0 ? "unknown" : String.format("%.1f (the last %.1f)", now - sum / count, now - last);
+        }
+    }
 
     /**
      * @param startWithinS within what time after its submission it has to start to meet each of its goals, in seconds
@@ -233,6 +254,14 @@
         return progress;
     }
 
+    /** For the log, in seconds: how long it took, and how long before its end its tasks were placed and began. */
+    public String took(double now, double wallMs) {
+        String deadline = spec.deadlineS() == null ? "" : String.format(" of %.1f", spec.deadlineS());
+        return String.format("%s, %d tasks of %.0f s, after %.1f s%s; placed %s, begun %s before", spec.jobClass(),
+                spec.tasks(), spec.estimateS(), (wallMs - submittedMs) / 1000, deadline, placed.before(now),
+                ran.before(now));
+    }
+
     /** Whether the store still has anything about its tasks. */
     public boolean recorded() {
         for (Part p : parts) {
--- a/src/main/java/io/kitepath/core/block/Lately.java
+++ b/src/main/java/io/kitepath/core/block/Lately.java
@@ -2,8 +2,12 @@
 
 import io.kitepath.core.model.JobSpec;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
 
 /** The jobs that came last: what the next ones may be like. */
 public final class Lately {
@@ -38,4 +42,39 @@
         return of.stream().map(j -> j.spec).sorted(Comparator.comparingDouble(s -> s.tasks() * s.cpus()))
                 .skip((long) Math.min(of.size() - 1, Math.floor(share * of.size()))).findFirst().orElseThrow();
     }
+
+    /** How many tasks of a class of gangs came a second, as of late, and one of its jobs. */
+    public record Pace(JobSpec like, double tasksPerS) {}
+
+    /** The classes of gangs that still come by their usual pace, those of the highest priority first. */
+    public List<Pace> gangs(double wallMs) {
+        Map<String, List<Job>> classes = new TreeMap<>();
+        for (Job j : jobs) {
+            if (j.spec.gang()) {
+                classes.computeIfAbsent(j.spec.jobClass(), k -> new ArrayList<>()).add(j);
+            }
+        }
+        List<Pace> out = new ArrayList<>();
+        for (List<Job> of : classes.values()) {
+            double tasks = perS(of, wallMs, j -> j.spec.tasks());
+            if (tasks > 0) {
+                out.add(new Pace(of.get(0).spec, tasks));
+            }
+        }
+        out.sort(Comparator.comparing(p -> p.like.priority()));
+        return out;
+    }
+
+    /** How many jobs of the class came a second, as of late. */
+    public double jobsPerS(String jobClass, double wallMs) {
+        return perS(jobs.stream().filter(j -> j.spec.jobClass().equals(jobClass)).toList(), wallMs, j -> 1);
+    }
+
+    /** By the later half of their time: it says more of what comes next than a backlog that came all at once. */
+    private static double perS(List<Job> of, double wallMs, ToDoubleFunction<Job> what) {
+        double first = of.stream().mapToDouble(j -> j.submittedMs).min().orElse(wallMs);
+        double half = (first + wallMs) / 2;
+        double sum = of.stream().filter(j -> j.submittedMs > half).mapToDouble(what).sum();
+        return sum == 0 ? 0 : sum * 1000 / (wallMs - half);
+    }
 }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/block/Leads.java
@@ -0,0 +1,29 @@
+package io.kitepath.core.block;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How long it takes, as of late, from the placing of a class's tasks until they run: writing it down, the worker's next
+ * report, the image, a gang's slowest. Guards against an order of service that places jobs in the nick of time, and
+ * then all of them fetch their images past their goal.
+ */
+public final class Leads {
+    /** Of the average, what one more start counts. */
+    private static final double WEIGHT = 1.0 / 64;
+
+    /** Seconds by class: the average, and how far from it they are on average. */
+    private final Map<String, double[]> classes = new HashMap<>();
+
+    void took(String jobClass, double seconds) {
+        double[] l = classes.computeIfAbsent(jobClass, k -> new double[] {seconds, 0});
+        l[1] += WEIGHT * (Math.abs(seconds - l[0]) - l[1]);
+        l[0] += WEIGHT * (seconds - l[0]);
+    }
+
+    /** What most of the class's tasks take, in seconds; 0 while nothing is known. */
+    public double mostS(String jobClass) {
+        double[] l = classes.get(jobClass);
+        return l == null ? 0 : l[0] + l[1];
+    }
+}
--- a/src/main/java/io/kitepath/core/block/Machine.java
+++ b/src/main/java/io/kitepath/core/block/Machine.java
@@ -6,10 +6,12 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A rented machine as the holder knows it: from the cloud's list, its worker's reports and the jobs' records. */
 public final class Machine {
@@ -53,6 +55,8 @@
     boolean draining;
     /** Images that it probably has, with their size, the least recently used first. */
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+    /** Images that it probably fetches now; null if that is to be worked out anew. */
+    private Set<String> fetched;
     double usedCpus;
     double usedGpus;
     double usedMemory;
@@ -67,6 +71,7 @@
      * Guards against machines that idle for minutes because a gang waits for the last of those that it needs.
      */
     boolean kept;
+    private double keptFrom;
     /** Whether the last report ended something. */
     boolean endedLately;
     /** Counts reports that were read in full, to tell what one of them did not show. */
@@ -157,6 +162,11 @@
         return usedCpus;
     }
 
+    /** Of the used CPUs, what work takes that may not use spot machines. */
+    public double boundCpus() {
+        return boundCpus;
+    }
+
     public double usedGpus() {
         return usedGpus;
     }
@@ -188,10 +198,16 @@
         reservedUntil = until;
     }
 
-    /** Keeps the room for the job once other work ends; see {@link #kept()}. */
-    public void keepFor(Job job) {
+    /** Keeps the room for the job, which other work will have left by then; see {@link #kept()}. */
+    public void keepFor(Job job, double from) {
         reservedFor = job;
         kept = true;
+        keptFrom = from;
+    }
+
+    /** Whether the job would by its estimate be over here before the one starts that the room is kept for. */
+    public boolean keptFree(Job job, double now) {
+        return job.spec.shape() != JobSpec.Shape.SERVICE && now + job.spec.estimateS() <= keptFrom;
     }
 
     /** A new round: what was only kept is decided anew, and room is not held longer than its job needs or may. */
@@ -251,6 +267,33 @@
         return images.containsKey(image);
     }
 
+    /** Whether it probably fetches that image now, for an attempt that was placed here. */
+    public boolean fetches(String image) {
+        return fetched().contains(image);
+    }
+
+    /** Whether it probably fetches any image now. */
+    public boolean fetches() {
+        return !fetched().isEmpty();
+    }
+
+    private Set<String> fetched() {
+        if (fetched == null) {
+            fetched = new HashSet<>();
+            for (Attempt a : attempts) {
+                if (a.fetching() && !has(a.job.spec.image())) {
+                    fetched.add(a.job.spec.image());
+                }
+            }
+        }
+        return fetched;
+    }
+
+    /** An attempt here has gone on. */
+    void progressed() {
+        fetched = null;
+    }
+
     /** What an earlier holder knew to be here; nothing that this one saw is displaced by it. */
     public void recall(String image, double gb) {
         images.putIfAbsent(image, gb);
@@ -262,6 +305,7 @@
 
     /** A task with this image runs here; the machine keeps the most recently used ones. */
     void ran(String image, double gb, double cacheGb) {
+        fetched = null;
         images.put(image, gb);
         double sum = 0;
         for (double size : images.values()) {
@@ -276,6 +320,7 @@
 
     void add(Attempt a) {
         attempts.add(a);
+        fetched = null;
         count(a.job.spec, 1);
         unconfirmed += a.seen ? 0 : 1;
     }
@@ -284,6 +329,7 @@
         if (!attempts.remove(a)) {
             return;
         }
+        fetched = null;
         count(a.job.spec, -1);
         unconfirmed -= a.seen ? 0 : 1;
         if (attempts.isEmpty()) {
@@ -301,6 +347,7 @@
     }
 
     void forgetAttempts() {
+        fetched = null;
         attempts.clear();
         unwritten.clear();
         failed.clear();
--- a/src/main/java/io/kitepath/core/fleet/Fleet.java
+++ b/src/main/java/io/kitepath/core/fleet/Fleet.java
@@ -140,7 +140,9 @@
             int atOnce = typical.tasks();
             if (typical.shape() == JobSpec.Shape.ARRAY && typical.deadlineS() != null) {
                 double rounds = Math.max(1, typical.deadlineS() / 2 / Math.max(1, typical.estimateS()));
-                atOnce = (int) Math.min(block.teamUse().left(typical), Math.ceil(typical.tasks() / rounds));
+                // As many come within a boot time as usual, give or take the square root of it.
+                double spread = Math.sqrt(Math.max(1, boot * block.lately().jobsPerS(o.jobClass(), wallMs)));
+                atOnce = (int) Math.ceil(spread * typical.tasks() / rounds);
             }
             List<Room> rooms = rooms(now, typical);
             String zone = typical.zone() != null ? typical.zone()
@@ -253,7 +255,15 @@
      * ordinary machines rented at several times the price because spot ones have run out for the moment.
      */
     private boolean inTime(Job job, double wallMs) {
-        double left = job.goalMs(job.goals() - 1) - wallMs;
+        int goal = job.goals() - 1;
+        if (job.spec.deadlineS() != null) {
+            // A deadline is missed long before a machine is up, by this job and by those that come like it meanwhile.
+            goal = 0;
+            while (goal < job.goals() - 1 && job.goalMs(goal) < wallMs) {
+                goal++;
+            }
+        }
+        double left = job.goalMs(goal) - wallMs;
         return spotBacklog / Math.max(1, usableCpus) < left / 1000;
     }
 
--- a/src/main/java/io/kitepath/core/fleet/Rentals.java
+++ b/src/main/java/io/kitepath/core/fleet/Rentals.java
@@ -50,6 +50,7 @@
     private double typesAt = Double.NEGATIVE_INFINITY;
     private boolean releasing;
     private boolean renting;
+    private double plannedAt = Double.NEGATIVE_INFINITY;
 
     private record Rental(String name, MachineKind kind, int count) {}
 
@@ -143,9 +144,10 @@
         if (!mayPlan || block.types().isEmpty() || listedAt < leadingSince) {
             return;
         }
-        if (calls.available(now) < 1 || releasing && renting) {
-            return; // Nothing could be done about a plan now.
+        if (calls.available(now) < 1 || releasing && renting || now - plannedAt < facts.workers().reportS() / 8) {
+            return; // Nothing could be done about a plan now, or hardly anything has changed since the last.
         }
+        plannedAt = now;
         carryOut(fleet.plan(now, timers.wallMs(), leadingSince), now);
     }
 
--- a/src/main/java/io/kitepath/core/place/GivingWay.java
+++ b/src/main/java/io/kitepath/core/place/GivingWay.java
@@ -10,35 +10,51 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.ToDoubleFunction;
-import java.util.function.ToIntFunction;
 
 /** Whose work gives way to whose, where the least is lost by it, and what room is held or kept for a job. */
 public final class GivingWay {
+    /**
+     * Report intervals for which small tasks wait for room that comes free by itself, before others are stopped for
+     * them. Guards against work that is stopped by the ten thousand on a full fleet, half done, for tasks that would
+     * have had the room of one that ended a second later.
+     */
+    private static final double PATIENCE = 2;
+
     private final Block block;
     private final Placement placement;
     private long evictions;
+    private long forGuarantees;
+    /** By zone, or "" for jobs that may be in any: for how many jobs machines are kept in this round. */
+    private final Map<String, Integer> keepers = new HashMap<>();
 
     GivingWay(Block block, Placement placement) {
         this.block = block;
         this.placement = placement;
     }
 
-    /** Attempts stopped for work of more right. */
+    /** Attempts stopped for work of more right, and those of them that a guarantee was the reason for. */
     public long evictions() {
         return evictions;
     }
 
+    public long forGuarantees() {
+        return forGuarantees;
+    }
+
     /**
-     * A machine that a job might be given room on: tasks that fit now, with others stopped, and if it were empty; what
-     * stopping them and fetching the image would lose, and what there is to wait for, both in CPU seconds.
+     * A machine that a job might be given room on: tasks that fit now and with others stopped, and what stopping them
+     * and fetching the image would lose, in CPU seconds.
      */
-    private record Offer(Machine machine, int now, int stopping, int empty, double loss, double pending) {}
+    private record Offer(Machine machine, int now, int stopping, double loss) {}
+
+    /** Room for so many tasks of a job that comes free on a machine, after so many seconds. */
+    private record Gap(Machine machine, double inS, int tasks) {}
 
     /**
      * For a job that found no room: stops lesser work where that is enough, and keeps machines for it, so that
@@ -67,7 +83,7 @@
         List<Offer> best = null;
         double bestLoss = Double.MAX_VALUE;
         for (List<Offer> in : byZone.values()) {
-            List<Offer> take = cheapest(in, need, Offer::stopping, Offer::loss);
+            List<Offer> take = cheapest(in, need);
             double loss = take == null ? 0 : take.stream().mapToDouble(Offer::loss).sum();
             if (take != null && loss < bestLoss) {
                 best = take;
@@ -87,40 +103,112 @@
         if (small) {
             return false; // Small tasks find gaps by themselves.
         }
-        for (List<Offer> in : byZone.values()) {
-            List<Offer> take = cheapest(in, need, Offer::empty, o -> o.loss + o.pending);
-            if (take != null) {
-                for (Offer o : take) {
-                    o.machine.keepFor(job);
+        return keep(job, need, byZone.keySet(), open, now);
+    }
+
+    /**
+     * Keeps the machines on which the job can start soonest, as what runs there ends, in the zone where that is
+     * soonest. Guards against a burst of gangs each of which keeps machines, so that a fifth of the fleet idles in gaps that
+     * would together hold several of them: in each zone only the first one keeps room, the others take what is free.
+     */
+    private boolean keep(Job job, int need, Set<String> zones, List<Machine> open, double now) {
+        JobSpec s = job.spec;
+        List<Gap> best = null;
+        String where = null;
+        for (String zone : zones) {
+            if (keepers.getOrDefault(zone, 0) >= (zone.isEmpty() ? block.facts().zones().size() : 1)) {
+                continue;
+            }
+            List<Gap> gaps = new ArrayList<>();
+            for (Machine m : open) {
+                if ((m.reservedFor() == null || m.reservedFor() == job) && placement.allowed(m, s)
+                        && (zone.isEmpty() || zone.equals(m.zone()))) {
+                    gaps(job, m, now, gaps);
                 }
-                return true;
             }
+            List<Gap> take = soonest(gaps, need);
+            if (take != null && (best == null || last(take) < last(best))) {
+                best = take;
+                where = zone;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        double from = now + last(best);
+        best.forEach(g -> g.machine.keepFor(job, from));
+        keepers.merge(where, 1, Integer::sum);
+        return true;
+    }
+
+    private static double last(List<Gap> gaps) {
+        return gaps.isEmpty() ? 0 : gaps.get(gaps.size() - 1).inS;
+    }
+
+    private static List<Gap> soonest(List<Gap> gaps, int need) {
+        gaps.sort(Comparator.comparingDouble(Gap::inS).thenComparing(g -> g.machine.id));
+        List<Gap> take = new ArrayList<>();
+        int left = need;
+        for (Gap g : gaps) {
+            if (left <= 0) {
+                break;
+            }
+            take.add(g);
+            left -= g.tasks;
         }
-        return false;
+        return left <= 0 ? take : null;
+    }
+
+    /** The gaps that open on the machine as its attempts end one after the other. */
+    private void gaps(Job job, Machine m, double now, List<Gap> into) {
+        List<Attempt> ends = new ArrayList<>(m.attempts());
+        ends.sort(Comparator.comparingDouble(a -> mayEvict(job, a) ? 0 : a.remainingS(now)));
+        double[] less = new double[3];
+        int before = placement.freeSlots(m, job.spec, 0, 0, 0);
+        if (before > 0) {
+            into.add(new Gap(m, 0, before));
+        }
+        for (Attempt a : ends) {
+            less(less, a);
+            int after = placement.freeSlots(m, job.spec, less[0], less[1], less[2]);
+            if (after > before) {
+                into.add(new Gap(m, mayEvict(job, a) ? 0 : a.remainingS(now), after - before));
+                before = after;
+            }
+        }
+    }
+
+    /** A new round: who keeps room is decided anew. */
+    void beginRound() {
+        keepers.clear();
+    }
+
+    /** Whether the job waits a little for room that comes free by itself. */
+    boolean patient(Job job, double wallMs) {
+        return small(job.spec) && wallMs - job.submittedMs < PATIENCE * 1000 * block.facts().workers().reportS();
     }
 
-    boolean small(JobSpec s) {
+    private boolean small(JobSpec s) {
         return !s.gang() && !s.oneZone() && !s.spread() && s.cpus() * 2 <= smallestMachine();
     }
 
-    /** Offers that together hold the tasks, those that cost least first; null if they don't suffice. */
-    private static List<Offer> cheapest(List<Offer> in, int need, ToIntFunction<Offer> slots,
-            ToDoubleFunction<Offer> cost) {
+    /** Offers that together hold the tasks, those that lose least first; null if they don't suffice. */
+    private static List<Offer> cheapest(List<Offer> in, int need) {
         List<Offer> sorted = new ArrayList<>(in);
-        sorted.sort(Comparator.comparingDouble((Offer o) -> cost.applyAsDouble(o) / Math.max(1, slots.applyAsInt(o)))
+        sorted.sort(Comparator.comparingDouble((Offer o) -> o.loss / Math.max(1, o.stopping))
                 .thenComparing(o -> -o.now).thenComparing(o -> o.machine.id));
         List<Offer> take = new ArrayList<>();
+        int left = need;
         for (Offer o : sorted) {
-            if (need <= 0) {
+            if (left <= 0) {
                 break;
             }
-            int n = slots.applyAsInt(o);
-            if (n > 0) {
-                need -= n;
+            if (o.stopping > 0) {
+                left -= o.stopping;
                 take.add(o);
             }
         }
-        return need <= 0 ? take : null;
+        return left <= 0 ? take : null;
     }
 
     private Offer offer(Job job, Machine m, Set<Job> yielding, double now) {
@@ -128,7 +216,6 @@
         double gpus = 0;
         double memory = 0;
         double loss = 0;
-        double pending = 0;
         for (Attempt a : m.attempts()) {
             if (yielding.contains(a.job) && mayEvict(job, a)) {
                 JobSpec v = a.job.spec;
@@ -136,8 +223,6 @@
                 gpus += v.gpus();
                 memory += v.memoryGb();
                 loss += a.stopping() ? 0 : v.cpus() * (a.unsavedS(now) + block.facts().workers().reportS());
-            } else {
-                pending += a.job.spec.cpus() * a.remainingS(now);
             }
         }
         MachineType type = block.types().get(m.type());
@@ -145,8 +230,7 @@
         if (!m.has(job.spec.image()) && type.fetchGbPerS() > 0) {
             loss += stopping * job.spec.cpus() * job.spec.imageGb() / type.fetchGbPerS();
         }
-        return new Offer(m, placement.freeSlots(m, job.spec, 0, 0, 0), stopping,
-                Placement.slots(job.spec, type), loss, pending);
+        return new Offer(m, placement.freeSlots(m, job.spec, 0, 0, 0), stopping, loss);
     }
 
     private boolean mayEvict(Job job, Attempt victim) {
@@ -189,6 +273,7 @@
             boolean written = a.durable();
             block.stop(a, a.job.spec.stopGraceS());
             evictions++;
+            forGuarantees += a.job.spec.priority().compareTo(job.spec.priority()) > 0 ? 0 : 1;
             if (written) {
                 less(less, a);
             }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/place/Hopeless.java
@@ -0,0 +1,55 @@
+package io.kitepath.core.place;
+
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.JobSpec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Of one round: what found no room, and for what none can be made. Within a round room only shrinks, so that work with
+ * the same rights that asks for no less won't find any either. Guards against a look at the whole block for each of
+ * hundreds of jobs that wait behind one that does not fit.
+ */
+final class Hopeless {
+    /** What decides where a job may go and what gives way to it. */
+    private record Rights(JobSpec.Shape shape, JobSpec.Priority priority, String team, boolean guaranteed,
+            List<String> types, String zone, boolean oneZone, boolean spread, boolean spot) {
+        static Rights of(Job j) {
+            JobSpec s = j.spec;
+            return new Rights(s.shape(), s.priority(), s.team(), j.guaranteed(), s.types(), s.zone(), s.oneZone(),
+                    s.spread(), s.spot());
+        }
+    }
+
+    /** {@code tasks}: of a gang, which fits as a whole or not at all; else one. */
+    private record Ask(double cpus, double gpus, double memoryGb, int tasks) {
+        static Ask of(Job j) {
+            JobSpec s = j.spec;
+            return new Ask(s.cpus(), s.gpus(), s.memoryGb(), s.gang() ? s.tasks() : 1);
+        }
+
+        boolean noLessThan(Ask o) {
+            return cpus >= o.cpus && gpus >= o.gpus && memoryGb >= o.memoryGb && tasks >= o.tasks;
+        }
+    }
+
+    private final Map<Rights, List<Ask>> asks = new HashMap<>();
+
+    void clear() {
+        asks.clear();
+    }
+
+    boolean contains(Job job) {
+        Ask ask = Ask.of(job);
+        return asks.getOrDefault(Rights.of(job), List.of()).stream().anyMatch(ask::noLessThan);
+    }
+
+    void add(Job job) {
+        Ask ask = Ask.of(job);
+        List<Ask> of = asks.computeIfAbsent(Rights.of(job), k -> new ArrayList<>());
+        of.removeIf(o -> o.noLessThan(ask));
+        of.add(ask);
+    }
+}
--- a/src/main/java/io/kitepath/core/place/Placement.java
+++ b/src/main/java/io/kitepath/core/place/Placement.java
@@ -2,6 +2,7 @@
 
 import io.kitepath.core.block.Machine;
 import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineKind;
 import io.kitepath.core.model.MachineType;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -22,6 +23,9 @@
     /** Lp of the paper. */
     public static final int PROBES = 3;
 
+    /** How often the places of the machines that hold an image have to hold a job for it to wait for those. */
+    private static final double ENOUGH = 4;
+
     private final Random random;
     private final Map<String, MachineType> types;
     private long probes;
@@ -54,8 +58,16 @@
 
     /** Whether the machine may run the task by everything but its present load. */
     boolean allowed(Machine m, JobSpec s) {
-        return types.containsKey(m.type()) && (s.types() == null || s.types().contains(m.type()))
-                && (s.zone() == null || s.zone().equals(m.zone())) && (s.spot() || !m.spot());
+        return types.containsKey(m.type()) && allowed(m.type(), m.zone(), m.spot(), s);
+    }
+
+    static boolean allowed(MachineKind k, JobSpec s) {
+        return allowed(k.type(), k.zone(), k.spot(), s);
+    }
+
+    private static boolean allowed(String type, String zone, boolean spot, JobSpec s) {
+        return (s.types() == null || s.types().contains(type)) && (s.zone() == null || s.zone().equals(zone))
+                && (s.spot() || !spot);
     }
 
     private boolean room(Machine m, JobSpec s) {
@@ -75,30 +87,76 @@
     final class Search {
         private final JobSpec spec;
         private final List<Machine> candidates;
-        private final List<Walk> walks = new ArrayList<>();
+        /** Which of the candidates come first, those that are left after them, and so on. */
+        private final List<Predicate<Machine>> stages = new ArrayList<>();
+        private int stage;
+        private Boolean enough;
+        /** Null before a stage begins. Room only shrinks while a search lasts, so a stage that found none is over. */
+        private Walk walk;
 
         private Search(JobSpec spec, List<Machine> candidates) {
             this.spec = spec;
             this.candidates = candidates;
-            if (spec.spot()) {
-                // Work that may use spot machines leaves the others to work that may not.
-                walks(candidates.stream().filter(m -> m.spot()).toList());
+            if (!spec.spot()) {
+                if (large()) {
+                    stages.add(this::holds);
+                }
+                stages.add(m -> true);
+                return;
+            }
+            // Work that may use spot machines leaves the others to work that may not; but with a deadline there is no time
+            // to fetch an image on the one while the other has it.
+            boolean hurried = spec.deadlineS() != null;
+            stages.add(m -> m.spot() && holds(m));
+            if (hurried) {
+                stages.add(this::holds);
+            }
+            if (!enoughHold()) {
+                elsewhere(Machine::spot);
+            }
+            if (!hurried) {
+                stages.add(this::holds);
+            }
+            if (!enoughHold()) {
+                elsewhere(m -> true);
+            } else {
+                // Where half a machine is free, one fetch serves many, and nothing is left idle.
+                stages.add(m -> 2 * m.usedCpus() <= types.get(m.type()).cpus()
+                        && (m.fetches(spec.image()) || !m.fetches()));
             }
-            walks(candidates);
         }
 
-        /** Machines with the image come first: fetching takes as long as many tasks run, and holds their place. */
-        private void walks(List<Machine> from) {
-            if (from.isEmpty()) {
-                return;
-            }
-            if (!spec.image().isEmpty() && (spec.spot() || large())) {
-                List<Machine> holders = from.stream().filter(m -> m.has(spec.image())).toList();
-                if (!holders.isEmpty()) {
-                    walks.add(new Walk(spec, holders));
+        private boolean holds(Machine m) {
+            return m.has(spec.image());
+        }
+
+        /**
+         * Machines that lack the image: those that fetch it already, then those that fetch nothing else, since images
+         * that are fetched at the same time may share the machine's rate.
+         */
+        private void elsewhere(Predicate<Machine> of) {
+            stages.add(m -> of.test(m) && m.fetches(spec.image()));
+            stages.add(m -> of.test(m) && !m.fetches());
+            stages.add(of);
+        }
+
+        /**
+         * Whether so many machines have the image, or fetch it, that room on them comes free sooner than another one
+         * would have fetched it. Guards against arrays whose last tasks wait for an image on a machine that three
+         * others fetch theirs on, while their like end every second where the image is.
+         */
+        private boolean enoughHold() {
+            if (enough == null) {
+                double slots = 0;
+                for (Machine m : candidates) {
+                    if (holds(m) || m.fetches(spec.image())) {
+                        MachineType t = types.get(m.type());
+                        slots += most(spec, Integer.MAX_VALUE, t.cpus() - m.boundCpus(), t.gpus(), t.memoryGb());
+                    }
                 }
+                enough = slots >= ENOUGH * spec.tasks();
             }
-            walks.add(new Walk(spec, from));
+            return enough;
         }
 
         /** Guards against bound work spread over empty machines for the sake of its image: it packs, if it can. */
@@ -113,11 +171,15 @@
 
         /** Null if there is none now; the caller puts the task there before it asks for the next. */
         Machine next() {
-            for (Walk w : walks) {
-                Machine m = w.next();
+            while (walk != null || stage < stages.size()) {
+                if (walk == null) {
+                    walk = new Walk(spec, candidates.stream().filter(stages.get(stage++)).toList());
+                }
+                Machine m = walk.next();
                 if (m != null) {
                     return m;
                 }
+                walk = null;
             }
             return null;
         }
@@ -259,13 +321,22 @@
                 t.memoryGb() - m.usedMemory() + lessMemory);
     }
 
-    /** How many such tasks an empty machine of the type holds. */
+    /** How many of the job's tasks an empty machine of the type holds. */
     public static int slots(JobSpec s, MachineType t) {
         return slots(s, t.cpus(), t.gpus(), t.memoryGb());
     }
 
     public static int slots(JobSpec s, double cpus, double gpus, double memoryGb) {
-        double n = s.tasks();
+        return most(s, s.tasks(), cpus, gpus, memoryGb);
+    }
+
+    /** How many tasks of that size an empty machine of the type holds, however many the job has. */
+    static int most(JobSpec s, MachineType t) {
+        return most(s, Integer.MAX_VALUE, t.cpus(), t.gpus(), t.memoryGb());
+    }
+
+    private static int most(JobSpec s, int tasks, double cpus, double gpus, double memoryGb) {
+        double n = tasks;
         if (s.cpus() > 0) {
             n = Math.min(n, Math.floor((cpus + 1e-6) / s.cpus()));
         }
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -6,7 +6,9 @@
 import io.kitepath.core.block.Machine;
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.JobSpec;
-import io.kitepath.core.model.MachineType;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.Spent;
+import io.kitepath.core.model.Spent.On;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -18,30 +20,22 @@
 
 /** Rounds of placing: which of the waiting work goes where now, in which order, and what gives way to it. */
 public final class Placer {
-    /** What a job asks of machines; what one did not find, others that ask the same won't find either. */
-    private record Want(JobSpec.Priority priority, String team, boolean guaranteed, double cpus, double gpus,
-            double memoryGb, List<String> types, String zone, boolean spot) {
-        static Want of(Job j) {
-            JobSpec s = j.spec;
-            return new Want(s.priority(), s.team(), j.guaranteed(), s.cpus(), s.gpus(), s.memoryGb(), s.types(),
-                    s.zone(), s.spot());
-        }
-    }
-
     private final Block block;
     private final Placement placement;
     private final GivingWay givingWay;
-    /**
-     * Of this round: small tasks that found no machine, and for which none can be made. Guards against a look at the
-     * whole block for each of a thousand jobs of one task that wait.
-     */
-    private final Set<Want> full = new HashSet<>();
+    private final Spent spent;
+    private final Standby standby;
+    /** What found no room in this round, and that for which none can be made either. */
+    private final Hopeless roomless = new Hopeless();
+    private final Hopeless hopeless = new Hopeless();
 
     /** {@code random} chooses the machines that are probed. */
-    public Placer(Block block, Random random) {
+    public Placer(Block block, Random random, Spent spent) {
         this.block = block;
+        this.spent = spent;
         this.placement = new Placement(random, block.types());
         this.givingWay = new GivingWay(block, placement);
+        this.standby = new Standby(block, placement);
     }
 
     public Placement placement() {
@@ -54,11 +48,13 @@
 
     /** Unfinished jobs with work to place, in the order in which they are served. */
     public List<Job> queue(double now, double wallMs) {
+        double began = spent.now();
         markGuaranteed();
-        double capacity = 0;
+        Map<MachineKind, Integer> open = new HashMap<>();
         for (Machine m : block.machines().values()) {
-            MachineType t = block.types().get(m.type());
-            capacity += t != null && m.open() ? t.cpus() : 0;
+            if (m.open() && block.types().containsKey(m.type())) {
+                open.merge(m.kind(), 1, Integer::sum);
+            }
         }
         // A mistaken job is served last and takes nobody's time.
         List<Job> good = new ArrayList<>();
@@ -66,12 +62,25 @@
         for (Job j : block.jobs().values()) {
             (block.failures().mistaken(j, now) ? mistaken : good).add(j);
         }
-        List<Job> order = new ServiceOrder(capacity, now, wallMs).of(good);
+        List<Job> order = new ServiceOrder(s -> capacity(s, open), s -> block.leads().mostS(s.jobClass()), now, wallMs)
+                .of(good);
         mistaken.removeIf(j -> j.waiting() == 0);
         order.addAll(mistaken);
+        spent.on(On.ORDERING, began);
         return order;
     }
 
+    /** How many CPUs such jobs could use at once if these machines, counted by kind, were empty. */
+    private double capacity(JobSpec s, Map<MachineKind, Integer> machines) {
+        double cpus = 0;
+        for (Map.Entry<MachineKind, Integer> e : machines.entrySet()) {
+            if (Placement.allowed(e.getKey(), s)) {
+                cpus += e.getValue() * s.cpus() * Placement.most(s, block.types().get(e.getKey().type()));
+            }
+        }
+        return cpus;
+    }
+
     /** A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs. */
     private void markGuaranteed() {
         List<Job> bySubmission = new ArrayList<>(block.jobs().values());
@@ -95,36 +104,64 @@
     /** Places what it can, at most {@code most} tasks; the placings take effect once they are written. */
     public int place(double now, double wallMs, int most) {
         block.beginRound(now);
+        givingWay.beginRound();
         List<Machine> open = block.machines().values().stream().filter(Machine::open).toList();
-        int placed = 0;
-        full.clear();
+        standby.choose(open, wallMs);
+        roomless.clear();
+        hopeless.clear();
         Set<Job> expected = new HashSet<>();
         open.forEach(m -> expected.add(m.reservedFor()));
+        int placed = 0;
         for (Job job : queue(now, wallMs)) {
             block.waits();
             if (placed >= most) {
                 block.change();
                 break;
             }
-            if (now < job.notBefore()) {
-                continue;
-            }
-            boolean small = givingWay.small(job.spec);
-            if (small && !expected.contains(job) && job.failedOn().isEmpty() && full.contains(Want.of(job))) {
-                continue;
-            }
-            int n = job.spec.gang() ? placeGang(job, open, now) : placeTasks(job, open, now, most - placed);
-            placed += n;
-            if (!block.failures().mistaken(job, now) && job.waiting() > 0
-                    && block.teamUse().left(job.spec) >= (job.spec.gang() ? job.spec.tasks() : 1)
-                    && !givingWay.makeRoom(job, open, now) && small && job.failedOn().isEmpty()) {
-                full.add(Want.of(job));
+            if (now >= job.notBefore()) {
+                placed += serve(job, open, expected.contains(job), most - placed, now, wallMs);
             }
         }
         return placed;
     }
 
-    private List<Machine> candidates(Job job, List<Machine> open) {
+    /** Places what it can of the job, and makes room for the rest; {@code expected}: room is reserved for it. */
+    private int serve(Job job, List<Machine> open, boolean expected, int most, double now, double wallMs) {
+        boolean gang = job.spec.gang();
+        // Of a job that has to look at where its other tasks are, or failed, nothing follows for others, nor from them.
+        boolean alike = job.failedOn().isEmpty() && !expected
+                && (gang ? job.live().isEmpty() : !job.spec.oneZone() && !job.spec.spread());
+        boolean patient = givingWay.patient(job, wallMs);
+        if (alike && (hopeless.contains(job) || patient && roomless.contains(job))) {
+            return 0;
+        }
+        int placed = 0;
+        if (!alike || !roomless.contains(job)) {
+            placed = gang ? placeGang(job, open, now) : placeTasks(job, open, now, most);
+        }
+        // A gang that still has tasks on machines waits for those, whatever room there is.
+        boolean wants = job.waiting() > 0 && placed < most && !block.failures().mistaken(job, now)
+                && block.teamUse().left(job.spec) >= (gang ? job.spec.tasks() : 1);
+        if (!wants) {
+            return placed;
+        }
+        if (alike) {
+            roomless.add(job);
+        }
+        if (!patient && !makeRoom(job, open, now) && alike) {
+            hopeless.add(job);
+        }
+        return placed;
+    }
+
+    private boolean makeRoom(Job job, List<Machine> open, double now) {
+        double began = spent.now();
+        boolean made = givingWay.makeRoom(job, open, now);
+        spent.on(On.GIVING_WAY, began);
+        return made;
+    }
+
+    private List<Machine> candidates(Job job, List<Machine> open, double now) {
         JobSpec s = job.spec;
         List<Machine> out = new ArrayList<>();
         List<Machine> failed = new ArrayList<>();
@@ -132,8 +169,10 @@
                 ? job.live().get(job.live().firstKey()).machine.zone() : null;
         for (Machine m : open) {
             Job heir = m.reservedFor();
-            if ((heir == null || heir == job || m.kept() && givingWay.yields(job, heir)) && placement.allowed(m, s)
-                    && (onlyZone == null || onlyZone.equals(m.zone())) && !(m.draining() && s.spot())) {
+            if ((heir == null || heir == job || m.kept() && (givingWay.yields(job, heir) || m.keptFree(job, now)))
+                    && placement.allowed(m, s)
+                    && (onlyZone == null || onlyZone.equals(m.zone())) && !(m.draining() && s.spot())
+                    && !standby.keepsFrom(m, job)) {
                 (job.failedOn().contains(m.id) ? failed : out).add(m);
             }
         }
@@ -149,7 +188,7 @@
         }
         int placed = 0;
         Map<String, Integer> perZone = new HashMap<>();
-        Placement.Search search = placement.search(s, candidates(job, open));
+        Placement.Search search = placement.search(s, candidates(job, open, now));
         if (s.spread()) {
             for (Attempt a : job.live().values()) {
                 perZone.merge(a.machine.zone(), 1, Integer::sum);
@@ -185,7 +224,7 @@
         if (block.teamUse().left(job.spec) < job.spec.tasks()) {
             return 0;
         }
-        List<Machine> found = placement.chooseGang(job.spec, candidates(job, open));
+        List<Machine> found = placement.chooseGang(job.spec, candidates(job, open, now));
         if (found == null) {
             return 0;
         }
--- a/src/main/java/io/kitepath/core/place/ServiceOrder.java
+++ b/src/main/java/io/kitepath/core/place/ServiceOrder.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.ToDoubleFunction;
 
 /**
  * The order in which jobs are served: work within its team's guarantee, then by priority; within that so that as many
@@ -19,13 +20,15 @@
  */
 public final class ServiceOrder {
     /** A job, which of its goals is tried for, and its work in CPU seconds. */
-    private record Entry(Job job, int goal, double work) {
+    private record Entry(Job job, int goal, double work, double leadMs) {
+        /** By when it has to be placed, to run by the time that its goal says. */
         double startMs() {
-            return job.goalMs(goal);
+            return job.goalMs(goal) - leadMs;
         }
     }
 
-    private final double capacity;
+    private final ToDoubleFunction<JobSpec> capacity;
+    private final ToDoubleFunction<JobSpec> lead;
     private final double now;
     private final double wallMs;
     /** CPU seconds of waiting work that goes before what is looked at. */
@@ -33,9 +36,16 @@
     /** CPUs of what runs and does not give way, by job, and for how long they will probably be taken. */
     private final List<double[]> running = new ArrayList<>();
 
-    /** {@code capacity}: CPUs of the machines that may be used. */
-    ServiceOrder(double capacity, double now, double wallMs) {
-        this.capacity = Math.max(1, capacity);
+    /**
+     * Guards against an overload of work for ordinary machines that nobody sees because spot machines, which it may
+     * not use, have room.
+     *
+     * @param capacity how many CPUs such jobs can use at once, were all machines theirs
+     * @param lead how many seconds pass between placing and running
+     */
+    ServiceOrder(ToDoubleFunction<JobSpec> capacity, ToDoubleFunction<JobSpec> lead, double now, double wallMs) {
+        this.capacity = capacity;
+        this.lead = lead;
         this.now = now;
         this.wallMs = wallMs;
     }
@@ -65,9 +75,9 @@
         }
     }
 
-    /** CPU seconds that the machines have for waiting work in that time; what runs takes only its part of it. */
-    private double room(double seconds) {
-        double room = capacity * seconds;
+    /** CPU seconds that there are for such waiting work in that time; what runs takes only its part of it. */
+    private double room(JobSpec s, double seconds) {
+        double room = Math.max(1, capacity.applyAsDouble(s)) * seconds;
         for (double[] r : running) {
             room -= r[0] * Math.min(r[1], seconds);
         }
@@ -79,7 +89,8 @@
         List<Job> last = new ArrayList<>();
         for (Job j : jobs) {
             if (!j.over() && j.waiting() > 0) {
-                aim(new Entry(j, -1, j.spec.cpus() * j.spec.estimateS() * j.waiting()), tried, last);
+                aim(new Entry(j, -1, j.spec.cpus() * j.spec.estimateS() * j.waiting(),
+                        1000 * lead.applyAsDouble(j.spec)), tried, last);
             }
         }
         while (!tried.isEmpty()) {
@@ -92,7 +103,7 @@
                 largest.add(e);
                 ahead += e.work;
                 double doneMs = e.startMs() + e.job.spec.estimateS() * 1000;
-                if (ahead > room((doneMs - wallMs) / 1000)) {
+                if (ahead > room(e.job.spec, (doneMs - wallMs) / 1000)) {
                     Entry gone = largest.poll();
                     ahead -= gone.work;
                     without.add(gone);
@@ -112,11 +123,11 @@
     /** Puts the job among those that try for their next goal that is not past, or last if it has none. */
     private void aim(Entry e, List<Entry> tried, List<Job> last) {
         int goal = e.goal + 1;
-        while (goal < e.job.goals() && e.job.goalMs(goal) < wallMs) {
+        while (goal < e.job.goals() && e.job.goalMs(goal) - e.leadMs < wallMs) {
             goal++;
         }
         if (goal < e.job.goals()) {
-            tried.add(new Entry(e.job, goal, e.work));
+            tried.add(new Entry(e.job, goal, e.work, e.leadMs));
         } else {
             last.add(e.job);
         }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/place/Standby.java
@@ -0,0 +1,64 @@
+package io.kitepath.core.place;
+
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.block.Lately;
+import io.kitepath.core.block.Machine;
+import io.kitepath.core.model.JobSpec;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Idle machines that lesser work leaves alone for a moment, because by their usual pace gangs of higher priority will
+ * come before room could be made for them. Guards against work that fills every machine as soon as a gang has left it,
+ * only to be stopped for the next one: on a full fleet one start in six was lost that way, and with it the end of the
+ * array that it belonged to.
+ */
+final class Standby {
+    private final Block block;
+    private final Placement placement;
+    /** The priority of the gangs that a machine waits for. */
+    private final Map<Machine, JobSpec.Priority> kept = new HashMap<>();
+
+    Standby(Block block, Placement placement) {
+        this.block = block;
+        this.placement = placement;
+    }
+
+    /** Chooses anew among the machines that may be used. */
+    void choose(List<Machine> open, double wallMs) {
+        kept.clear();
+        List<Machine> idle = new ArrayList<>();
+        for (Machine m : open) {
+            if (!m.busy() && m.reservedFor() == null && !m.draining()) {
+                idle.add(m);
+            }
+        }
+        if (idle.isEmpty()) {
+            return;
+        }
+        idle.sort(Comparator.comparingInt((Machine m) -> -m.images().size()).thenComparing(m -> m.id));
+        for (Lately.Pace pace : block.lately().gangs(wallMs)) {
+            // Room is made within about one report: what is stopped has to be reported as ended.
+            double tasks = pace.tasksPerS() * block.facts().workers().reportS();
+            for (Machine m : idle) {
+                if (tasks <= 0) {
+                    break;
+                }
+                if (!kept.containsKey(m) && placement.allowed(m, pace.like())) {
+                    tasks -= Math.max(1, placement.freeSlots(m, pace.like(), 0, 0, 0));
+                    kept.put(m, pace.like().priority());
+                }
+            }
+        }
+    }
+
+    /** Whether the job would have to give way here soon. */
+    boolean keepsFrom(Machine m, Job job) {
+        JobSpec.Priority of = kept.get(m);
+        return of != null && !job.spec.gang() && job.spec.priority().compareTo(of) > 0;
+    }
+}
--- a/src/main/java/io/kitepath/core/serve/CheckInDesk.java
+++ b/src/main/java/io/kitepath/core/serve/CheckInDesk.java
@@ -8,6 +8,8 @@
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.Order;
 import io.kitepath.core.model.Report;
+import io.kitepath.core.model.Spent;
+import io.kitepath.core.model.Spent.On;
 import io.kitepath.core.port.Siblings;
 import io.kitepath.core.port.Timers;
 import io.kitepath.core.state.Keeper;
@@ -35,6 +37,7 @@
     private final Entitlement entitlement;
     private final Siblings siblings;
     private final Timers timers;
+    private final Spent spent;
     private final Runnable changed;
     /** Workers that were sent to the leader, and when. */
     private final Map<String, Double> sentAway = new LinkedHashMap<>() {
@@ -56,7 +59,7 @@
 
     /** {@code changed} runs when a report may let work be placed. */
     public CheckInDesk(Block block, CheckIns checkIns, Leadership leadership, Keeper keeper, Views views,
-            Siblings siblings, Timers timers, Runnable changed) {
+            Siblings siblings, Timers timers, Spent spent, Runnable changed) {
         this.facts = block.facts();
         this.block = block;
         this.checkIns = checkIns;
@@ -66,6 +69,7 @@
         this.entitlement = new Entitlement(block, leadership, keeper, views);
         this.siblings = siblings;
         this.timers = timers;
+        this.spent = spent;
         this.changed = changed;
     }
 
@@ -84,7 +88,9 @@
             leadership.outbid(report.token(), null);
         }
         if (leadership.leading()) {
+            double began = spent.now();
             answer(report, answer);
+            spent.on(On.CHECK_INS, began);
             return;
         }
         String leader = leadership.leader();
@@ -239,11 +245,13 @@
 
     /** What was just written may be launched. */
     public void written() {
+        double began = spent.now();
         for (String machine : new ArrayList<>(held.keySet())) {
             if (checkIns.hasCommands(machine)) {
                 release(machine);
             }
         }
+        spent.on(On.ANSWERS, began);
     }
 
     /** This node leads no more. */
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -383,7 +383,7 @@
             block.recorded(w.part, w.version, w.removed ? 0 : revision);
         }
         for (Job job : r.finishing) {
-            LOG.info("job {} done", job.spec.id());
+            LOG.info("job {} done: {}", job.spec.id(), job.took(timers.now(), timers.wallMs()));
             block.jobOver(job.spec.id());
             listener.done(new JobState(job.spec.id(), "done", job.spec.tasks(), 0));
         }
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -596,10 +596,11 @@
         assertEquals(tasks, w.workers.values().stream().mapToInt(x -> x.started).sum());
         Block s = n.controller.block;
         // A look at every machine for every task would be 400 a task, a record for every task 1.
-        assertTrue(n.controller.placer.placement().looks() < 15L * tasks, "machines looked at: " + n.controller.placer.placement().looks());
+        long looks = n.controller.placer.placement().looks();
+        assertTrue(looks < 15L * tasks, "machines looked at: " + looks);
         assertTrue(n.controller.keeper.written() < tasks / 20, "records written: " + n.controller.keeper.written());
         w.run(60);
-        assertTrue(s.jobs().isEmpty(), () -> Figures.summary(s, n.controller.checkIns));
+        assertTrue(s.jobs().isEmpty(), () -> Figures.summary(s, n.controller.checkIns, n.controller.placer));
         assertTrue(n.controller.keeper.written() < tasks / 4, "records written: " + n.controller.keeper.written());
     }
 
--- a/src/test/java/io/kitepath/core/place/ServiceOrderTest.java
+++ b/src/test/java/io/kitepath/core/place/ServiceOrderTest.java
@@ -11,6 +11,8 @@
 /** Who is served first when there is room for all, and when there is not. */
 class ServiceOrderTest {
     private final List<Job> jobs = new ArrayList<>();
+    /** Seconds from placing to running. */
+    private double lead;
 
     /** An array whose tasks take 10 s of a CPU each, submitted now, to start within the given times. */
     private Job job(String id, int tasks, double... startWithinS) {
@@ -22,7 +24,7 @@
     }
 
     private List<String> order(double cpus, double now) {
-        return new ServiceOrder(cpus, now, now * 1000).of(jobs).stream().map(j -> j.spec.id()).toList();
+        return new ServiceOrder(s -> cpus, s -> lead, now, now * 1000).of(jobs).stream().map(j -> j.spec.id()).toList();
     }
 
     @Test
