--- a/src/main/java/io/kitepath/core/Takeover.java
+++ b/src/main/java/io/kitepath/core/Takeover.java
@@ -57,10 +57,10 @@
             up += there ? 1 : 0;
             proven += m.proven() ? 1 : 0;
         }
-        if (Double.isNaN(halfS) && 2 * proven >= up) {
+        if (Double.isNaN(halfS) && up > 0 && 2 * proven >= up) {
             halfS = now - since;
         }
-        if (proven >= MOST * up) {
+        if (up > 0 && proven >= MOST * up) {
             mostS = now - since;
             over = true;
             LOG.info(String.format("takeover: jobs read after %.2f s, first launch %.2f, half of %d machines reported %.2f, "
--- a/src/main/java/io/kitepath/core/place/GivingWay.java
+++ b/src/main/java/io/kitepath/core/place/GivingWay.java
@@ -32,6 +32,11 @@
     private long forGuarantees;
     /** By zone, or "" for jobs that may be in any: for how many jobs machines are kept in this round. */
     private final Map<String, Integer> keepers = new HashMap<>();
+    /**
+     * Whether this round looked for room for small tasks. Guards against rounds of which two thirds go into looking at
+     * every attempt of a full fleet for one small job after the other, when the next round comes in a moment.
+     */
+    private boolean searchedForSmall;
 
     GivingWay(Block block, Placement placement) {
         this.block = block;
@@ -63,6 +68,10 @@
     boolean makeRoom(Job job, List<Machine> open, double now) {
         JobSpec s = job.spec;
         boolean small = small(s);
+        if (small && searchedForSmall) {
+            return false;
+        }
+        searchedForSmall |= small;
         Set<Job> yielding = Collections.newSetFromMap(new IdentityHashMap<>());
         for (Job j : block.jobs().values()) {
             if (!j.live().isEmpty() && (j.over() || j.stopping() || yields(j, job))) {
@@ -92,10 +101,9 @@
         }
         if (best != null) {
             for (Offer o : best) {
-                // Guards against work that is served before this job although it gives way to it (a guarantee comes
-                // first, a higher priority may stop it): it would take the room again in the next round, and be
-                // stopped again, without an end. So the room is held until the stopped tasks can have been reported.
-                o.machine.reserve(job, now + 2 * block.facts().workers().reportS());
+                if (!small || outranked(job, o.machine)) {
+                    o.machine.reserve(job, now + 2 * block.facts().workers().reportS());
+                }
                 need -= evict(job, o, need);
             }
             return true;
@@ -181,6 +189,7 @@
     /** A new round: who keeps room is decided anew. */
     void beginRound() {
         keepers.clear();
+        searchedForSmall = false;
     }
 
     /** Whether the job waits a little for room that comes free by itself. */
@@ -251,6 +260,16 @@
                 && block.teamUse().cpus(v.team()) - v.cpus() >= t.cpus();
     }
 
+    /**
+     * Whether work here is served before the job although it gives way to it: a guarantee comes first, a higher priority
+     * may stop it. Guards against such work taking the room again in the next round, and being stopped again, without an
+     * end: the room is held until the stopped tasks can have been reported. Only then, for small tasks: to hold a machine
+     * of which they take a thirtieth would leave the rest of it idle.
+     */
+    private boolean outranked(Job job, Machine m) {
+        return m.attempts().stream().anyMatch(a -> a.job.rank() < job.rank() && yields(a.job, job));
+    }
+
     /** Stops just enough on the machine, the latest placed first; returns how many tasks of the job it will hold. */
     private int evict(Job job, Offer o, int need) {
         List<Attempt> victims = new ArrayList<>();
