Come back when there is an answer to be had: Retry-After by how many were refused; bounds on what users name

Need: users who can't be answered were all told one second, whatever their number; what a holder learns by class of job grew with the names that users give.

Change: serve.RetryPace gives the state service the time that it needs for all that were refused within a second, at most 30 s; Leads is bounded. Stories: a holder's memory after hundreds of jobs of as many classes; retry pace.

--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -24,6 +24,7 @@
 import io.kitepath.core.serve.CheckInDesk;
 import io.kitepath.core.serve.Questions;
 import io.kitepath.core.serve.Registry;
+import io.kitepath.core.serve.RetryPace;
 import io.kitepath.core.state.ImageRecords;
 import io.kitepath.core.state.Keeper;
 import io.kitepath.core.state.Keys;
@@ -58,6 +59,7 @@
     private final Rentals rentals;
     private final Registry registry;
     private final CheckInDesk desk;
+    private final RetryPace retries;
     private boolean ticking;
     private long ticks;
     private long rounds;
@@ -87,6 +89,7 @@
         this.rentals = new Rentals(block, new Fleet(block, placer), store, cloud, timers, leadership::leading,
                 this::soon);
         this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, siblings, timers, spent, this::soon);
+        this.retries = new RetryPace(facts, timers);
         this.registry = new Registry(facts, store, timers, this::served, new Holder());
         registry.onCancelled(job -> {
             block.jobOver(job.id());
@@ -123,6 +126,11 @@
         desk.answerFor(report, passOn, answer);
     }
 
+    /** In how many seconds a user who can't be answered now shall come back. */
+    public int retryS() {
+        return retries.refuse();
+    }
+
     /** Rounds of placing so far. */
     long rounds() {
         return rounds;
@@ -131,7 +139,8 @@
     public Map<String, Figure> figures() {
         Map<String, Figure> all = new Figures(timers, block, checkIns, placer, leadership, keeper, views, desk)
                 .all(() -> roundS, () -> directCommands);
-        all.put("takeover.read", Figure.now("seconds from winning the lease until the jobs were read", takeover::readS));
+        all.put("takeover.read", Figure.now("seconds from winning the lease until the jobs were read",
+                takeover::readS));
         all.put("takeover.reported", Figure.now("seconds from winning the lease until nearly all machines had reported",
                 takeover::mostS));
         for (On on : On.values()) {
--- a/src/main/java/io/kitepath/core/Takeover.java
+++ b/src/main/java/io/kitepath/core/Takeover.java
@@ -63,8 +63,8 @@
         if (up > 0 && proven >= MOST * up) {
             mostS = now - since;
             over = true;
-            LOG.info(String.format("takeover: jobs read after %.2f s, first launch %.2f, half of %d machines reported %.2f, "
-                    + "%.0f%% of them %.2f", readS, launchedS, up, halfS, 100 * MOST, mostS));
+            LOG.info(String.format("takeover: jobs read after %.2f s, first launch %.2f, half of %d machines reported "
+                    + "%.2f, %.0f%% of them %.2f", readS, launchedS, up, halfS, 100 * MOST, mostS));
         }
     }
 
--- a/src/main/java/io/kitepath/core/block/Leads.java
+++ b/src/main/java/io/kitepath/core/block/Leads.java
@@ -1,7 +1,7 @@
 package io.kitepath.core.block;
 
-import java.util.HashMap;
-import java.util.Map;
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
 
 /**
  * How long it takes, as of late, from the placing of a class's tasks until they run: writing it down, the worker's next
@@ -12,18 +12,21 @@
     /** Of the average, what one more start counts. */
     private static final double WEIGHT = 1.0 / 64;
 
+    /** Users name the classes, so there may be any number of them. */
+    private static final int MOST = 1000;
+
     /** Seconds by class: the average, and how far from it they are on average. */
-    private final Map<String, double[]> classes = new HashMap<>();
+    private final Cache<String, double[]> classes = Caffeine.newBuilder().maximumSize(MOST).build();
 
     void took(String jobClass, double seconds) {
-        double[] l = classes.computeIfAbsent(jobClass, k -> new double[] {seconds, 0});
+        double[] l = classes.get(jobClass, k -> new double[] {seconds, 0});
         l[1] += WEIGHT * (Math.abs(seconds - l[0]) - l[1]);
         l[0] += WEIGHT * (seconds - l[0]);
     }
 
     /** What most of the class's tasks take, in seconds; 0 while nothing is known. */
     public double mostS(String jobClass) {
-        double[] l = classes.get(jobClass);
+        double[] l = classes.getIfPresent(jobClass);
         return l == null ? 0 : l[0] + l[1];
     }
 }
--- a/src/main/java/io/kitepath/core/model/Spent.java
+++ b/src/main/java/io/kitepath/core/model/Spent.java
@@ -37,7 +37,8 @@
     public String toString() {
         StringBuilder b = new StringBuilder();
         for (On o : On.values()) {
-            b.append(' ').append(o.name().toLowerCase(Locale.ROOT)).append('=').append(String.format("%.1f", seconds(o)));
+            b.append(' ').append(o.name().toLowerCase(Locale.ROOT)).append('=')
+                    .append(String.format("%.1f", seconds(o)));
         }
         return b.toString();
     }
--- a/src/main/java/io/kitepath/core/place/GivingWay.java
+++ b/src/main/java/io/kitepath/core/place/GivingWay.java
@@ -116,8 +116,9 @@
 
     /**
      * Keeps the machines on which the job can start soonest, as what runs there ends, in the zone where that is
-     * soonest. Guards against a burst of gangs each of which keeps machines, so that a fifth of the fleet idles in gaps that
-     * would together hold several of them: in each zone only the first one keeps room, the others take what is free.
+     * soonest. Guards against a burst of gangs each of which keeps machines, so that a fifth of the fleet idles in gaps
+     * that would together hold several of them: in each zone only the first one keeps room, the others take what is
+     * free.
      */
     private boolean keep(Job job, int need, Set<String> zones, List<Machine> open, double now) {
         JobSpec s = job.spec;
@@ -261,10 +262,10 @@
     }
 
     /**
-     * Whether work here is served before the job although it gives way to it: a guarantee comes first, a higher priority
-     * may stop it. Guards against such work taking the room again in the next round, and being stopped again, without an
-     * end: the room is held until the stopped tasks can have been reported. Only then, for small tasks: to hold a machine
-     * of which they take a thirtieth would leave the rest of it idle.
+     * Whether work here is served before the job although it gives way to it: a guarantee comes first, a higher
+     * priority may stop it. Guards against such work taking the room again in the next round, and being stopped again,
+     * without an end: the room is held until the stopped tasks can have been reported. Only then, for small tasks: to
+     * hold a machine of which they take a thirtieth would leave the rest of it idle.
      */
     private boolean outranked(Job job, Machine m) {
         return m.attempts().stream().anyMatch(a -> a.job.rank() < job.rank() && yields(a.job, job));
--- a/src/main/java/io/kitepath/core/place/Placement.java
+++ b/src/main/java/io/kitepath/core/place/Placement.java
@@ -104,8 +104,8 @@
                 stages.add(m -> true);
                 return;
             }
-            // Work that may use spot machines leaves the others to work that may not; but with a deadline there is no time
-            // to fetch an image on the one while the other has it.
+            // Work that may use spot machines leaves the others to work that may not; but with a deadline there is no
+            // time to fetch an image on the one while the other has it.
             boolean hurried = spec.deadlineS() != null;
             stages.add(m -> m.spot() && holds(m));
             if (hurried) {
--- a/src/main/java/io/kitepath/users/UsersApi.java
+++ b/src/main/java/io/kitepath/users/UsersApi.java
@@ -14,9 +14,6 @@
 public final class UsersApi {
     public static final String JOBS = "/submissions";
     private static final String CANCEL = "/withdraw";
-    /** When to come back after a 503, in seconds. */
-    private static final int RETRY_S = 1;
-
     private final Controller controller;
 
     public UsersApi(Controller controller) {
@@ -84,19 +81,19 @@
     private void known(String id, int status, String why, Responder out) {
         controller.registry().status(id, a -> {
             if (a.verdict() == Registry.Verdict.NOT_FOUND) {
-                out.reply(status, Wire.error(why), status == 503 ? RETRY_S : 0);
+                out.reply(status, Wire.error(why), status == 503 ? controller.retryS() : 0);
             } else {
                 answer(a, false, out);
             }
         });
     }
 
-    private static void answer(Answer a, boolean brief, Responder out) {
+    private void answer(Answer a, boolean brief, Responder out) {
         switch (a.verdict()) {
             case CREATED -> out.reply(201, Wire.jobState(a.state(), true));
             case KNOWN -> out.reply(200, Wire.jobState(a.state(), brief));
             case NOT_FOUND -> out.reply(404, Wire.error("no such job"));
-            default -> out.reply(503, Wire.error("the state service can't be asked now"), RETRY_S);
+            default -> out.reply(503, Wire.error("the state service can't be asked now"), controller.retryS());
         }
     }
 }
--- a/src/test/java/io/kitepath/core/FleetStoriesTest.java
+++ b/src/test/java/io/kitepath/core/FleetStoriesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.kitepath.core.block.Block;
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.JobSpec.Shape;
@@ -59,8 +60,8 @@
         assertEquals(3000, w.workers.values().stream().mapToInt(x -> x.started).sum());
         first.crash();
         double crashed = w.now;
-        while (w.now < crashed + 10 && w.nodes.values().stream().noneMatch(n -> n.alive && n.controller.leadership.leading()
-                && n.controller.keeper.loaded())) {
+        while (w.now < crashed + 10 && w.nodes.values().stream().noneMatch(n -> n.alive
+                && n.controller.leadership.leading() && n.controller.keeper.loaded())) {
             w.run(0.1);
         }
         World.NodeInWorld second = w.leader();
@@ -150,8 +151,8 @@
         World.NodeInWorld n = fleet(1, 20, 4);
         w.workers.values().forEach(x -> x.runsFor = 200);
         JobSpec s = job("j-100", Shape.ARRAY, 30, 1);
-        w.submit(n, new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.priority(), s.tasks(), s.cpus(), 0, 1, null,
-                null, false, false, false, "img", 1, 200, 0, 0, null));
+        w.submit(n, new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.priority(), s.tasks(), s.cpus(), 0, 1,
+                null, null, false, false, false, "img", 1, 200, 0, 0, null));
         w.run(2);
         // Needs all machines, in 200 s at the soonest; another one of 20 s fits in before, one of 500 s does not.
         w.submit(n, job("j-200", Shape.GANG, 80, 1));
@@ -187,4 +188,24 @@
         assertEquals(2, w.workers.values().stream().filter(x -> !x.spot).flatMap(x -> x.tasks.values().stream())
                 .filter(t -> t.job.equals("j-2")).count());
     }
+
+    @Test
+    void afterHundredsOfJobsTheHolderRemembersOnlyWhatIsOpen() {
+        World.NodeInWorld n = fleet(1, 10, 4);
+        w.workers.values().forEach(x -> x.runsFor = 1);
+        for (int i = 0; i < 400; i++) {
+            // Users name the classes: any number of them.
+            w.submit(n, new JobSpec("j-" + (10000 + i), "class-" + i, "red", Shape.ARRAY, JobSpec.Priority.NORMAL, 4, 1,
+                    0, 1, null, null, false, false, false, "img-" + i, 1, 2, 0, 0, null));
+            w.run(0.9);
+        }
+        w.run(20);
+        Block block = n.controller.block;
+        assertEquals(0, block.jobs().size());
+        assertEquals(0, block.unwritten().changes().size() + block.unwritten().placings().size());
+        assertTrue(block.machines().size() <= 11);
+        // 50 GB of images of 1 GB.
+        assertTrue(block.machines().values().stream().allMatch(m -> m.attempts().isEmpty() && !m.awaitsRecords()
+                && m.images().size() <= 50));
+    }
 }
--- /dev/null
+++ b/src/test/java/io/kitepath/core/serve/RetryPaceTest.java
@@ -0,0 +1,63 @@
+package io.kitepath.core.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.port.Timers;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** When users are told to come back. */
+class RetryPaceTest {
+    private double now = 10;
+    /** Three nodes, and 300 requests a second for all of them. */
+    private final Facts facts = new Facts("k0", "a", List.of("k1", "k2"), List.of("a"), Map.of(), List.of(),
+            new Facts.Workers(1, 10, 30, 5, 30), new Facts.StoreLimits(300, 50, 8, 40), new Facts.CloudLimits(10, 2),
+            new Facts.Limits(1, 200, 1000), 5);
+    private final RetryPace pace = new RetryPace(facts, new Timers() {
+        @Override
+        public double now() {
+            return now;
+        }
+
+        @Override
+        public double wallMs() {
+            return now * 1000;
+        }
+
+        @Override
+        public void after(double seconds, Runnable run) {
+            throw new UnsupportedOperationException();
+        }
+    });
+
+    @Test
+    void aFewComeBackAfterASecond() {
+        for (int i = 0; i < 100; i++) {
+            assertEquals(1, pace.refuse());
+        }
+    }
+
+    @Test
+    void aCrowdIsGivenTheTimeThatItsAnswersTake() {
+        for (int i = 0; i < 799; i++) {
+            pace.refuse();
+        }
+        assertEquals(8, pace.refuse());
+        now += 1.1;
+        assertEquals(8, pace.refuse());
+        now += 5;
+        assertEquals(1, pace.refuse());
+    }
+
+    @Test
+    void nobodyIsToldMoreThanHalfAMinute() {
+        int last = 0;
+        for (int i = 0; i < 100_000; i++) {
+            last = pace.refuse();
+        }
+        assertTrue(last == 30, "told " + last);
+    }
+}
