--- a/src/main/java/io/kitepath/core/Figures.java
+++ b/src/main/java/io/kitepath/core/Figures.java
@@ -4,6 +4,7 @@
 import io.kitepath.core.block.CheckIns;
 import io.kitepath.core.block.Job;
 import io.kitepath.core.block.Machine;
+import io.kitepath.core.block.Served;
 import io.kitepath.core.lead.Leadership;
 import io.kitepath.core.lead.Views;
 import io.kitepath.core.model.Figure;
@@ -67,6 +68,12 @@
                 () -> placer.givingWay().evictions()));
         f.put("attempts.evicted.for.guarantees", Figure.total("of those, the ones that a guarantee was the reason for",
                 () -> placer.givingWay().forGuarantees()));
+        f.put("attempts.evicted.for.large", Figure.total("and the ones that made room for gangs and large tasks",
+                () -> placer.givingWay().forGangs()));
+        f.put("served.least", Figure.now("the lowest share of jobs in time, of all classes and teams as of late",
+                () -> block.served().leastShare()));
+        f.put("jobs.missed", Figure.total("jobs that were not done by the last time expected of them",
+                () -> block.served().classes().values().stream().mapToLong(Served.Group::missed).sum()));
         f.put("direct.commands", Figure.total("machines told directly to stop tasks", directCommands));
         f.put("probes", Figure.total("machines probed", () -> placer.placement().probes()));
         f.put("probes.passed", Figure.total("probes that passed", () -> placer.placement().passed()));
@@ -106,10 +113,13 @@
             n[5] += m.reservedFor() != null ? 1 : 0;
             used += m.usedCpus();
         }
+        block.served().classes().forEach((k, g) -> b.append(" served ").append(k).append('=').append(g.inTime())
+                .append('/').append(g.inTime() + g.missed()).append('/').append(g.submitted()));
         return b.append(" machines ordinary=").append(n[0]).append(" spot=").append(n[1]).append(" unproven=")
                 .append(n[2]).append(" aside=").append(n[3]).append(" idle=").append(n[4]).append(" reserved=")
                 .append(n[5]).append(" cpus=").append(Math.round(used)).append(" evicted=")
                 .append(placer.givingWay().evictions()).append('/').append(placer.givingWay().forGuarantees())
+                .append('/').append(placer.givingWay().forGangs())
                 .append(" lost=").append(block.lost()).append(" launched=")
                 .append(checkIns.launches()).append(" after=")
                 .append(String.format("%.2f", checkIns.launchDelayS() / Math.max(1, checkIns.launches()))).toString();
--- a/src/main/java/io/kitepath/core/block/Block.java
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -52,6 +52,7 @@
     private final Lately lately = new Lately();
     private final Leads leads = new Leads();
     private final Unwritten unwritten = new Unwritten();
+    private final Served served;
     private long token;
     private long ends;
     private long lost;
@@ -63,6 +64,7 @@
         this.facts = facts;
         this.teamUse = new TeamUse(facts);
         this.newcomers = newcomers;
+        this.served = new Served(facts);
         this.failures = new Failures(facts, machines);
         this.boots = new Boots(types);
     }
@@ -110,6 +112,11 @@
         return leads;
     }
 
+    /** What classes and teams got of what they asked for. */
+    public Served served() {
+        return served;
+    }
+
     public Unwritten unwritten() {
         return unwritten;
     }
@@ -173,12 +180,18 @@
         jobs.clear();
         teamUse.clear();
         unwritten.clear();
+        served.clear();
         for (Machine m : machines.values()) {
             m.forgetAttempts();
         }
     }
 
     public void addJob(Job job) {
+        add(job);
+        served.came(job);
+    }
+
+    private void add(Job job) {
         jobs.put(job.spec.id(), job);
         LOG.debug("job {} of {}: {} tasks of {} CPUs, image {}", job.spec.id(), job.spec.jobClass(), job.spec.tasks(),
                 job.spec.cpus(), job.spec.image());
@@ -189,7 +202,7 @@
     /** A job that is over and has records of its tasks left: something of it may still be on machines. */
     public void addOver(Job job) {
         job.over = true;
-        addJob(job);
+        add(job);
     }
 
     /**
--- a/src/main/java/io/kitepath/core/block/Job.java
+++ b/src/main/java/io/kitepath/core/block/Job.java
@@ -88,6 +88,8 @@
     /** Done or cancelled; kept only until all attempts are proven over. */
     boolean over;
     private boolean guaranteed;
+    /** Past all that is expected of it, which is counted once. */
+    boolean missed;
     double notBefore;
     /** Machines on which this job's tasks failed, and how often in all. */
     final Set<String> failedOn = new HashSet<>();
--- a/src/main/java/io/kitepath/core/model/Facts.java
+++ b/src/main/java/io/kitepath/core/model/Facts.java
@@ -64,6 +64,23 @@
         return goals.stream().mapToDouble(Double::doubleValue).sorted().toArray();
     }
 
+    /**
+     * Within what time after its submission a job has to be done to count as served at all: the most generous of its
+     * class's objectives and of its own deadline; NaN if nothing is said.
+     */
+    public double servedWithinS(JobSpec s) {
+        double most = Double.NaN;
+        for (Objective o : objectives) {
+            if (!o.jobClass.equals(s.jobClass())) {
+                continue;
+            }
+            double within = o.kind.equals("finished") ? o.withinS
+                    : o.kind.equals("deadline") && s.deadlineS() != null ? s.deadlineS() * o.times : Double.NaN;
+            most = Double.isNaN(most) || within > most ? within : most;
+        }
+        return Double.isNaN(most) && s.deadlineS() != null ? s.deadlineS() : most;
+    }
+
     /** The shortest time within which the class's jobs are expected to finish; {@code absent} if nothing is said. */
     public double finishWithinS(String jobClass, double absent) {
         return objectives.stream().filter(o -> o.kind.equals("finished") && o.jobClass.equals(jobClass))
--- a/src/main/java/io/kitepath/core/place/GivingWay.java
+++ b/src/main/java/io/kitepath/core/place/GivingWay.java
@@ -30,6 +30,7 @@
     private final Placement placement;
     private long evictions;
     private long forGuarantees;
+    private long forGangs;
     /** By zone, or "" for jobs that may be in any: for how many jobs machines are kept in this round. */
     private final Map<String, Integer> keepers = new HashMap<>();
     /**
@@ -52,6 +53,11 @@
         return forGuarantees;
     }
 
+    /** And those that made room for gangs and large tasks. */
+    public long forGangs() {
+        return forGangs;
+    }
+
     /**
      * A machine that a job might be given room on: tasks that fit now and with others stopped, and what stopping them
      * and fetching the image would lose, in CPU seconds.
@@ -293,6 +299,7 @@
             boolean written = a.durable();
             block.stop(a, a.job.spec.stopGraceS());
             evictions++;
+            forGangs += small(job.spec) ? 0 : 1;
             forGuarantees += a.job.spec.priority().compareTo(job.spec.priority()) > 0 ? 0 : 1;
             if (written) {
                 less(less, a);
--- a/src/main/java/io/kitepath/core/place/Placement.java
+++ b/src/main/java/io/kitepath/core/place/Placement.java
@@ -159,6 +159,11 @@
             return enough;
         }
 
+        /** Whether it left out machines only because the image is elsewhere. */
+        boolean holdsOut() {
+            return Boolean.TRUE.equals(enough);
+        }
+
         /** Guards against bound work spread over empty machines for the sake of its image: it packs, if it can. */
         private boolean large() {
             return types.values().stream().allMatch(t -> slots(spec, t) < 2);
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -28,6 +28,8 @@
     /** What found no room in this round, and that for which none can be made either. */
     private final Hopeless roomless = new Hopeless();
     private final Hopeless hopeless = new Hopeless();
+    /** Whether the last search left out machines only because its image is elsewhere. */
+    private boolean heldOut;
 
     /** {@code random} chooses the machines that are probed. */
     public Placer(Block block, Random random, Spent spent) {
@@ -50,6 +52,7 @@
     public List<Job> queue(double now, double wallMs) {
         double began = spent.now();
         markGuaranteed();
+        block.served().look(block.jobs().values(), wallMs);
         Map<MachineKind, Integer> open = new HashMap<>();
         for (Machine m : block.machines().values()) {
             if (m.open() && block.types().containsKey(m.type())) {
@@ -62,8 +65,8 @@
         for (Job j : block.jobs().values()) {
             (block.failures().mistaken(j, now) ? mistaken : good).add(j);
         }
-        List<Job> order = new ServiceOrder(s -> capacity(s, open), s -> block.leads().mostS(s.jobClass()), now, wallMs)
-                .of(good);
+        List<Job> order = new ServiceOrder(s -> capacity(s, open), s -> block.leads().mostS(s.jobClass()),
+                block.served()::behind, now, wallMs).of(good);
         mistaken.removeIf(j -> j.waiting() == 0);
         order.addAll(mistaken);
         spent.on(On.ORDERING, began);
@@ -136,6 +139,7 @@
             return 0;
         }
         int placed = 0;
+        heldOut = false;
         if (!alike || !roomless.contains(job)) {
             placed = gang ? placeGang(job, open, now) : placeTasks(job, open, now, most);
         }
@@ -146,10 +150,10 @@
             return placed;
         }
         if (alike) {
-            roomless.add(job);
+            roomless.add(job, heldOut);
         }
         if (!patient && !makeRoom(job, open, now) && alike) {
-            hopeless.add(job);
+            hopeless.add(job, heldOut);
         }
         return placed;
     }
@@ -189,6 +193,7 @@
         int placed = 0;
         Map<String, Integer> perZone = new HashMap<>();
         Placement.Search search = placement.search(s, candidates(job, open, now));
+        heldOut = search.holdsOut();
         if (s.spread()) {
             for (Attempt a : job.live().values()) {
                 perZone.merge(a.machine.zone(), 1, Integer::sum);
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -384,6 +384,7 @@
         }
         for (Job job : r.finishing) {
             LOG.info("job {} done: {}", job.spec.id(), job.took(timers.now(), timers.wallMs()));
+            block.served().done(job, timers.wallMs());
             block.jobOver(job.spec.id());
             listener.done(new JobState(job.spec.id(), "done", job.spec.tasks(), 0));
         }
--- a/src/test/java/io/kitepath/core/place/ServiceOrderTest.java
+++ b/src/test/java/io/kitepath/core/place/ServiceOrderTest.java
@@ -5,7 +5,9 @@
 import io.kitepath.core.block.Job;
 import io.kitepath.core.model.JobSpec;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Who is served first when there is room for all, and when there is not. */
@@ -13,10 +15,15 @@
     private final List<Job> jobs = new ArrayList<>();
     /** Seconds from placing to running. */
     private double lead;
+    private final Set<String> behind = new HashSet<>();
 
     /** An array whose tasks take 10 s of a CPU each, submitted now, to start within the given times. */
     private Job job(String id, int tasks, double... startWithinS) {
-        JobSpec s = new JobSpec(id, "work", "red", JobSpec.Shape.ARRAY, JobSpec.Priority.NORMAL, tasks, 1, 0, 1, null,
+        return job(id, "work", tasks, startWithinS);
+    }
+
+    private Job job(String id, String of, int tasks, double... startWithinS) {
+        JobSpec s = new JobSpec(id, of, "red", JobSpec.Shape.ARRAY, JobSpec.Priority.NORMAL, tasks, 1, 0, 1, null,
                 null, false, false, true, "img", 1, 10, 0, 0, null);
         Job j = new Job(s, 0, startWithinS, 1, 256);
         jobs.add(j);
@@ -24,7 +31,8 @@
     }
 
     private List<String> order(double cpus, double now) {
-        return new ServiceOrder(s -> cpus, s -> lead, now, now * 1000).of(jobs).stream().map(j -> j.spec.id()).toList();
+        return new ServiceOrder(s -> cpus, s -> lead, s -> behind.contains(s.jobClass()), now,
+                now * 1000).of(jobs).stream().map(j -> j.spec.id()).toList();
     }
 
     @Test
@@ -43,6 +51,20 @@
         assertEquals(List.of("j-2", "j-3", "j-1"), order(60, 0));
     }
 
+    @Test
+    void aClassThatIsBehindGoesWithoutLast() {
+        job("j-1", "large", 300, 60);
+        job("j-2", 80, 15);
+        job("j-3", 80, 20);
+        assertEquals(List.of("j-2", "j-3", "j-1"), order(60, 0));
+        // The large class has got too little lately: now another one goes without, as many as it takes.
+        behind.add("large");
+        assertEquals(List.of("j-3", "j-1", "j-2"), order(60, 0));
+        assertEquals(List.of("j-1", "j-2", "j-3"), order(45, 0));
+        // What can't be in time whoever goes without does not take the others along.
+        assertEquals("j-3", order(40, 0).get(0));
+    }
+
     @Test
     void aJobThatMissedOneGoalTriesForItsNext() {
         job("j-1", 10, 10, 100);
@@ -74,7 +96,7 @@
         job("j-2", 80, 15);
         job("j-3", 80, 20);
         // The fleet has a thousand CPUs, but of these jobs it can run only sixty tasks at once.
-        assertEquals(List.of("j-2", "j-3", "j-1"), new ServiceOrder(s -> s.spot() ? 60 : 1000, s -> 0, 0, 0).of(jobs)
+        assertEquals(List.of("j-2", "j-3", "j-1"), new ServiceOrder(s -> s.spot() ? 60 : 1000, s -> 0, s -> false, 0, 0).of(jobs)
                 .stream().map(j -> j.spec.id()).toList());
     }
 }
