--- a/src/main/java/io/kitepath/cli/ArchiveTraining.java
+++ b/src/main/java/io/kitepath/cli/ArchiveTraining.java
@@ -51,7 +51,7 @@
                   "state":{"rps":200,"write_rps":100,"value_kb":8,"txn_ops":40},"cloud":{"rps":9,"list_lag_s":1},
                   "limits":{"cpu":1,"ram_mb":200,"sockets":1000},"clock_error_ms":5}}
                 """.formatted(text(node), text(free()), text(outside), text(outside));
-        new Node(Settings.of(json.getBytes(StandardCharsets.UTF_8))).start();
+        new Node(Settings.of(json.getBytes(StandardCharsets.UTF_8)), null).start();
     }
 
     /** A user's and a worker's requests; returns the answers' status codes. */
--- a/src/main/java/io/kitepath/cli/CommandLineEntry.java
+++ b/src/main/java/io/kitepath/cli/CommandLineEntry.java
@@ -1,6 +1,8 @@
 package io.kitepath.cli;
 
+import io.kitepath.core.model.Directory;
 import io.kitepath.core.model.Malformed;
+import io.kitepath.settings.CellsFile;
 import io.kitepath.settings.Settings;
 import io.kitepath.wire.Pack;
 import java.net.URI;
@@ -27,6 +29,9 @@
     @Option(names = "--config", paramLabel = "FILE", description = "Without a command: serve with these settings.")
     Path config;
 
+    @Option(names = "--cells", paramLabel = "FILE", description = "With --config: the file that names the cells.")
+    Path cells;
+
     @CommandLine.Spec
     CommandLine.Model.CommandSpec spec;
 
@@ -45,11 +50,11 @@
             spec.commandLine().usage(System.err);
             return 2;
         }
-        return serve(config);
+        return serve(config, cells);
     }
 
-    private static int serve(Path config) {
-        int status = Main.serve(config);
+    private static int serve(Path config, Path cells) {
+        int status = Main.serve(config, cells);
         serving = status == 0;
         return status;
     }
@@ -67,9 +72,12 @@
         @Option(names = "--config", paramLabel = "FILE", required = true, description = "The settings file.")
         Path config;
 
+        @Option(names = "--cells", paramLabel = "FILE", description = "The file that names the cells.")
+        Path cells;
+
         @Override
         public Integer call() {
-            return serve(config);
+            return serve(config, cells);
         }
     }
 
@@ -79,11 +87,19 @@
         @Option(names = "--config", paramLabel = "FILE", required = true, description = "The settings file.")
         Path config;
 
+        @Option(names = "--cells", paramLabel = "FILE", description = "The file that names the cells.")
+        Path cells;
+
         @Override
         public Integer call() {
             try {
                 Settings s = Settings.read(config);
                 System.out.println(config + ": ok, node " + s.facts().node() + " of " + (s.siblings().size() + 1));
+                if (cells != null) {
+                    Directory d = CellsFile.read(cells, s.facts()).directory();
+                    System.out.println(cells + ": ok, cell " + d.own() + " of " + d.cells().size() + ", homes: "
+                            + d.homes());
+                }
                 return 0;
             } catch (Malformed e) {
                 System.err.println("kitepath: " + e.getMessage());
--- a/src/main/java/io/kitepath/cli/Main.java
+++ b/src/main/java/io/kitepath/cli/Main.java
@@ -1,6 +1,7 @@
 package io.kitepath.cli;
 
 import io.kitepath.core.model.Malformed;
+import io.kitepath.settings.CellsFile;
 import io.kitepath.settings.Settings;
 import java.nio.file.Path;
 
@@ -13,7 +14,7 @@
         // The platform starts every node as "--config FILE", on a sliver of a core: that way must not load the
         // command line's library first. Everything else goes through it.
         if (args.length == 2 && args[0].equals("--config")) {
-            int status = serve(Path.of(args[1]));
+            int status = serve(Path.of(args[1]), null);
             if (status != 0) {
                 System.exit(status);
             }
@@ -41,10 +42,11 @@
         System.setProperty("io.netty.processId", "1");
     }
 
-    /** Starts a node; returns 2 for bad settings, 1 if it can't listen, 0 if it runs. */
-    static int serve(Path file) {
+    /** Starts a node, with other cells if a file names them; returns 2 for bad settings, 1 if it can't listen, 0 if it runs. */
+    static int serve(Path file, Path cells) {
         try {
-            new Node(Settings.read(file)).start();
+            Settings settings = Settings.read(file);
+            new Node(settings, cells == null ? null : CellsFile.read(cells, settings.facts())).start();
             return 0;
         } catch (Malformed e) {
             System.err.println("kitepath: " + e.getMessage());
--- a/src/main/java/io/kitepath/cli/Node.java
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -8,7 +8,9 @@
 import io.kitepath.net.HttpServer.Request;
 import io.kitepath.net.HttpServer.Responder;
 import io.kitepath.net.LoopTimers;
+import io.kitepath.peers.CellLinks;
 import io.kitepath.peers.Peers;
+import io.kitepath.settings.CellsFile;
 import io.kitepath.settings.Settings;
 import io.kitepath.store.HttpStore;
 import io.kitepath.users.UsersApi;
@@ -28,10 +30,13 @@
     private static final int MAX_ANSWER = 2 * 1024 * 1024;
 
     private final Settings settings;
+    /** Null without other cells. */
+    private final CellsFile cells;
     private Metrics metrics;
 
-    Node(Settings settings) {
+    Node(Settings settings, CellsFile cells) {
         this.settings = settings;
+        this.cells = cells;
     }
 
     /** Starts to listen and returns; the event loop's thread keeps the process alive. */
@@ -45,11 +50,13 @@
                 new HttpClient(loop, settings.state(), 2, MAX_ANSWER),
                 new HttpClient(loop, settings.state(), 3, MAX_ANSWER), timeoutMs);
         HttpCloud cloud = new HttpCloud(new HttpClient(loop, settings.cloud(), 3, MAX_ANSWER), 3000);
-        Peers peers = new Peers(group, facts.node(), settings.siblings());
+        Peers peers = new Peers(group, facts.node(), settings.siblings(), cells != null);
         // The seed only spreads probes and retries of different nodes and runs.
         Random random = new Random(facts.node().hashCode() ^ System.nanoTime());
         HttpDirectCommands direct = new HttpDirectCommands(loop, MAX_ANSWER, timeoutMs);
-        Controller controller = new Controller(facts, store, cloud, direct, timers, peers, random);
+        Controller controller = new Controller(facts, store, cloud, direct, timers, peers, random,
+                cells == null ? null : cells.directory(),
+                cells == null ? null : new CellLinks(loop, cells.addresses(), random));
         UsersApi users = new UsersApi(controller);
         WorkersApi workers = new WorkersApi(controller);
         HttpServer server = new HttpServer((request, out) -> route(controller, users, workers, request, out),
--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -2,13 +2,17 @@
 
 import io.kitepath.core.block.Block;
 import io.kitepath.core.block.CheckIns;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.cell.CellDesk;
 import io.kitepath.core.fleet.Fleet;
 import io.kitepath.core.fleet.Rentals;
 import io.kitepath.core.lead.Leadership;
 import io.kitepath.core.lead.Views;
 import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.Directory;
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.Figure;
+import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.MachineType;
 import io.kitepath.core.model.Progress;
@@ -16,12 +20,14 @@
 import io.kitepath.core.model.Spent;
 import io.kitepath.core.model.Spent.On;
 import io.kitepath.core.place.Placer;
+import io.kitepath.core.port.Cells;
 import io.kitepath.core.port.Cloud;
 import io.kitepath.core.port.DirectCommands;
 import io.kitepath.core.port.Siblings;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Timers;
 import io.kitepath.core.serve.CheckInDesk;
+import io.kitepath.core.serve.Jobs;
 import io.kitepath.core.serve.Questions;
 import io.kitepath.core.serve.Registry;
 import io.kitepath.core.serve.RetryPace;
@@ -58,6 +64,11 @@
     private final Takeover takeover;
     private final Rentals rentals;
     private final Registry registry;
+    /** Null without other cells. */
+    private final CellDesk cells;
+    /** What the settings say before this cell's part of it is taken. */
+    private final Facts whole;
+    private final Directory directory;
     private final CheckInDesk desk;
     private final RetryPace retries;
     private boolean ticking;
@@ -71,9 +82,18 @@
     private int commandsUnderWay;
     private long directCommands;
 
+    /** A node of the only cell there is. */
     public Controller(Facts facts, Store store, Cloud cloud, DirectCommands direct, Timers timers, Siblings siblings,
             Random random) {
-        this.facts = facts;
+        this(facts, store, cloud, direct, timers, siblings, random, null, null);
+    }
+
+    /** {@code directory} and {@code others}: null if there are no other cells. */
+    public Controller(Facts settings, Store store, Cloud cloud, DirectCommands direct, Timers timers, Siblings siblings,
+            Random random, Directory directory, Cells others) {
+        this.whole = settings;
+        this.directory = directory;
+        this.facts = directory == null ? settings : settings.withTeams(directory.here().teams());
         this.direct = direct;
         this.timers = timers;
         this.siblings = siblings;
@@ -85,12 +105,14 @@
         this.placer = new Placer(block, random, spent);
         this.views = new Views(facts, timers);
         this.leadership = new Leadership(facts, store, timers, random, new Leading());
-        this.keeper = new Keeper(store, timers, block, images, new Keeping());
+        this.registry = new Registry(facts, store, timers, this::served, new Holder(), directory != null);
+        this.cells = directory == null ? null : new CellDesk(directory, block, this::ride, store, timers,
+                registry, others, random, new InCells());
+        this.keeper = new Keeper(store, timers, block, images, new Keeping(), cells);
         this.rentals = new Rentals(block, new Fleet(block, placer), store, cloud, timers, leadership::leading,
                 this::soon);
         this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, siblings, timers, spent, this::soon);
         this.retries = new RetryPace(facts, timers);
-        this.registry = new Registry(facts, store, timers, this::served, new Holder());
         registry.onCancelled(job -> {
             block.jobOver(job.id());
             siblings.over(job);
@@ -100,15 +122,26 @@
     public void start() {
         leadership.start();
         rentals.learnTypes();
+        if (cells != null) {
+            cells.start();
+        }
         gossip();
     }
 
-    public Registry registry() {
-        return registry;
+    /** What users ask. */
+    public Jobs registry() {
+        return cells == null ? registry : cells.jobs();
     }
 
-    public Facts facts() {
-        return facts;
+    /** The desk for other cells, null without such. */
+    public CellDesk cells() {
+        return cells;
+    }
+
+    /** Why the job can never run, here or in any other cell, or null if it can. */
+    public String impossible(JobSpec s) {
+        boolean elsewhere = directory != null && s.zone() != null && directory.elsewhere(s.zone());
+        return (elsewhere ? s.inAnyZone() : s).impossible(block.types(), whole);
     }
 
     /** The machine types, empty until they are known. */
@@ -139,6 +172,9 @@
     public Map<String, Figure> figures() {
         Map<String, Figure> all = new Figures(timers, block, checkIns, placer, leadership, keeper, views, desk)
                 .all(() -> roundS, () -> directCommands);
+        if (cells != null) {
+            cells.figures(all);
+        }
         all.put("takeover.read", Figure.now("seconds from winning the lease until the jobs were read",
                 takeover::readS));
         all.put("takeover.reported", Figure.now("seconds from winning the lease until nearly all machines had reported",
@@ -185,6 +221,9 @@
     private final class Keeping implements Keeper.Listener {
         @Override
         public void done(JobState job) {
+            if (cells != null) {
+                cells.done(job.id());
+            }
             registry.ended(job);
             siblings.over(job);
         }
@@ -204,6 +243,30 @@
         }
     }
 
+    /** What the desk for other cells has to know of this node. */
+    private final class InCells implements CellDesk.Node {
+        @Override
+        public boolean holds() {
+            return leadership.leading() && keeper.loaded() && leadership.inTouch();
+        }
+
+        @Override
+        public String leader() {
+            return leadership.leader();
+        }
+
+        @Override
+        public List<Job> queue() {
+            return placer.queue(timers.now(), timers.wallMs());
+        }
+
+        @Override
+        public void cancelled(JobState job) {
+            registry.ended(job);
+            siblings.over(job);
+        }
+    }
+
     // ---- rounds ---------------------------------------------------------------------------------
 
     /** Something changed that may let work be placed or written. */
@@ -219,6 +282,11 @@
         }
     }
 
+    private void ride(Keeper.Rider rider) {
+        keeper.ride(rider);
+        soon();
+    }
+
     private void tick() {
         if (!leadership.leading()) {
             ticking = false;
@@ -229,6 +297,9 @@
             takeover.read(timers.now());
             takeover.look(timers.now(), checkIns.launches() - launchesBefore);
         }
+        if (cells != null && keeper.loaded() && leadership.inTouch()) {
+            cells.tend();
+        }
         double began = timers.now();
         rentals.tend(keeper.loaded() && leadership.inTouch());
         spent.on(On.PLANNING, began);
--- a/src/main/java/io/kitepath/core/block/Block.java
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -188,7 +188,9 @@
 
     public void addJob(Job job) {
         add(job);
-        served.came(job);
+        if (!job.guest) {
+            served.came(job);
+        }
     }
 
     private void add(Job job) {
--- a/src/main/java/io/kitepath/core/block/CheckIns.java
+++ b/src/main/java/io/kitepath/core/block/CheckIns.java
@@ -167,7 +167,7 @@
         }
         Job job = block.jobs().get(t.job());
         if (job != null && t.task() >= 0 && t.task() < job.spec.tasks() && !job.live.containsKey(t.task())
-                && !job.done.get(t.task())) {
+                && !job.done.get(t.task()) && job.placeable(t.task())) {
             // Should not be: counted in and written down before it is stopped, so the task can't run elsewhere.
             block.strayed(job, t.task(), t.attempt(), t.state(), m, now);
             return;
--- a/src/main/java/io/kitepath/core/block/Job.java
+++ b/src/main/java/io/kitepath/core/block/Job.java
@@ -70,11 +70,23 @@
     public final JobSpec spec;
     /** Milliseconds since 1970, by the clock of the node that accepted it. */
     public final double submittedMs;
-    /** Revision of the job's open record, on which every write about it depends. */
+    /** The record on which every write about the job depends, and its revision. */
+    public final String key;
     public final long revision;
+    /** Whether another cell is its home, which lent some of its tasks to this one. */
+    public final boolean guest;
     private final Part[] parts;
     private final int partSize;
     final BitSet done = new BitSet();
+    /** Tasks that are not this cell's to place: lent to another, or of a guest those that were not lent to us. */
+    private final BitSet away = new BitSet();
+    /** What of it is lent to other cells; see {@link Loan}. */
+    private final List<Loan> loans = new ArrayList<>();
+    /** The revision of the record of its loans, 0 if there is none. */
+    private long lentRevision;
+    private boolean lentBusy;
+    /** Its user asked to cancel it; it is over once no other cell may run anything of it. */
+    private boolean leaving;
     final TreeMap<Integer, Attempt> live = new TreeMap<>();
     private final SortedMap<Integer, Attempt> liveView = Collections.unmodifiableSortedMap(live);
     /** Proven over, but not written yet. */
@@ -88,6 +100,8 @@
     /** Done or cancelled; kept only until all attempts are proven over. */
     boolean over;
     private boolean guaranteed;
+    /** Whether it fitted into its team's guarantee when this holder saw it first; null before. */
+    private Boolean fitted;
     /** Past all that is expected of it, which is counted once. */
     boolean missed;
     double notBefore;
@@ -124,11 +138,19 @@
 
     /**
      * @param startWithinS within what time after its submission it has to start to meet each of its goals, in seconds
+     * @param key of its open record
      * @param revision of its open record
      * @param partSize tasks in one part
      */
-    public Job(JobSpec spec, double submittedMs, double[] startWithinS, long revision, int partSize) {
+    public Job(JobSpec spec, double submittedMs, double[] startWithinS, String key, long revision, int partSize) {
+        this(spec, submittedMs, startWithinS, key, revision, partSize, false);
+    }
+
+    private Job(JobSpec spec, double submittedMs, double[] startWithinS, String key, long revision, int partSize,
+            boolean guest) {
         this.spec = spec;
+        this.key = key;
+        this.guest = guest;
         this.submittedMs = submittedMs;
         this.goalsMs = Arrays.stream(startWithinS).map(g -> submittedMs + g * 1000).toArray();
         this.revision = revision;
@@ -139,10 +161,104 @@
         }
     }
 
+    /** Tasks {@code from} to before {@code until} of a job whose home is another cell; {@code key}: of that loan. */
+    public static Job guest(JobSpec spec, double submittedMs, double[] startWithinS, String key, long revision,
+            int partSize, int from, int until) {
+        Job j = new Job(spec, submittedMs, startWithinS, key, revision, partSize, true);
+        j.away.set(0, from);
+        j.away.set(until, spec.tasks());
+        return j;
+    }
+
     public boolean over() {
         return over;
     }
 
+    /** Its loans, in the order of their numbers. */
+    public List<Loan> loans() {
+        return Collections.unmodifiableList(loans);
+    }
+
+    public long lentRevision() {
+        return lentRevision;
+    }
+
+    public void lentRecorded(long atRevision) {
+        lentRevision = atRevision;
+    }
+
+    /** From now on these tasks are not placed here. None of them may be done or on a machine. */
+    public void lend(Loan l) {
+        version++;
+        loans.add(l);
+        away.set(l.from, l.until);
+    }
+
+    /**
+     * What the other cell's store says is over: its tasks are done, or ours to place again. It stays on the record until
+     * {@link #forget}.
+     */
+    public void close(Loan l, BitSet doneOfIt) {
+        l.closed = true;
+        away.clear(l.from, l.until);
+        version++;
+        for (int i = doneOfIt.nextSetBit(0); i >= 0 && i < l.tasks(); i = doneOfIt.nextSetBit(i + 1)) {
+            done.set(l.from + i);
+            parts[partOf(l.from + i)].touched();
+        }
+    }
+
+    /** The store has no record of it any more. */
+    public void forget(Loan l) {
+        loans.remove(l);
+    }
+
+    /** Its record of loans is being written by whoever keeps them. */
+    public boolean lentBusy() {
+        return lentBusy;
+    }
+
+    public void lentBusy(boolean so) {
+        lentBusy = so;
+    }
+
+    /** The next attempt's number is at least that one, which another cell's attempts have not reached. */
+    public void attemptsFrom(long number) {
+        nextAttempt = Math.max(nextAttempt, number);
+    }
+
+    public long nextAttempt() {
+        return nextAttempt;
+    }
+
+    /** Of the tasks from that one to before the other, those that are done, counted from the first. */
+    public byte[] doneFrom(int from, int until) {
+        return done.get(from, until).toByteArray();
+    }
+
+    public boolean leaving() {
+        return leaving;
+    }
+
+    /** Its user wants it cancelled: nothing more of it is placed. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Its tasks that are this cell's and not done, or lent. */
+    public int left() {
+        return spec.tasks() - done.cardinality() - (guest ? away.cardinality() : 0);
+    }
+
+    public boolean isDone(int task) {
+        return done.get(task);
+    }
+
+    /** Whether the task is this cell's to place. */
+    public boolean placeable(int task) {
+        return !done.get(task) && !away.get(task) && !live.containsKey(task);
+    }
+
     /** How many goals there are for its start, the soonest first. */
     public int goals() {
         return goalsMs.length;
@@ -153,6 +269,24 @@
         return goalsMs[goal];
     }
 
+    /** Whether it is past all that is expected of it. */
+    public boolean missed() {
+        return missed;
+    }
+
+    /** Whether it is known if it fitted into its team's guarantee when it came. */
+    public boolean claimed() {
+        return fitted != null;
+    }
+
+    public void claims(boolean fits) {
+        fitted = fits;
+    }
+
+    public boolean fittedWhenItCame() {
+        return Boolean.TRUE.equals(fitted);
+    }
+
     /** Whether it fits into its team's guarantee together with the team's earlier unfinished jobs. */
     public boolean guaranteed() {
         return guaranteed;
@@ -208,7 +342,7 @@
         return List.of(parts);
     }
 
-    int partOf(int task) {
+    public int partOf(int task) {
         return task / partSize;
     }
 
@@ -240,7 +374,7 @@
     }
 
     public boolean complete() {
-        return spec.shape() != JobSpec.Shape.SERVICE && done.cardinality() == spec.tasks();
+        return spec.shape() != JobSpec.Shape.SERVICE && left() == 0;
     }
 
     private Progress progress;
@@ -275,13 +409,14 @@
     }
 
     public int waiting() {
-        return over || complete() ? 0 : spec.tasks() - done.cardinality() - live.size();
+        return over || leaving || complete() ? 0
+                : spec.tasks() - done.cardinality() - away.cardinality() - live.size();
     }
 
     /** The first task from {@code from} on that is neither done nor placed, or -1. */
     public int nextWaiting(int from) {
         for (int t = done.nextClearBit(from); t < spec.tasks(); t = done.nextClearBit(t + 1)) {
-            if (!live.containsKey(t)) {
+            if (!live.containsKey(t) && !away.get(t)) {
                 return t;
             }
         }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/block/Loan.java
@@ -0,0 +1,73 @@
+package io.kitepath.core.block;
+
+import io.kitepath.core.model.Tree;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Tasks of a job that another cell has been offered, and may have taken: they are out, and nothing of them is placed
+ * here, until that cell's store says otherwise. Time and silence say nothing.
+ */
+public final class Loan {
+    public final long number;
+    public final String to;
+    public final int from;
+    public final int until;
+    /** The other cell says that it has taken it. */
+    public boolean taken;
+    /** Its word that it is over, which is being written down. */
+    public boolean closed;
+    /** Our store has the loan. Nothing is offered before. */
+    public boolean written;
+    /** For how it is told of: seconds on the steady clock, and whether an answer is awaited. */
+    public double askedAt = Double.NEGATIVE_INFINITY;
+    public boolean asking;
+    public int unanswered;
+    public final double since;
+
+    public Loan(long number, String to, int from, int until, double since) {
+        this.number = number;
+        this.to = to;
+        this.from = from;
+        this.until = until;
+        this.since = since;
+    }
+
+    public int tasks() {
+        return until - from;
+    }
+
+    /** The record of all loans of a job. */
+    public static Map<String, Object> record(List<Loan> loans) {
+        List<Object> list = new ArrayList<>();
+        for (Loan l : loans) {
+            list.add(List.of(l.number, l.to, (long) l.from, (long) l.until));
+        }
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("loans", list);
+        return m;
+    }
+
+    /**
+     * What {@link #record} wrote.
+     *
+     * @throws io.kitepath.core.model.Malformed if it did not
+     */
+    public static List<Loan> read(Object record, double now) {
+        Tree t = Tree.of(record);
+        List<Loan> out = new ArrayList<>();
+        for (Object o : t.list("loans")) {
+            if (!(o instanceof List<?> l) || l.size() != 4 || !(l.get(0) instanceof Number n)
+                    || !(l.get(1) instanceof String to) || !(l.get(2) instanceof Number from)
+                    || !(l.get(3) instanceof Number until)) {
+                throw t.complaint("loans", "must be lists of number, cell, first and last");
+            }
+            Loan loan = new Loan(n.longValue(), to, from.intValue(), until.intValue(), now);
+            loan.written = true;
+            out.add(loan);
+        }
+        return out;
+    }
+}
--- a/src/main/java/io/kitepath/core/block/Notes.java
+++ b/src/main/java/io/kitepath/core/block/Notes.java
@@ -19,9 +19,13 @@
             return "fails on every machine it was tried on, " + job.failures + " times so far"
                     + (job.notBefore > now ? "; tried again in " + seconds(job.notBefore - now) : "");
         }
+        String lent = lent(job, now);
+        if (job.leaving()) {
+            return "is to be cancelled" + (lent == null ? "" : " once it is called back: " + lent);
+        }
         int waiting = job.waiting();
         if (waiting == 0) {
-            return fetching(job);
+            return lent != null ? lent : fetching(job);
         }
         JobSpec s = job.spec;
         String tasks = waiting == 1 ? "1 task waits" : waiting + " tasks wait";
@@ -47,6 +51,18 @@
         return note;
     }
 
+    private static String lent(Job job, double now) {
+        StringBuilder b = new StringBuilder();
+        for (Loan l : job.loans()) {
+            if (!l.closed) {
+                b.append(b.isEmpty() ? "" : "; ").append(l.tasks() == 1 ? "1 task" : l.tasks() + " tasks")
+                        .append(l.taken ? " handed to cell " : " offered to cell ").append(l.to).append(' ')
+                        .append(seconds(now - l.since)).append(" ago");
+            }
+        }
+        return b.isEmpty() ? null : b.toString();
+    }
+
     private static String fetching(Job job) {
         long n = job.live.values().stream().filter(a -> a.state == State.FETCHING).count();
         return n == 0 ? null : (n == 1 ? "1 task fetches" : n + " tasks fetch") + " the image " + job.spec.image();
--- a/src/main/java/io/kitepath/core/block/Served.java
+++ b/src/main/java/io/kitepath/core/block/Served.java
@@ -123,7 +123,7 @@
     /** Jobs that are past all that was expected of them are decided now, whenever they will be done. */
     public void look(Collection<Job> jobs, double wallMs) {
         for (Job j : jobs) {
-            if (!j.over && !j.missed && wallMs > j.submittedMs + 1000 * facts.servedWithinS(j.spec)) {
+            if (!j.over && !j.guest && !j.missed && wallMs > j.submittedMs + 1000 * facts.servedWithinS(j.spec)) {
                 j.missed = true;
                 each(j.spec, g -> g.decide(false));
             }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/cell/CellDesk.java
@@ -0,0 +1,265 @@
+package io.kitepath.core.cell;
+
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.cell.Neighbours.Neighbour;
+import io.kitepath.core.model.Bucket;
+import io.kitepath.core.model.CellMessage;
+import io.kitepath.core.model.CellMessage.Elsewhere;
+import io.kitepath.core.model.CellMessage.Offer;
+import io.kitepath.core.model.CellMessage.Recall;
+import io.kitepath.core.model.CellMessage.Summary;
+import io.kitepath.core.model.CellMessage.UserAnswer;
+import io.kitepath.core.model.CellMessage.UserAsk;
+import io.kitepath.core.model.CellMessage.Word;
+import io.kitepath.core.model.Directory;
+import io.kitepath.core.model.Figure;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.place.Placement;
+import io.kitepath.core.port.Cells;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.serve.Jobs;
+import io.kitepath.core.serve.Registry;
+import io.kitepath.core.state.Keeper;
+import io.kitepath.core.state.Reading;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * Where a cell and the others meet: their messages come in here, and its own loops (summaries, hand-overs, what was
+ * taken) go out from here. Every node has one; only the holder's lends and takes.
+ */
+public final class CellDesk implements Reading.Elsewhere {
+    private static final double EVERY_S = 1;
+    /** Of the changes a second that the store allows, the hand-overs a second, each of which costs about four here. */
+    private static final double SPILL_SHARE = 0.05;
+
+    /** What the desk has to know of its node. */
+    public interface Node {
+        /** Whether it holds the block, knows its jobs and is in touch with the store. */
+        boolean holds();
+
+        /** Who leads, as far as known. */
+        String leader();
+
+        /** Unfinished jobs in the order of service. */
+        List<Job> queue();
+
+        /** A job that was lent in part is cancelled in the store. */
+        void cancelled(JobState job);
+    }
+
+    private final Directory directory;
+    private final Block block;
+    private final Timers timers;
+    private final Node node;
+    private final Cells cells;
+    private final Neighbours neighbours;
+    private final Here here;
+    private final Spill spill;
+    private final Lending lending;
+    private final Guests guests;
+    private final Homes homes;
+    private final HomeJobs jobs;
+    private final Bucket budget;
+    private double exchangedAt = Double.NEGATIVE_INFINITY;
+    private long messages;
+
+    public CellDesk(Directory directory, Block block, Consumer<Keeper.Rider> riding, Store store, Timers timers,
+            Registry registry, Cells cells, Random random, Node node) {
+        this.directory = directory;
+        this.block = block;
+        this.timers = timers;
+        this.node = node;
+        this.cells = cells;
+        TreeSet<String> others = new TreeSet<>(directory.cells().keySet());
+        others.remove(directory.own());
+        Map<String, Integer> zones = new HashMap<>();
+        others.forEach(c -> zones.put(c, Math.max(1, directory.cells().get(c).zones().size())));
+        this.neighbours = new Neighbours(block.facts(), others);
+        this.here = new Here(block);
+        this.spill = new Spill(block.facts(), block.types(), zones, random);
+        this.lending = new Lending(directory.own(), block, riding, timers, neighbours, spill, this::askHolder, random,
+                node::cancelled);
+        this.guests = new Guests(directory.own(), block, riding, timers, this::askHolder, random);
+        this.homes = new Homes(directory, store, timers);
+        this.jobs = new HomeJobs(directory, registry, cells, homes::agreed);
+        this.budget = new Bucket(Math.max(1, block.facts().store().writeRps() * SPILL_SHARE));
+    }
+
+    public void start() {
+        homes.look();
+    }
+
+    /** What users ask of this node, whichever cell the job is at home in. */
+    public Jobs jobs() {
+        return jobs;
+    }
+
+    /** Takes nothing more, and gives back what has not begun; or takes work again. */
+    public void drain(boolean so) {
+        guests.drain(so);
+    }
+
+    // ---- asking ---------------------------------------------------------------------------------
+
+    private void askHolder(String cell, CellMessage m, Consumer<CellMessage> answer) {
+        Neighbour n = neighbours.get(cell);
+        if (n == null) {
+            answer.accept(null); // This node's file does not name it: older than another node's.
+            return;
+        }
+        messages++;
+        cells.ask(cell, n.leader(), m, first -> {
+            if (first instanceof Elsewhere e && e.node() != null && !e.node().equals(n.leader())) {
+                messages++;
+                cells.ask(cell, e.node(), m, answer);
+            } else if (first == null && n.leader() != null) {
+                messages++;
+                cells.ask(cell, null, m, second -> answer.accept(second instanceof Elsewhere ? null : second));
+            } else {
+                answer.accept(first instanceof Elsewhere ? null : first);
+            }
+        });
+    }
+
+    /** A message of another cell; every one gets one answer, null if there is none to give now. */
+    public void asked(CellMessage m, Consumer<CellMessage> answer) {
+        if (m instanceof UserAsk u) {
+            jobs.asked(u, a -> answer.accept(new UserAnswer(a.verdict().name(), a.state())));
+            return;
+        }
+        if (!node.holds()) {
+            String leader = node.leader();
+            answer.accept(new Elsewhere(leader));
+            return;
+        }
+        if (m instanceof Summary s) {
+            neighbours.heard(s, timers.now());
+            answer.accept(summary());
+        } else if (m instanceof Offer o) {
+            guests.offered(o, welcome(o), answer);
+        } else if (m instanceof Recall r) {
+            guests.recalled(r, answer);
+        } else if (m instanceof Word w) {
+            lending.said(w, answer);
+        } else {
+            answer.accept(null);
+        }
+    }
+
+    /** Whether there is room for what is offered, by what is free now. */
+    private boolean welcome(Offer o) {
+        int most = 0;
+        boolean may = false;
+        for (CellMessage.Room r : here.room()) {
+            MachineType t = block.types().get(r.kind().type());
+            if (t != null && Placement.allowed(r.kind(), o.job())) {
+                may = true;
+                most += r.idle() * Placement.slots(o.job(), t)
+                        + (int) Math.max(0, (r.cpus() - r.idle() * t.cpus()) / Math.max(1e-6, o.job().cpus()));
+            }
+        }
+        boolean whole = o.job().shape() != JobSpec.Shape.ARRAY;
+        return may && most >= (whole ? o.until() - o.from() : 1);
+    }
+
+    private Summary summary() {
+        return new Summary(directory.own(), node.leader(), directory.version(), !guests.draining(), here.room(),
+                here.waitS(), neighbours.hears(timers.now()));
+    }
+
+    // ---- the holder's loops ---------------------------------------------------------------------
+
+    /** Called a few times a second while this node holds the block. */
+    public void tend() {
+        double now = timers.now();
+        neighbours.look(now);
+        lending.tend(now);
+        guests.tend(now);
+        if (now - exchangedAt >= EVERY_S) {
+            exchangedAt = now;
+            Summary mine = summary();
+            for (Neighbour n : neighbours.all().values()) {
+                // Of two cells the one of the lower name begins, as long as that works.
+                if (directory.own().compareTo(n.name) < 0 || !n.hears(now)) {
+                    askHolder(n.name, mine, a -> {
+                        if (a instanceof Summary s) {
+                            neighbours.heard(s, timers.now());
+                        }
+                    });
+                }
+            }
+            spillOver(now);
+        }
+    }
+
+    private void spillOver(double now) {
+        int most = (int) budget.available(now);
+        List<Job> queue = most == 0 ? List.of() : node.queue();
+        if (queue.isEmpty()) {
+            return;
+        }
+        spill.forget(block.jobs().keySet());
+        for (Spill.Plan p : spill.plan(queue, this::fitsHere, here.cpus(), neighbours.all().values(), most, now,
+                timers.wallMs())) {
+            budget.take(1, now);
+            lending.lend(p);
+        }
+    }
+
+    /** Whether some kind of machine in this cell's zones may run the job. */
+    private boolean fitsHere(JobSpec s) {
+        for (MachineType t : block.types().values()) {
+            if (Placement.slots(s, t) > 0) {
+                for (String zone : directory.here().zones()) {
+                    if (Placement.allowed(new MachineKind(t.name(), zone, false), s)) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return block.types().isEmpty();
+    }
+
+    // ---- what a new holder reads ----------------------------------------------------------------
+
+    @Override
+    public void adopt(Reading.Found found) {
+        lending.adopt(found, timers.now());
+        guests.adopt(found, timers.now());
+    }
+
+    @Override
+    public void leaving(Entry entry) {
+        lending.leaving(entry);
+    }
+
+    /** The store has it that the job is done. */
+    public void done(String id) {
+        Job job = block.jobs().get(id);
+        if (job != null) {
+            lending.over(job);
+        }
+    }
+
+    public void figures(Map<String, Figure> f) {
+        f.put("cells.silent", Figure.now("other cells from which nothing is heard", neighbours::silentOnes));
+        f.put("cells.tasks.lent", Figure.now("tasks that other cells were offered or have taken", lending::tasksOut));
+        f.put("cells.tasks.taken", Figure.now("tasks of other cells that are this one's to run", guests::tasksHere));
+        f.put("cells.lent", Figure.total("hand-overs to other cells", lending::lent));
+        f.put("cells.returned", Figure.total("hand-overs that came to an end", lending::returned));
+        f.put("cells.taken", Figure.total("hand-overs taken from other cells", guests::taken));
+        f.put("cells.refused", Figure.total("hand-overs refused for lack of room", guests::refused));
+        f.put("cells.messages", Figure.total("messages sent to other cells by the holder", () -> messages));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/cell/HomeJobs.java
@@ -0,0 +1,72 @@
+package io.kitepath.core.cell;
+
+import io.kitepath.core.model.CellMessage.UserAnswer;
+import io.kitepath.core.model.CellMessage.UserAsk;
+import io.kitepath.core.model.CellMessage.Wish;
+import io.kitepath.core.model.Directory;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.port.Cells;
+import io.kitepath.core.serve.Jobs;
+import io.kitepath.core.serve.Registry;
+import io.kitepath.core.serve.Registry.Answer;
+import io.kitepath.core.serve.Registry.Verdict;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/**
+ * What users ask, answered by the job's home whichever cell they ask: here, or by any node of the cell that is. Who
+ * gets no answer there is told to come back at once; a home that can't be reached is the only one that may accept.
+ */
+final class HomeJobs implements Jobs {
+    private final Directory directory;
+    private final Registry here;
+    private final Cells cells;
+    /** Whether this cell goes by the same homes as this node. */
+    private final BooleanSupplier agreed;
+
+    HomeJobs(Directory directory, Registry here, Cells cells, BooleanSupplier agreed) {
+        this.directory = directory;
+        this.here = here;
+        this.cells = cells;
+        this.agreed = agreed;
+    }
+
+    @Override
+    public void submit(JobSpec spec, Consumer<Answer> answer) {
+        ask(new UserAsk(Wish.SUBMIT, spec.id(), spec), answer);
+    }
+
+    @Override
+    public void status(String id, Consumer<Answer> answer) {
+        ask(new UserAsk(Wish.STATUS, id, null), answer);
+    }
+
+    @Override
+    public void cancel(String id, Consumer<Answer> answer) {
+        ask(new UserAsk(Wish.CANCEL, id, null), answer);
+    }
+
+    private void ask(UserAsk a, Consumer<Answer> answer) {
+        String home = directory.home(a.id());
+        if (home.equals(directory.own())) {
+            asked(a, answer);
+            return;
+        }
+        cells.ask(home, null, a, got -> answer.accept(got instanceof UserAnswer u
+                ? new Answer(Verdict.valueOf(u.verdict()), u.state()) : Answer.LATER));
+    }
+
+    /** A user's question that came here, or to another cell's node that sent it on. */
+    void asked(UserAsk a, Consumer<Answer> answer) {
+        // Guards against two nodes with different files that each hold another cell to be the job's home.
+        if (!agreed.getAsBoolean() || !directory.home(a.id()).equals(directory.own())) {
+            answer.accept(Answer.LATER);
+            return;
+        }
+        switch (a.wish()) {
+            case SUBMIT -> here.submit(a.job(), answer);
+            case STATUS -> here.status(a.id(), answer);
+            case CANCEL -> here.cancel(a.id(), answer);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/cell/Numbers.java
@@ -0,0 +1,71 @@
+package io.kitepath.core.cell;
+
+import io.kitepath.core.model.Tree;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * Which numbers of one home can never be taken here any more. Guards against an offer that comes late, or once more,
+ * after what was lent under it has been given back, and starts it a second time. Below the floor, which the home
+ * raises, all are void; above it those that are listed, of which there are never more than the home keeps out.
+ */
+final class Numbers {
+    /** Numbers of one home that may be void above its floor; a home that leaves more of them unsettled is refused. */
+    static final int MOST = 200;
+
+    private long floor;
+    private final TreeSet<Long> taken = new TreeSet<>();
+    /** Of its record, 0 while there is none. */
+    private long revision;
+
+    /** What {@link #record} wrote. */
+    static Numbers read(Object record, long revision) {
+        Numbers n = new Numbers();
+        Tree t = Tree.of(record);
+        n.floor = t.count("floor");
+        for (Object o : t.list("void")) {
+            n.taken.add(((Number) o).longValue());
+        }
+        n.revision = revision;
+        return n;
+    }
+
+    boolean isVoid(long number) {
+        return number < floor || taken.contains(number);
+    }
+
+    boolean full() {
+        return taken.size() >= MOST;
+    }
+
+    /** The home has nothing out any more below that number. */
+    void raise(long to) {
+        floor = Math.max(floor, to);
+        taken.headSet(floor).clear();
+    }
+
+    void add(long number) {
+        if (number >= floor) {
+            taken.add(number);
+        }
+    }
+
+    Map<String, Object> record() {
+        List<Object> list = new ArrayList<>(taken);
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("floor", floor);
+        m.put("void", list);
+        return m;
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    void recorded(long atRevision) {
+        revision = atRevision;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/model/Directory.java
@@ -0,0 +1,63 @@
+package io.kitepath.core.model;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * The cells there are, as the cells file says.
+ *
+ * @param version rises with every change of the file
+ * @param own the cell that this node is of
+ * @param cells by name, this one among them
+ */
+public record Directory(long version, String own, Map<String, Cell> cells) {
+    private static final Hasher64 HASH = Hashing.xxh3_64();
+
+    /**
+     * One cell.
+     *
+     * @param home whether jobs are at home here; one that is not only lends its room
+     * @param nodes addresses of its nodes by name
+     * @param teams the part of each team's limits and guarantees that is this cell's
+     */
+    public record Cell(String name, boolean home, List<String> zones, Map<String, String> nodes,
+            Map<String, Facts.Team> teams) {}
+
+    /**
+     * The cell that accepts, answers and cancels the job and keeps its end: the one of the homes whose hash with the
+     * id is highest (rendezvous hashing, D. G. Thaler and C. V. Ravishankar, 1998). Guards against a submission that
+     * two cells accept because its user came to both: where a job is at home is a fact that every node works out
+     * alike and that needs no message.
+     */
+    public String home(String job) {
+        String best = null;
+        long most = 0;
+        for (Cell c : cells.values()) {
+            long h = HASH.hashCharsToLong(c.name() + ' ' + job);
+            if (c.home() && (best == null || Long.compareUnsigned(h, most) > 0)) {
+                best = c.name();
+                most = h;
+            }
+        }
+        return best;
+    }
+
+    /** The same for two directories if and only if every job has the same home by both. */
+    public String homes() {
+        TreeSet<String> names = new TreeSet<>();
+        cells.values().stream().filter(Cell::home).forEach(c -> names.add(c.name()));
+        return String.join(" ", names);
+    }
+
+    public Cell here() {
+        return cells.get(own);
+    }
+
+    /** Whether that zone is another cell's. */
+    public boolean elsewhere(String zone) {
+        return cells.values().stream().anyMatch(c -> !c.name().equals(own) && c.zones().contains(zone));
+    }
+}
--- a/src/main/java/io/kitepath/core/model/Facts.java
+++ b/src/main/java/io/kitepath/core/model/Facts.java
@@ -32,6 +32,11 @@
 
     public record Limits(double cpu, double ramMb, int sockets) {}
 
+    /** The same with other limits and guarantees. */
+    public Facts withTeams(Map<String, Team> others) {
+        return new Facts(node, zone, siblings, zones, others, objectives, workers, store, cloud, limits, clockErrorMs);
+    }
+
     /** How many tasks one part record holds: at most 32 bytes each, so that a part stays under the value limit. */
     public int tasksPerPart() {
         return Math.max(8, (int) (store.valueKb * 1024 / 32));
--- a/src/main/java/io/kitepath/core/model/JobSpec.java
+++ b/src/main/java/io/kitepath/core/model/JobSpec.java
@@ -30,6 +30,12 @@
         return spread ? (tasks + 1) / 2 : tasks;
     }
 
+    /** The same job, allowed in any zone. */
+    public JobSpec inAnyZone() {
+        return new JobSpec(id, jobClass, team, shape, priority, tasks, cpus, gpus, memoryGb, types, null, oneZone,
+                spread, spot, image, imageGb, estimateS, checkpointS, saveS, deadlineS);
+    }
+
     /** The form that is kept in the state service. */
     public Map<String, Object> toRecord() {
         Map<String, Object> m = new LinkedHashMap<>();
--- a/src/main/java/io/kitepath/core/place/Placement.java
+++ b/src/main/java/io/kitepath/core/place/Placement.java
@@ -61,7 +61,8 @@
         return types.containsKey(m.type()) && allowed(m.type(), m.zone(), m.spot(), s);
     }
 
-    static boolean allowed(MachineKind k, JobSpec s) {
+    /** Whether machines of that kind may run the job. */
+    public static boolean allowed(MachineKind k, JobSpec s) {
         return allowed(k.type(), k.zone(), k.spot(), s);
     }
 
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -51,8 +51,8 @@
     /** Unfinished jobs with work to place, in the order in which they are served. */
     public List<Job> queue(double now, double wallMs) {
         double began = spent.now();
-        markGuaranteed();
         block.served().look(block.jobs().values(), wallMs);
+        markGuaranteed();
         Map<MachineKind, Integer> open = new HashMap<>();
         for (Machine m : block.machines().values()) {
             if (m.open() && block.types().containsKey(m.type())) {
@@ -84,24 +84,39 @@
         return cpus;
     }
 
-    /** A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs. */
+    /** A job is within its team's guarantee if it fits into it together with the jobs that claim it before. */
     private void markGuaranteed() {
-        List<Job> bySubmission = new ArrayList<>(block.jobs().values());
-        bySubmission.sort(Comparator.comparingDouble(j -> j.submittedMs));
+        List<Job> jobs = new ArrayList<>(block.jobs().values());
+        jobs.sort(Comparator.comparingDouble(j -> j.submittedMs));
         Map<String, double[]> claimed = new HashMap<>();
-        for (Job j : bySubmission) {
-            Facts.Team t = block.facts().teams().get(j.spec.team());
-            if (j.over() || t == null) {
-                j.guarantee(false);
-                continue;
+        for (Job j : jobs) {
+            boolean fits = claim(j, claimed);
+            if (!j.claimed()) {
+                j.claims(fits);
             }
-            double[] c = claimed.computeIfAbsent(t.name(), k -> new double[2]);
-            int left = j.spec.tasks() - j.tasksDone();
-            c[0] += left * j.spec.cpus();
-            c[1] += left * j.spec.gpus();
-            j.guarantee((t.cpus() > 0 || t.gpus() > 0) && c[0] <= t.cpus() + 1e-6
-                    && (j.spec.gpus() == 0 || c[1] <= t.gpus() + 1e-6));
         }
+        // Guards against an overload in which a team's guarantee goes to its oldest jobs, all of which become late one
+        // behind the other: what fitted when it came has its word; then those with the least work left come first, as
+        // most of them can be in time; what is past all that is expected of it takes what the others leave.
+        jobs.sort(Comparator.comparingInt((Job j) -> j.missed() ? 2 : j.fittedWhenItCame() ? 0 : 1)
+                .thenComparingDouble(j -> j.missed() || j.fittedWhenItCame() ? j.submittedMs
+                        : j.left() * j.spec.cpus() * j.spec.estimateS()));
+        claimed.clear();
+        for (Job j : jobs) {
+            j.guarantee(claim(j, claimed));
+        }
+    }
+
+    /** Adds what is left of the job to what its team has claimed; whether that is within the guarantee. */
+    private boolean claim(Job j, Map<String, double[]> claimed) {
+        Facts.Team t = block.facts().teams().get(j.spec.team());
+        if (j.over() || t == null || t.cpus() == 0 && t.gpus() == 0) {
+            return false;
+        }
+        double[] c = claimed.computeIfAbsent(t.name(), k -> new double[2]);
+        c[0] += j.left() * j.spec.cpus();
+        c[1] += j.left() * j.spec.gpus();
+        return c[0] <= t.cpus() + 1e-6 && (j.spec.gpus() == 0 || c[1] <= t.gpus() + 1e-6);
     }
 
     /** Places what it can, at most {@code most} tasks; the placings take effect once they are written. */
--- /dev/null
+++ b/src/main/java/io/kitepath/core/serve/Jobs.java
@@ -0,0 +1,15 @@
+package io.kitepath.core.serve;
+
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.serve.Registry.Answer;
+import java.util.function.Consumer;
+
+/** What users ask of any node. */
+public interface Jobs {
+    /** Accepts a job that neither is nor was there. */
+    void submit(JobSpec spec, Consumer<Answer> answer);
+
+    void status(String id, Consumer<Answer> answer);
+
+    void cancel(String id, Consumer<Answer> answer);
+}
--- a/src/main/java/io/kitepath/core/serve/Registry.java
+++ b/src/main/java/io/kitepath/core/serve/Registry.java
@@ -20,11 +20,11 @@
  * What users ask of any node, answered from the store: only it knows whether a job is open or over. Only final
  * states come from memory, because they never change.
  */
-public final class Registry {
+public final class Registry implements Jobs {
     public enum Verdict { CREATED, KNOWN, NOT_FOUND, LATER }
 
     public record Answer(Verdict verdict, JobState state) {
-        static final Answer LATER = new Answer(Verdict.LATER, null);
+        public static final Answer LATER = new Answer(Verdict.LATER, null);
         static final Answer NOT_FOUND = new Answer(Verdict.NOT_FOUND, null);
     }
 
@@ -34,6 +34,8 @@
     private final Timers timers;
     private final Cache<String, JobState> over = Caffeine.newBuilder().maximumSize(5000).build();
     private final Questions questions;
+    /** Whether tasks may be lent to other cells. */
+    private final boolean cells;
     private Consumer<JobState> onCancelled = job -> {};
     /**
      * Whether the store answers this node. Guards against requests that wait for their time-out, one behind the other,
@@ -41,7 +43,10 @@
      */
     private final BooleanSupplier served;
 
-    public Registry(Facts facts, Store store, Timers timers, BooleanSupplier served, Questions.Holder holder) {
+    /** {@code cells}: whether tasks may be lent to other cells. */
+    public Registry(Facts facts, Store store, Timers timers, BooleanSupplier served, Questions.Holder holder,
+            boolean cells) {
+        this.cells = cells;
         this.store = store;
         this.timers = timers;
         this.served = served;
@@ -70,7 +75,7 @@
         over.put(s.id(), s);
     }
 
-    /** Accepts a job that neither is nor was there. */
+    @Override
     public void submit(JobSpec spec, Consumer<Answer> answer) {
         String id = spec.id();
         if (answeredAtOnce(id, answer)) {
@@ -91,6 +96,7 @@
         });
     }
 
+    @Override
     public void status(String id, Consumer<Answer> answer) {
         if (!answeredAtOnce(id, answer)) {
             questions.ask(id, answer);
@@ -110,6 +116,7 @@
         });
     }
 
+    @Override
     public void cancel(String id, Consumer<Answer> answer) {
         cancel(id, MAX_TRIES, answer);
     }
@@ -135,13 +142,19 @@
             ((Map<?, ?>) open.value()).forEach((k, v) -> record.put((String) k, v));
             record.put("status", "cancelled");
             record.put("done", 0L);
-            store.commit(new Transaction().when(Keys.OPEN + id, open.revision()).when(Keys.OVER + id, 0)
-                    .remove(Keys.OPEN + id).put(Keys.OVER + id, record), c -> {
+            Transaction move = new Transaction().when(Keys.OPEN + id, open.revision()).when(Keys.OVER + id, 0)
+                    .remove(Keys.OPEN + id).put(Keys.OVER + id, record);
+            if (cells) {
+                move.when(Keys.LENT + id, 0);
+            }
+            store.commit(move, c -> {
                 if (c.outcome() == Outcome.OK) {
                     JobState s = new JobState(id, "cancelled", 0, 0);
                     over.put(id, s);
                     onCancelled.accept(s);
                     answer.accept(new Answer(Verdict.KNOWN, s));
+                } else if (c.outcome() == Outcome.NO && c.failed().contains(Keys.LENT + id)) {
+                    callBack(id, open.revision(), answer);
                 } else if (c.outcome() == Outcome.NO) {
                     cancel(id, tries - 1, answer);
                 } else {
@@ -150,4 +163,14 @@
             });
         });
     }
+
+    /**
+     * Some of the job is lent to other cells. Guards against a user who is told that it is cancelled while a cell that
+     * nobody can reach starts a task of it: it is called back first, and the user told to come again, until its holder
+     * has it from that cell's own records that no more of it will start.
+     */
+    private void callBack(String id, long openRevision, Consumer<Answer> answer) {
+        store.commit(new Transaction().when(Keys.OPEN + id, openRevision).when(Keys.LEAVE + id, 0)
+                .put(Keys.LEAVE + id, Map.of()), c -> answer.accept(Answer.LATER));
+    }
 }
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -15,12 +15,14 @@
 import io.kitepath.core.port.Store.Outcome;
 import io.kitepath.core.port.Store.Transaction;
 import io.kitepath.core.port.Timers;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,6 +44,10 @@
     private final ImageRecords images;
     private final Listener listener;
     private final Bucket writes;
+    /** What waits to be written along, in order. */
+    private final ArrayDeque<Rider> riders = new ArrayDeque<>();
+    /** Null without other cells. */
+    private final Reading.Elsewhere elsewhere;
     private long epoch;
     private String blockKey;
     private long blockRevision;
@@ -62,6 +68,21 @@
         void outOfStep(String why);
     }
 
+    /**
+     * Something else that is written by the holder, in one of its rounds, so under the block's revision and never
+     * beside another write of its. Whoever hands one in again after {@link Listener#outOfStep} works it out anew.
+     */
+    public interface Rider {
+        /** False if it is not wanted any more, as when its job is over by now. */
+        boolean wanted();
+
+        /** What it writes and on what that depends. */
+        void board(Transaction t);
+
+        /** The store has it, at that revision. */
+        void written(long revision);
+    }
+
     private record Written(Job.Part part, int version, boolean removed) {}
 
     private static final class Round {
@@ -70,11 +91,15 @@
         final List<Job> finishing = new ArrayList<>();
         final Set<Job.Part> taken = new HashSet<>();
         final Set<Job> conditioned = new HashSet<>();
+        final List<Rider> riders = new ArrayList<>();
         boolean unsure;
         int bytes;
     }
 
-    public Keeper(Store store, Timers timers, Block block, ImageRecords images, Listener listener) {
+    /** {@code elsewhere} takes the records about other cells, first of all; null without such. */
+    public Keeper(Store store, Timers timers, Block block, ImageRecords images, Listener listener,
+            Reading.Elsewhere elsewhere) {
+        this.elsewhere = elsewhere;
         this.facts = block.facts();
         this.store = store;
         this.timers = timers;
@@ -114,9 +139,15 @@
         epoch++;
         loaded = false;
         round = null;
+        riders.clear();
         images.forget();
     }
 
+    /** Writes that along in one of the next rounds. */
+    public void ride(Rider r) {
+        riders.add(r);
+    }
+
     // ---- loading --------------------------------------------------------------------------------
 
     public void start(String key, long revision, Runnable ready) {
@@ -136,10 +167,14 @@
         }
         loaded = false;
         round = null;
-        new Reading(store, timers, () -> e != epoch).read(found -> {
+        riders.clear();
+        new Reading(store, timers, elsewhere != null, () -> e != epoch).read(found -> {
             if (found != null && adopt(found)) {
                 readImages(e);
-                follow(e, found.revision(), ready);
+                follow(e, Keys.OPEN, found.revision(), ready, this::jobChanged);
+                if (elsewhere != null) {
+                    follow(e, Keys.LEAVE, found.revision(), ready, elsewhere::leaving);
+                }
                 ready.run();
             } else {
                 again(e, ready);
@@ -162,6 +197,9 @@
         double now = timers.now();
         block.forgetJobs();
         found.open().forEach(this::opened);
+        if (elsewhere != null) {
+            elsewhere.adopt(found);
+        }
         found.over().forEach((id, x) -> {
             try {
                 block.addOver(job(id, x));
@@ -188,7 +226,7 @@
     private Job job(String id, Entry x) {
         JobSpec spec = JobSpec.fromRecord(id, x.value());
         double submittedMs = Tree.of(x.value()).number("submittedMs", 0);
-        return new Job(spec, submittedMs, facts.startWithinS(spec), x.revision(), facts.tasksPerPart());
+        return new Job(spec, submittedMs, facts.startWithinS(spec), x.key(), x.revision(), facts.tasksPerPart());
     }
 
     private void opened(Entry x) {
@@ -203,31 +241,33 @@
         }
     }
 
-    private void follow(long e, long after, Runnable ready) {
+    private void jobChanged(Entry x) {
+        if (x.value() != null) {
+            opened(x);
+        } else {
+            block.jobOver(x.key().substring(Keys.OPEN.length()));
+        }
+    }
+
+    private void follow(long e, String prefix, long after, Runnable ready, Consumer<Entry> changed) {
         if (e != epoch) {
             return;
         }
         long holdMs = (long) (facts.workers().leaseS() * 500);
-        store.follow(Keys.OPEN, after, holdMs, c -> {
+        store.follow(prefix, after, holdMs, c -> {
             if (e != epoch) {
                 return;
             }
             if (c.outcome() == Outcome.OK) {
-                for (Entry x : c.events()) {
-                    if (x.value() != null) {
-                        opened(x);
-                    } else {
-                        block.jobOver(x.key().substring(Keys.OPEN.length()));
-                    }
-                }
-                follow(e, Math.max(after, c.revision()), ready);
+                c.events().forEach(changed);
+                follow(e, prefix, Math.max(after, c.revision()), ready, changed);
                 if (!c.events().isEmpty()) {
                     ready.run();
                 }
             } else if (c.outcome() == Outcome.NO) {
                 listener.outOfStep("changes of the jobs were missed");
             } else {
-                timers.after(0.3, () -> follow(e, after, ready));
+                timers.after(0.3, () -> follow(e, prefix, after, ready, changed));
             }
         });
     }
@@ -248,6 +288,7 @@
         int budget = (int) Math.min(facts.store().txnOps(), available);
         Round r = new Round();
         r.transaction.when(blockKey, blockRevision);
+        board(r, budget);
         // In turns: a swarm's ends, two writes each, would leave nothing to what is to start, and the other way round.
         boolean endsFirst = rounds % 2 == 0;
         if (endsFirst) {
@@ -280,6 +321,18 @@
         send(epoch, done);
     }
 
+    private void board(Round r, int budget) {
+        // Each takes a handful of writes at most; a quarter is left to everything else.
+        while (!riders.isEmpty() && r.transaction.writes().size() < budget * 3 / 4 && r.bytes < MAX_BYTES / 2) {
+            Rider rider = riders.poll();
+            if (rider.wanted()) {
+                rider.board(r.transaction);
+                r.riders.add(rider);
+                r.bytes += facts.store().valueKb() * 1024 / 4;
+            }
+        }
+    }
+
     /** Moves jobs that are done from open to over; returns the budget for what comes after, 0 if it did not suffice. */
     private int ends(Round r, int budget) {
         List<Job> dropped = new ArrayList<>();
@@ -289,7 +342,7 @@
                 if (job.live().isEmpty() && !job.recorded()) {
                     dropped.add(job);
                 }
-            } else if (job.complete()) {
+            } else if (ending(job) && !job.lentBusy()) {
                 if (r.transaction.writes().size() + 2 > left) {
                     left = 0; // Guards against placings that leave no job's end its two writes, round after round.
                 } else {
@@ -301,13 +354,18 @@
         return left;
     }
 
+    /** All its tasks are done, and it is for us to say so. */
+    private static boolean ending(Job job) {
+        return !job.over() && job.complete() && !job.guest && !job.leaving();
+    }
+
     private void take(Round r, List<Job.Part> from, int budget) {
         for (Job.Part p : from) {
             if (r.transaction.writes().size() >= budget || r.bytes >= MAX_BYTES) {
                 return;
             }
             Job job = p.job;
-            if (!job.over() && job.complete()) {
+            if (ending(job)) {
                 continue; // Once the job is written as done.
             }
             block.unwritten().taken(p);
@@ -315,7 +373,7 @@
                 continue;
             }
             if (!job.over() && r.conditioned.add(job)) {
-                r.transaction.when(Keys.OPEN + job.spec.id(), job.revision);
+                r.transaction.when(job.key, job.revision);
             }
             putPart(r, p);
         }
@@ -327,7 +385,10 @@
         record.put("submittedMs", job.submittedMs);
         record.put("status", "done");
         record.put("done", (long) job.spec.tasks());
-        r.transaction.when(Keys.OPEN + id, job.revision).remove(Keys.OPEN + id).put(Keys.OVER + id, record);
+        r.transaction.when(job.key, job.revision).remove(job.key).put(Keys.OVER + id, record);
+        if (job.lentRevision() > 0) {
+            r.transaction.when(Keys.LENT + id, job.lentRevision()).remove(Keys.LENT + id);
+        }
         r.bytes += 1024;
         r.finishing.add(job);
     }
@@ -379,6 +440,7 @@
 
     private void committed(Round r, long revision, Runnable done) {
         round = null;
+        r.riders.forEach(x -> x.written(revision));
         for (Written w : r.parts) {
             block.recorded(w.part, w.version, w.removed ? 0 : revision);
         }
@@ -394,6 +456,9 @@
     private void refused(Round r, Committed c) {
         round = null;
         r.parts.forEach(w -> block.unwritten().queue(w.part));
+        for (int i = r.riders.size() - 1; i >= 0; i--) {
+            riders.addFirst(r.riders.get(i));
+        }
         if (c.failed().contains(blockKey)) {
             listener.blockLost();
             return;
--- a/src/main/java/io/kitepath/core/state/Keys.java
+++ b/src/main/java/io/kitepath/core/state/Keys.java
@@ -18,8 +18,23 @@
     /** What is done and what is on machines, by job and slice of its tasks. */
     public static final String PART = "jobs/part/";
 
+    /** Which tasks of a job are lent to other cells. */
+    public static final String LENT = "jobs/lent/";
+    /** What other cells have lent to this one, by home and number. */
+    public static final String GUEST = "jobs/guest/";
+    /** Jobs with tasks lent to other cells that their users asked to cancel. */
+    public static final String LEAVE = "jobs/leave/";
+    /** Which numbers of another cell can never be taken any more, by home. */
+    public static final String VOID = "kitepath/void/";
+    /** By which cells file this cell goes. */
+    public static final String CELLS = "kitepath/cells";
+
     private Keys() {}
 
+    public static String guest(String home, long number) {
+        return GUEST + home + "/" + String.format("%020d", number);
+    }
+
     public static String part(String job, int part) {
         return PART + job + "/" + part;
     }
--- a/src/main/java/io/kitepath/core/state/Reading.java
+++ b/src/main/java/io/kitepath/core/state/Reading.java
@@ -1,5 +1,6 @@
 package io.kitepath.core.state;
 
+import io.kitepath.core.model.Tree;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.Entry;
 import io.kitepath.core.port.Store.Listing;
@@ -17,7 +18,7 @@
 import java.util.function.Consumer;
 
 /** Reads the records of all jobs that are open or still have something of them left, once, for a new holder. */
-final class Reading {
+public final class Reading {
     private static final int PAGE_TRIES = 20;
     /** Records read at the same time, of jobs that are over. */
     private static final int READS_AT_ONCE = 8;
@@ -27,19 +28,40 @@
      *
      * @param revision from before the first record was read: from there on changes have to be followed
      * @param over by id: jobs that are over and have parts left, so that something of them may be on machines
+     * @param lent what of open jobs is lent to other cells
+     * @param guests what other cells lent to this one
+     * @param voids which of their numbers can't be taken any more
+     * @param leaving open jobs whose users asked to cancel them
      */
-    record Found(long revision, List<Entry> open, List<Entry> parts, Map<String, Entry> over) {}
+    public record Found(long revision, List<Entry> open, List<Entry> parts, Map<String, Entry> over,
+            List<Entry> lent, List<Entry> guests, List<Entry> leaving, List<Entry> voids) {}
+
+    /** Takes what the records say about other cells. */
+    public interface Elsewhere {
+        /** All of it, after the open jobs and before their parts. */
+        void adopt(Found found);
+
+        /** A job's user asks to cancel it while some of it may be lent, or no more if there is no value. */
+        void leaving(Entry entry);
+    }
 
     private final Store store;
     private final Timers timers;
     /** Whether nobody waits for what is read any more. */
     private final BooleanSupplier stale;
+    /** Whether there are other cells. */
+    private final boolean cells;
     private Consumer<Found> answer;
+    private List<Entry> lent = List.of();
+    private List<Entry> guests = List.of();
+    private List<Entry> leaving = List.of();
+    private List<Entry> voids = List.of();
     private final Deque<String> closed = new ArrayDeque<>();
     private final Map<String, Entry> over = new HashMap<>();
     private int missing;
 
-    Reading(Store store, Timers timers, BooleanSupplier stale) {
+    Reading(Store store, Timers timers, boolean cells, BooleanSupplier stale) {
+        this.cells = cells;
         this.store = store;
         this.timers = timers;
         this.stale = stale;
@@ -48,7 +70,29 @@
     /** Answers null if it can't be had now; not at all once it is stale. */
     void read(Consumer<Found> then) {
         answer = then;
-        pages(Keys.OPEN, open -> pages(Keys.PART, parts -> readClosed(open, parts)));
+        pages(Keys.OPEN, open -> {
+            if (cells) {
+                readElsewhere(open);
+            } else {
+                pages(Keys.PART, parts -> readClosed(open, parts));
+            }
+        });
+    }
+
+    private void readElsewhere(Listing open) {
+        pages(Keys.LENT, l -> {
+            lent = l.entries();
+            pages(Keys.GUEST, g -> {
+                guests = g.entries();
+                pages(Keys.LEAVE, x -> {
+                    leaving = x.entries();
+                    pages(Keys.VOID, v -> {
+                        voids = v.entries();
+                        pages(Keys.PART, parts -> readClosed(open, parts));
+                    });
+                });
+            });
+        });
     }
 
     private void pages(String prefix, Consumer<Listing> then) {
@@ -70,9 +114,12 @@
         Set<String> ids = new LinkedHashSet<>();
         parts.entries().forEach(x -> ids.add(Keys.jobOfPart(x.key())));
         ids.removeAll(known);
+        // Of what other cells lent to us, nothing is over here that is not over in the loan's own record.
+        guests.forEach(g -> ids.remove(Tree.of(g.value()).textOr("job", "")));
         closed.addAll(ids);
         missing = closed.size();
-        Runnable done = () -> answer.accept(new Found(open.revision(), open.entries(), parts.entries(), over));
+        Runnable done = () -> answer.accept(new Found(open.revision(), open.entries(), parts.entries(), over,
+                lent, guests, leaving, voids));
         if (missing == 0) {
             done.run();
             return;
--- a/src/main/java/io/kitepath/peers/Messages.java
+++ b/src/main/java/io/kitepath/peers/Messages.java
@@ -3,6 +3,7 @@
 import com.esotericsoftware.kryo.Kryo;
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
+import io.kitepath.core.model.CellMessage;
 import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Order;
@@ -33,10 +34,20 @@
 
     record AnswerProgress(long number, List<Progress> progress) {}
 
+    /** Between cells: a question under a number, and its answer, null if there is none. */
+    record AskCell(long number, CellMessage message) {}
+
+    record AnswerCell(long number, CellMessage message) {}
+
     private final Kryo kryo = new Kryo();
     private final Output output = new Output(1024, MAX_FRAME);
 
     Messages() {
+        this(false);
+    }
+
+    /** {@code cells}: whether there are others; without them their classes are not loaded. */
+    Messages(boolean cells) {
         kryo.setRegistrationRequired(true);
         kryo.setReferences(false);
         int id = 20;
@@ -46,6 +57,11 @@
             JobState.class}) {
             kryo.register(c, id++);
         }
+        if (cells) {
+            for (Class<?> c : CellWords.classes()) {
+                kryo.register(c, id++);
+            }
+        }
     }
 
     byte[] bytes(Object message) {
@@ -71,7 +87,7 @@
         if (message instanceof AnswerProgress a) {
             return new AnswerProgress(a.number, new ArrayList<>(a.progress));
         }
-        return message;
+        return message instanceof AskCell || message instanceof AnswerCell ? CellWords.plain(message) : message;
     }
 
     Object value(byte[] frame) {
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -47,7 +47,7 @@
     private static final long PROGRESS_MS = 500;
 
     private final EventLoopGroup loop;
-    private final Messages messages = new Messages();
+    private final Messages messages;
     private final String node;
     private final Map<String, InetSocketAddress> addresses;
     private final Map<String, Channel> channels = new HashMap<>();
@@ -56,7 +56,9 @@
     private Controller controller;
     private long asked;
 
-    public Peers(EventLoopGroup loop, String node, Map<String, InetSocketAddress> addresses) {
+    /** {@code cells}: whether nodes of other cells may ask something. */
+    public Peers(EventLoopGroup loop, String node, Map<String, InetSocketAddress> addresses, boolean cells) {
+        this.messages = new Messages(cells);
         this.loop = loop;
         this.node = node;
         this.addresses = addresses;
@@ -184,6 +186,12 @@
                 send(ctx.channel(), new Messages.AnswerProgress(a.number(), controller.progress(a.jobs())));
             } else if (message instanceof Messages.AnswerProgress a) {
                 settle(progressAsks, a.number(), a.progress());
+            } else if (message instanceof Messages.AskCell a && controller.cells() != null) {
+                controller.cells().asked(a.message(), m -> {
+                    if (m != null) {
+                        send(ctx.channel(), new Messages.AnswerCell(a.number(), m));
+                    }
+                });
             }
         }
 
--- /dev/null
+++ b/src/main/java/io/kitepath/settings/CellsFile.java
@@ -0,0 +1,165 @@
+package io.kitepath.settings;
+
+import io.kitepath.core.model.Directory;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Tree;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The file that names the cells, checked on its own and against a node's settings.
+ *
+ * @param addresses by cell and node, of all cells but this one
+ */
+public record CellsFile(Directory directory, Map<String, Map<String, InetSocketAddress>> addresses) {
+    /** Less than any task takes: the part of a limit of a cell that has none of it, where 0 would mean no limit. */
+    private static final double NOTHING = 1e-9;
+    /** How far parts of a whole may add up to more because they are decimal numbers. */
+    private static final double ROUNDING = 1e-6;
+
+    /** Complains with a {@link Malformed} that names file, field and reason. */
+    public static CellsFile read(Path file, Facts facts) {
+        byte[] bytes = Settings.bytes(file);
+        try {
+            return of(bytes, facts);
+        } catch (Malformed e) {
+            throw new Malformed(file + ": " + e.getMessage());
+        }
+    }
+
+    /** Complains with a {@link Malformed} that names field and reason. */
+    static CellsFile of(byte[] json, Facts facts) {
+        Tree t = Tree.of(Settings.document(json));
+        long version = t.integer("version", 1, Long.MAX_VALUE);
+        Map<String, Directory.Cell> cells = new LinkedHashMap<>();
+        Map<String, Map<String, InetSocketAddress>> addresses = new HashMap<>();
+        Map<String, String> zoneOf = new HashMap<>();
+        Set<String> nodes = new HashSet<>();
+        String own = null;
+        for (Tree c : t.children("cells")) {
+            String name = name(c);
+            if (cells.containsKey(name)) {
+                throw c.complaint("name", "there are two cells \"" + name + "\"");
+            }
+            for (String z : c.texts("zones")) {
+                String other = zoneOf.put(z, name);
+                if (other != null) {
+                    throw c.complaint("zones", "\"" + z + "\" is a zone of cell \"" + other + "\" too");
+                }
+            }
+            Map<String, String> of = new LinkedHashMap<>();
+            Map<String, InetSocketAddress> at = new LinkedHashMap<>();
+            for (Tree n : c.children("nodes")) {
+                String label = n.text("label");
+                if (!nodes.add(label)) {
+                    throw n.complaint("label", "there are two nodes \"" + label + "\"");
+                }
+                at.put(label, Settings.address(n, "addr"));
+                of.put(label, n.text("addr"));
+            }
+            if (of.isEmpty()) {
+                throw c.complaint("nodes", "must name at least one node");
+            }
+            if (of.containsKey(facts.node())) {
+                own = name;
+            } else {
+                addresses.put(name, at);
+            }
+            boolean home = !c.has("home") || c.flag("home");
+            cells.put(name, new Directory.Cell(name, home, c.texts("zones"), of, teams(c, facts)));
+        }
+        if (own == null) {
+            throw t.complaint("cells", "no cell has this node, \"" + facts.node() + "\"");
+        }
+        if (cells.values().stream().noneMatch(Directory.Cell::home)) {
+            throw t.complaint("cells", "none is a home");
+        }
+        Directory d = new Directory(version, own, cells);
+        checkOwn(t, d, facts);
+        checkSums(t, d, facts);
+        return new CellsFile(d, addresses);
+    }
+
+    /** A cell's name is a part of keys and messages. */
+    private static String name(Tree c) {
+        String name = c.text("name");
+        if (!name.matches("[a-z0-9][a-z0-9-]{0,39}")) {
+            throw c.complaint("name", "must be 1 to 40 of a-z, 0-9 and -, not \"" + name + "\"");
+        }
+        return name;
+    }
+
+    /** The cell's part of each team's limits; a team that is not named has an equal part of none. */
+    private static Map<String, Facts.Team> teams(Tree c, Facts facts) {
+        Map<String, Tree> named = new HashMap<>();
+        if (c.has("teams")) {
+            for (Tree x : c.children("teams")) {
+                if (!facts.teams().containsKey(x.text("name"))) {
+                    throw x.complaint("name", "the settings have no team \"" + x.text("name") + "\"");
+                }
+                named.put(x.text("name"), x);
+            }
+        }
+        Map<String, Facts.Team> out = new LinkedHashMap<>();
+        for (Facts.Team whole : facts.teams().values()) {
+            Tree x = named.get(whole.name());
+            out.put(whole.name(), new Facts.Team(whole.name(), x == null ? 0 : x.numberOr("cpus", 0, 0),
+                    limit(x, "cpus_max", whole.cpusMax()), x == null ? 0 : x.numberOr("gpus", 0, 0),
+                    limit(x, "gpus_max", whole.gpusMax())));
+        }
+        return out;
+    }
+
+    private static double limit(Tree x, String field, double whole) {
+        double part = x == null ? 0 : x.numberOr(field, 0, 0);
+        if (whole == 0) {
+            if (part > 0) {
+                throw x.complaint(field, "the settings limit this team to nothing there");
+            }
+            return 0;
+        }
+        return part > 0 ? part : NOTHING;
+    }
+
+    private static void checkOwn(Tree t, Directory d, Facts facts) {
+        Set<String> mine = new HashSet<>(facts.siblings());
+        mine.add(facts.node());
+        if (!d.here().nodes().keySet().equals(mine)) {
+            throw t.complaint("cells", "cell \"" + d.own() + "\" has the nodes " + d.here().nodes().keySet()
+                    + ", the settings have " + mine);
+        }
+        for (String z : facts.zones()) {
+            if (!d.here().zones().contains(z)) {
+                throw t.complaint("cells", "cell \"" + d.own() + "\" lacks the settings' zone \"" + z + "\"");
+            }
+        }
+    }
+
+    /** Parts that add up to more than the whole would be a limit that nobody keeps. */
+    private static void checkSums(Tree t, Directory d, Facts facts) {
+        for (Facts.Team whole : facts.teams().values()) {
+            double[] sum = new double[4];
+            for (Directory.Cell c : d.cells().values()) {
+                Facts.Team part = c.teams().get(whole.name());
+                sum[0] += part.cpus();
+                sum[1] += part.cpusMax();
+                sum[2] += part.gpus();
+                sum[3] += part.gpusMax();
+            }
+            double[] of = {whole.cpus(), whole.cpusMax(), whole.gpus(), whole.gpusMax()};
+            String[] names = {"cpus", "cpus_max", "gpus", "gpus_max"};
+            for (int i = 0; i < sum.length; i++) {
+                if (sum[i] > of[i] + ROUNDING) {
+                    throw t.complaint("cells", "the parts of \"" + names[i] + "\" of team \"" + whole.name()
+                            + "\" add up to " + Math.round(sum[i] * 1000) / 1000.0 + ", the settings have " + of[i]);
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/io/kitepath/settings/Settings.java
+++ b/src/main/java/io/kitepath/settings/Settings.java
@@ -25,19 +25,22 @@
 
     /** Complains with a {@link Malformed} that names file, field and reason. */
     public static Settings read(Path file) {
-        byte[] bytes;
+        byte[] bytes = bytes(file);
         try {
-            bytes = Files.readAllBytes(file);
+            return of(bytes);
+        } catch (Malformed e) {
+            throw new Malformed(file + ": " + e.getMessage());
+        }
+    }
+
+    static byte[] bytes(Path file) {
+        try {
+            return Files.readAllBytes(file);
         } catch (NoSuchFileException e) {
             throw new Malformed(file + ": no such file");
         } catch (IOException e) {
             throw new Malformed(file + ": can't be read: " + e.getMessage());
         }
-        try {
-            return of(bytes);
-        } catch (Malformed e) {
-            throw new Malformed(file + ": " + e.getMessage());
-        }
     }
 
     /** Complains with a {@link Malformed} that names field and reason. */
@@ -84,7 +87,7 @@
     }
 
     /** A numeric IPv4 address and a port; names are not looked up. */
-    private static InetSocketAddress address(Tree t, String field) {
+    static InetSocketAddress address(Tree t, String field) {
         String s = t.text(field);
         int colon = s.lastIndexOf(':');
         try {
--- a/src/main/java/io/kitepath/users/UsersApi.java
+++ b/src/main/java/io/kitepath/users/UsersApi.java
@@ -64,7 +64,7 @@
                 known(id, 503, "the machine types are not known yet", out);
                 return;
             }
-            wrong = spec.impossible(controller.types(), controller.facts());
+            wrong = controller.impossible(spec);
             if (wrong == null) {
                 controller.registry().submit(spec, a -> answer(a, a.verdict() == Registry.Verdict.CREATED, out));
                 return;
--- a/src/test/java/io/kitepath/ArchitectureTest.java
+++ b/src/test/java/io/kitepath/ArchitectureTest.java
@@ -42,6 +42,7 @@
     void eachRoomOfTheCoreKnowsOnlyWhatItMay() {
         layeredArchitecture().consideringOnlyDependenciesInAnyPackage("io.kitepath.core..")
                 .layer("whole").definedBy("io.kitepath.core")
+                .layer("cell").definedBy("io.kitepath.core.cell")
                 .layer("serve").definedBy("io.kitepath.core.serve")
                 .layer("fleet").definedBy("io.kitepath.core.fleet")
                 .layer("place").definedBy("io.kitepath.core.place")
@@ -50,12 +51,14 @@
                 .layer("block").definedBy("io.kitepath.core.block")
                 .layer("port").definedBy("io.kitepath.core.port")
                 .whereLayer("whole").mayNotBeAccessedByAnyLayer()
-                .whereLayer("serve").mayOnlyBeAccessedByLayers("whole")
+                .whereLayer("cell").mayOnlyBeAccessedByLayers("whole")
+                .whereLayer("serve").mayOnlyBeAccessedByLayers("whole", "cell")
                 .whereLayer("fleet").mayOnlyBeAccessedByLayers("whole")
-                .whereLayer("place").mayOnlyBeAccessedByLayers("whole", "fleet")
+                .whereLayer("place").mayOnlyBeAccessedByLayers("whole", "fleet", "cell")
                 .whereLayer("lead").mayOnlyBeAccessedByLayers("whole", "serve")
-                .whereLayer("state").mayOnlyBeAccessedByLayers("whole", "serve", "lead", "fleet")
-                .whereLayer("block").mayOnlyBeAccessedByLayers("whole", "serve", "fleet", "place", "state")
+                .whereLayer("state").mayOnlyBeAccessedByLayers("whole", "serve", "lead", "fleet", "cell")
+                .whereLayer("block").mayOnlyBeAccessedByLayers("whole", "serve", "fleet", "place", "state",
+                        "cell")
                 .check(CODE);
     }
 
--- /dev/null
+++ b/src/test/java/io/kitepath/core/Cellular.java
@@ -0,0 +1,315 @@
+package io.kitepath.core;
+
+import io.kitepath.core.model.CellMessage;
+import io.kitepath.core.model.Directory;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.model.Report.State;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.serve.Registry;
+import io.kitepath.core.serve.Registry.Verdict;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+/**
+ * Several cells, each a {@link World} of its own, on one clock, with a network between them that loses, doubles, delays
+ * and cuts. It watches the rules over all of them, knowing nothing of how they are kept.
+ */
+final class Cellular {
+    /** Seconds that a task may still be on a machine once its user was told that it is cancelled. */
+    private static final double CANCEL_S = 30;
+
+    final World.Clock clock = new World.Clock();
+    final Map<String, World> worlds = new LinkedHashMap<>();
+    /** "a>b": nothing gets from a to b. */
+    final Set<String> cut = new HashSet<>();
+    /** Shares of messages, with a seed. */
+    double lost;
+    double doubled;
+    double late;
+    Predicate<CellMessage> loses = m -> false;
+    /** Messages that the network keeps, to be delivered at some other time. */
+    Predicate<CellMessage> keeps = m -> false;
+    final List<Runnable> kept = new ArrayList<>();
+    final List<CellMessage> keptMessages = new ArrayList<>();
+    private final Random random;
+    final Map<String, JobSpec> specs = new HashMap<>();
+    final List<String> broken = new ArrayList<>();
+    private final Map<String, String> told = new HashMap<>();
+    private final Map<String, Double> cancelledAt = new HashMap<>();
+    private final Set<String> accepted = new HashSet<>();
+    long messages;
+
+    /** Cells that are homes, by name, and after them in the second list cells that only lend their room. */
+    Cellular(long seed, List<String> homes, List<String> rooms) {
+        this.random = new Random(seed);
+        List<String> names = new ArrayList<>(homes);
+        names.addAll(rooms);
+        for (String own : names) {
+            Map<String, Directory.Cell> cells = new LinkedHashMap<>();
+            for (String n : names) {
+                cells.put(n, new Directory.Cell(n, homes.contains(n), List.of(n + "1", n + "2"), Map.of(),
+                        Map.of("red", new Facts.Team("red", 0, 0, 0, 0))));
+            }
+            World w = new World(clock, this, new Directory(1, own, cells));
+            w.specs = specs;
+            w.zones = List.of(own + "1", own + "2");
+            w.type = new MachineType("m4", 4, 0, 16, 50, 1, 1.0, 0.4, 1000, w.zones);
+            worlds.put(own, w);
+        }
+        watch();
+    }
+
+    World world(String cell) {
+        return worlds.get(cell);
+    }
+
+    /** Nodes and machines of a cell. */
+    void cell(String cell, int nodes, int machines) {
+        World w = worlds.get(cell);
+        for (int i = 0; i < nodes; i++) {
+            w.siblings.add(cell + "-k" + i);
+        }
+        for (int i = 0; i < nodes; i++) {
+            w.node(cell + "-k" + i);
+        }
+        for (int i = 0; i < machines; i++) {
+            w.worker(String.format("i-%s-%04d", cell, i), cell + (1 + i % 2));
+        }
+    }
+
+    World.NodeInWorld any(String cell) {
+        return worlds.get(cell).nodes.values().stream().filter(n -> n.alive).findFirst().orElseThrow();
+    }
+
+    World.NodeInWorld leader(String cell) {
+        return worlds.get(cell).leader();
+    }
+
+    /** The process ends, and starts again after some seconds. */
+    void restart(World.NodeInWorld n, double afterS) {
+        World w = worlds.values().stream().filter(x -> x.nodes.get(n.name) == n).findFirst().orElseThrow();
+        n.crash();
+        clock.after(afterS, () -> w.node(n.name));
+    }
+
+    void run(double s) {
+        clock.run(s);
+    }
+
+    /** Runs until that holds, at most so long; returns the seconds, or fails. */
+    double until(double mostS, BooleanSupplier holds) {
+        double from = clock.now;
+        while (!holds.getAsBoolean()) {
+            if (clock.now - from > mostS) {
+                throw new AssertionError("not within " + mostS + " s");
+            }
+            run(0.25);
+        }
+        return clock.now - from;
+    }
+
+    // ---- the network ----------------------------------------------------------------------------
+
+    void cutBetween(String a, String b) {
+        cut.add(a + ">" + b);
+        cut.add(b + ">" + a);
+    }
+
+    void ask(World from, World.NodeInWorld by, String cell, String node, CellMessage m, Consumer<CellMessage> answer) {
+        messages++;
+        World to = worlds.get(cell);
+        boolean[] heard = new boolean[1];
+        Consumer<CellMessage> once = a -> by.deliver(() -> {
+            if (!heard[0]) {
+                heard[0] = true;
+                answer.accept(a);
+            }
+        });
+        clock.after(1, () -> once.accept(null));
+        String out = from.directory.own() + ">" + cell;
+        String back = cell + ">" + from.directory.own();
+        List<World.NodeInWorld> up = to.nodes.values().stream().filter(n -> n.alive).toList();
+        World.NodeInWorld asked = node != null ? to.nodes.get(node)
+                : up.isEmpty() ? null : up.get(random.nextInt(up.size()));
+        if (asked == null || cut.contains(out)) {
+            return;
+        }
+        // Whoever listens under that name by then gets it.
+        Runnable delivery = () -> {
+            World.NodeInWorld there = to.nodes.get(asked.name);
+            there.deliver(() -> there.controller.cells().asked(m, a -> {
+                if (!cut.contains(back) && !(a != null && loses.test(a)) && random.nextDouble() >= lost) {
+                    clock.after(0.002, () -> once.accept(a));
+                }
+            }));
+        };
+        if (keeps.test(m)) {
+            kept.add(delivery);
+            keptMessages.add(m);
+            return;
+        }
+        if (loses.test(m) || random.nextDouble() < lost) {
+            return;
+        }
+        clock.after(0.002, delivery);
+        if (random.nextDouble() < doubled) {
+            clock.after(0.002 + 5 * random.nextDouble(), delivery);
+        }
+        if (random.nextDouble() < late) {
+            clock.after(60 * random.nextDouble(), delivery);
+        }
+    }
+
+    // ---- users ----------------------------------------------------------------------------------
+
+    /** An id whose home is that cell. */
+    String id(String home, int n) {
+        Directory d = worlds.get(home).directory;
+        for (int i = 1000 * n;; i++) {
+            if (d.home("j-" + i).equals(home)) {
+                return "j-" + i;
+            }
+        }
+    }
+
+    Verdict submit(World.NodeInWorld n, JobSpec s) {
+        specs.put(s.id(), s);
+        Registry.Answer[] got = new Registry.Answer[1];
+        n.controller.registry().submit(s, a -> got[0] = a);
+        run(0.2);
+        if (got[0] == null) {
+            return Verdict.LATER;
+        }
+        heard(s.id(), got[0]);
+        return got[0].verdict();
+    }
+
+    /** As users do: again until there is an answer. */
+    void submitSurely(String cell, JobSpec s) {
+        until(60, () -> {
+            Verdict v = submit(any(cell), s);
+            return v == Verdict.CREATED || v == Verdict.KNOWN;
+        });
+    }
+
+    String status(World.NodeInWorld n, String id) {
+        Registry.Answer[] got = new Registry.Answer[1];
+        n.controller.registry().status(id, a -> got[0] = a);
+        run(0.2);
+        if (got[0] == null) {
+            return "no answer";
+        }
+        heard(id, got[0]);
+        return got[0].verdict() == Verdict.KNOWN ? got[0].state().status() : got[0].verdict().toString();
+    }
+
+    String cancel(World.NodeInWorld n, String id) {
+        Registry.Answer[] got = new Registry.Answer[1];
+        n.controller.registry().cancel(id, a -> got[0] = a);
+        run(0.2);
+        if (got[0] == null) {
+            return "no answer";
+        }
+        heard(id, got[0]);
+        return got[0].verdict() == Verdict.KNOWN ? got[0].state().status() : got[0].verdict().toString();
+    }
+
+    // ---- the rules ------------------------------------------------------------------------------
+
+    private void heard(String id, Registry.Answer a) {
+        if (a.verdict() == Verdict.NOT_FOUND && accepted.contains(id)) {
+            broken.add("forgotten: " + id);
+        }
+        if (a.state() == null || a.verdict() == Verdict.LATER) {
+            return;
+        }
+        accepted.add(id);
+        String now = a.state().status();
+        String before = told.get(id);
+        if (before != null && !before.equals(now)) {
+            broken.add("went back: " + id + " was " + before + ", is " + now);
+        }
+        if (now.equals("done") || now.equals("cancelled")) {
+            told.put(id, now);
+        }
+        if (now.equals("cancelled")) {
+            cancelledAt.putIfAbsent(id, clock.now);
+        }
+        if (now.equals("done") && tasksDone(id) < specs.get(id).tasks()) {
+            broken.add("not done: " + id);
+        }
+    }
+
+    /** Tasks that have completed on some machine at some time. */
+    int tasksDone(String id) {
+        Set<Integer> done = new HashSet<>();
+        worlds.values().forEach(w -> done.addAll(w.completed.getOrDefault(id, Set.of())));
+        return done.size();
+    }
+
+    long onMachines(String id) {
+        return worlds.values().stream().mapToLong(w -> w.onMachines(id)).sum();
+    }
+
+    private void watch() {
+        Map<String, String> where = new HashMap<>();
+        for (World w : worlds.values()) {
+            for (World.Worker x : w.workers.values()) {
+                for (World.Task t : x.tasks.values()) {
+                    if (!x.up || t.state == State.ENDED) {
+                        continue;
+                    }
+                    String other = where.put(t.job + "/" + t.number, x.id);
+                    if (other != null) {
+                        broken.add("twice: " + t.job + "/" + t.number + " on " + other + " and " + x.id);
+                    }
+                    Double at = cancelledAt.get(t.job);
+                    if (at != null && clock.now > at + CANCEL_S) {
+                        broken.add("ran cancelled: " + t.job + "/" + t.number + " on " + x.id);
+                    }
+                }
+            }
+        }
+        clock.after(0.25, this::watch);
+    }
+
+    /** All that broke, in any cell. */
+    List<String> broken() {
+        List<String> all = new ArrayList<>(broken);
+        worlds.values().forEach(w -> all.addAll(w.broken));
+        return all;
+    }
+
+    /** Records of jobs that are left in the stores, those of jobs that are over apart. */
+    List<String> leftovers() {
+        List<String> out = new ArrayList<>();
+        worlds.forEach((c, w) -> w.store.keys.keySet().stream().filter(k -> k.startsWith("jobs/")
+                && !k.startsWith("jobs/over/")).forEach(k -> out.add(c + ":" + k)));
+        return out;
+    }
+
+    /** Sees every transaction that changes something about loans, with the cell and the node that wrote it. */
+    void onLoanWrites(LoanWrites seen) {
+        worlds.forEach((c, w) -> w.store.written = (n, t) -> {
+            if (t.writes().stream().map(Store.Write::key).anyMatch(k -> k.startsWith("jobs/lent/")
+                    || k.startsWith("jobs/guest/") || k.startsWith("jobs/leave/") || k.startsWith("kitepath/void/"))) {
+                seen.written(c, n, t);
+            }
+        });
+    }
+
+    interface LoanWrites {
+        void written(String cell, World.NodeInWorld by, Store.Transaction t);
+    }
+}
--- a/src/test/java/io/kitepath/core/FleetStoriesTest.java
+++ b/src/test/java/io/kitepath/core/FleetStoriesTest.java
@@ -61,14 +61,14 @@
         w.run(3);
         assertEquals(3000, w.workers.values().stream().mapToInt(x -> x.started).sum());
         first.crash();
-        double crashed = w.now;
-        while (w.now < crashed + 10 && w.nodes.values().stream().noneMatch(n -> n.alive
+        double crashed = w.clock.now;
+        while (w.clock.now < crashed + 10 && w.nodes.values().stream().noneMatch(n -> n.alive
                 && n.controller.leadership.leading() && n.controller.keeper.loaded())) {
             w.run(0.1);
         }
         World.NodeInWorld second = w.leader();
         // The lease of two seconds, and a moment to claim it and to read ten jobs and their parts.
-        assertTrue(w.now - crashed < 2.6, "read after " + (w.now - crashed));
+        assertTrue(w.clock.now - crashed < 2.6, "read after " + (w.clock.now - crashed));
         int before = second.requests;
         w.submit(second, job("j-900", Shape.ARRAY, 500, 1));
         // Idle machines' reports were held by the node that died, for which their workers wait 4 s.
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -169,7 +169,7 @@
         World.NodeInWorld first = w.leader();
         w.submit(first, job("j-1", Shape.ARRAY, 9, 1));
         w.run(0.02);
-        first.frozenUntil = w.now + 7;
+        first.frozenUntil = w.clock.now + 7;
         w.run(6.9);
         World.NodeInWorld second = w.leader();
         assertTrue(second != first);
@@ -204,7 +204,7 @@
 
     private Store.Transaction submission(JobSpec s) {
         var record = s.toRecord();
-        record.put("submittedMs", w.now * 1000);
+        record.put("submittedMs", w.clock.now * 1000);
         return new Store.Transaction().when(Keys.OPEN + s.id(), 0).put(Keys.OPEN + s.id(), record);
     }
 
--- a/src/test/java/io/kitepath/core/World.java
+++ b/src/test/java/io/kitepath/core/World.java
@@ -1,6 +1,8 @@
 package io.kitepath.core;
 
+import io.kitepath.core.model.CellMessage;
 import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.Directory;
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.JobState;
@@ -34,6 +36,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntPredicate;
 import java.util.function.IntToDoubleFunction;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -44,12 +47,35 @@
     static final double REPORT_S = 1;
     static final double LEASE_S = 10;
 
-    private record Due(double at, long order, Runnable run) {}
+    /** The time, and what is due when, for one world or for several that have something to do with each other. */
+    static final class Clock {
+        private record Due(double at, long order, Runnable run) {}
 
-    private final PriorityQueue<Due> due =
-            new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
-    private long ordered;
-    double now = 100;
+        private final PriorityQueue<Due> due =
+                new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingLong(Due::order));
+        private long ordered;
+        double now = 100;
+        final List<World> worlds = new ArrayList<>();
+
+        void after(double s, Runnable r) {
+            due.add(new Due(now + s, ordered++, r));
+        }
+
+        void run(double seconds) {
+            double until = now + seconds;
+            while (!due.isEmpty() && due.peek().at <= until) {
+                Due d = due.poll();
+                now = Math.max(now, d.at);
+                d.run.run();
+            }
+            now = until;
+        }
+    }
+
+    final Clock clock;
+    /** The cells that this world is one of, or null. */
+    private final Cellular around;
+    final Directory directory;
     /** Changes a second that the settings allow. */
     double writeRps = 1000;
 
@@ -72,31 +98,37 @@
      * for each other, and give up after the settings' time.
      */
     ToDoubleFunction<String> fetchS;
-    private final Map<String, JobSpec> specs = new HashMap<>();
+    Map<String, JobSpec> specs = new HashMap<>();
+    /** Tasks that completed, by job. */
+    final Map<String, Set<Integer>> completed = new HashMap<>();
     /** What broke: a task that starts while it is on another machine. */
     final List<String> broken = new ArrayList<>();
     MachineType type = new MachineType("m4", 4, 0, 16, 50, 1, 1.0, 0.4, 40, List.of("a", "b"));
+    List<String> zones = List.of("a", "b");
 
     World() {
+        this(new Clock(), null, null);
+    }
+
+    /** One cell among others, which share a clock. */
+    World(Clock clock, Cellular around, Directory directory) {
+        this.clock = clock;
+        this.around = around;
+        this.directory = directory;
+        clock.worlds.add(this);
         teams.put("red", new Facts.Team("red", 0, 0, 0, 0));
     }
 
     void after(double s, Runnable r) {
-        due.add(new Due(now + s, ordered++, r));
+        clock.after(s, r);
     }
 
     void run(double seconds) {
-        double until = now + seconds;
-        while (!due.isEmpty() && due.peek().at <= until) {
-            Due d = due.poll();
-            now = Math.max(now, d.at);
-            d.run.run();
-        }
-        now = until;
+        clock.run(seconds);
     }
 
     Facts facts(String node) {
-        return new Facts(node, "a", siblings, List.of("a", "b"), teams, objectives,
+        return new Facts(node, "a", siblings, zones, teams, objectives,
                 new Facts.Workers(REPORT_S, LEASE_S, 30, 5, 30), new Facts.StoreLimits(1000, writeRps, 8, 40),
                 new Facts.CloudLimits(10, 2), new Facts.Limits(1, 200, 1000), 5);
     }
@@ -195,7 +227,7 @@
         NodeInWorld(String name) {
             this.name = name;
             this.controller = new Controller(facts(name), new Link(this), new CloudLink(this), this::direct, this, this,
-                    new Random(7 + name.hashCode()));
+                    new Random(7 + name.hashCode()), directory, around == null ? null : this::askCell);
         }
 
         private void direct(String address, long token, long session, List<Order> orders, Consumer<Report> answer) {
@@ -215,18 +247,22 @@
             });
         }
 
+        private void askCell(String cell, String node, CellMessage m, Consumer<CellMessage> answer) {
+            around.ask(World.this, this, cell, node, m, answer);
+        }
+
         void crash() {
             alive = false;
         }
 
         @Override
         public double now() {
-            return now;
+            return clock.now;
         }
 
         @Override
         public double wallMs() {
-            return now * 1000;
+            return clock.now * 1000;
         }
 
         @Override
@@ -236,8 +272,8 @@
 
         /** What comes while the process stands still waits until it goes on. */
         void deliver(Runnable run) {
-            if (alive && now < frozenUntil) {
-                World.this.after(frozenUntil - now, () -> deliver(run));
+            if (alive && clock.now < frozenUntil) {
+                World.this.after(frozenUntil - clock.now, () -> deliver(run));
             } else if (alive) {
                 run.run();
             }
@@ -307,6 +343,11 @@
         /** The next transactions get no answer, and are kept to be executed late. */
         int hold;
         final List<Store.Transaction> heldBack = new ArrayList<>();
+        /** Transactions that get no answer and are kept, as by a network that delivers them some other time. */
+        Predicate<Store.Transaction> withheld = t -> false;
+        /** Sees every transaction that was executed and changed something, and by whom. */
+        BiConsumer<NodeInWorld, Store.Transaction> written = (n, t) -> { };
+        long changes;
 
         long token() {
             Store.Entry e = keys.get(Keys.TOKEN);
@@ -315,7 +356,7 @@
 
         void expire() {
             for (Long id : new ArrayList<>(leases.keySet())) {
-                if (!out && leases.get(id) < now) {
+                if (!out && leases.get(id) < clock.now) {
                     end(id);
                 }
             }
@@ -334,7 +375,7 @@
             out = true;
             World.this.after(seconds, () -> {
                 out = false;
-                leases.replaceAll((id, t) -> now + life.get(id));
+                leases.replaceAll((id, t) -> clock.now + life.get(id));
             });
         }
 
@@ -420,13 +461,17 @@
         public void commit(Transaction t, Consumer<Committed> answer) {
             exchange(() -> {
                 boolean job = t.writes().stream().anyMatch(w -> w.key().startsWith("jobs/"));
-                if (job && store.hold > 0) {
-                    store.hold--;
+                if (job && store.hold > 0 || store.withheld.test(t)) {
+                    store.hold -= store.hold > 0 ? 1 : 0;
                     store.heldBack.add(t);
                     node.after(0.5, () -> answer.accept(new Committed(Outcome.UNKNOWN, 0, List.of(), false)));
                     return;
                 }
                 Committed c = store.execute(t);
+                if (c.outcome() == Outcome.OK && !t.writes().isEmpty()) {
+                    store.changes += t.writes().size();
+                    store.written.accept(node, t);
+                }
                 if (job && store.swallow > 0) {
                     store.swallow--;
                     node.after(0.5, () -> answer.accept(new Committed(Outcome.UNKNOWN, 0, List.of(), false)));
@@ -440,7 +485,7 @@
         public void grant(long lifeMs, BiConsumer<Outcome, Long> answer) {
             exchange(() -> {
                 long id = store.nextLease++;
-                store.leases.put(id, now + lifeMs / 1000.0);
+                store.leases.put(id, clock.now + lifeMs / 1000.0);
                 store.life.put(id, lifeMs / 1000.0);
                 back(() -> answer.accept(Outcome.OK, id));
             }, () -> back(() -> answer.accept(Outcome.REFUSED, null)));
@@ -451,7 +496,7 @@
             exchange(() -> {
                 boolean there = store.leases.containsKey(lease);
                 if (there) {
-                    store.leases.put(lease, now + store.life.get(lease));
+                    store.leases.put(lease, clock.now + store.life.get(lease));
                 }
                 back(() -> answer.accept(there ? Outcome.OK : Outcome.NO));
             }, () -> back(() -> answer.accept(Outcome.REFUSED)));
@@ -464,7 +509,7 @@
 
         @Override
         public void follow(String prefix, long after, long holdMs, Consumer<Changes> answer) {
-            double until = now + holdMs / 1000.0;
+            double until = clock.now + holdMs / 1000.0;
             watch(prefix, after, until, answer);
         }
 
@@ -474,7 +519,7 @@
                 boolean no = store.out || node.cutFromStore;
                 List<Entry> events = no ? List.of() : store.log.stream()
                         .filter(e -> e.key().startsWith(prefix) && e.revision() > after).toList();
-                if (!events.isEmpty() || now >= until) {
+                if (!events.isEmpty() || clock.now >= until) {
                     long r = no ? after : store.revision;
                     back(() -> answer.accept(new Changes(Outcome.OK, r, events)));
                 } else if (node.alive) {
@@ -590,7 +635,7 @@
         boolean fails;
         boolean spot;
         double runsFor = 20;
-        private double answered = now;
+        private double answered = clock.now;
         private String node;
         int started;
 
@@ -622,14 +667,14 @@
             if (!up) {
                 return;
             }
-            if (now - answered > LEASE_S) {
+            if (clock.now - answered > LEASE_S) {
                 tasks.clear();
                 session++;
-                answered = now;
+                answered = clock.now;
             }
             NodeInWorld n = target();
             long mySession = session;
-            double sent = now;
+            double sent = clock.now;
             boolean[] heard = new boolean[1];
             if (n != null && !cut) {
                 Report r = message();
@@ -662,7 +707,7 @@
                 answered = sent;
                 c.orders().forEach(this::execute);
             }
-            World.this.after(Math.max(0.5, REPORT_S - (now - sent)), this::report);
+            World.this.after(Math.max(0.5, REPORT_S - (clock.now - sent)), this::report);
         }
 
         void execute(Order o) {
@@ -713,7 +758,7 @@
         }
 
         private void start(Order o, String key) {
-            for (Worker w : workers.values()) {
+            for (Worker w : clock.worlds.stream().flatMap(x -> x.workers.values().stream()).toList()) {
                 for (Task other : w.tasks.values()) {
                     if (w.up && other.state != State.ENDED && other.job.equals(o.job()) && other.number == o.task()) {
                         broken.add("ran twice: " + key + " on " + id + " and " + w.id);
@@ -734,6 +779,9 @@
                 if (up && tasks.get(key) == t && t.state != State.ENDED) {
                     t.state = State.ENDED;
                     t.cause = error ? Cause.ERROR : Cause.DONE;
+                    if (!error) {
+                        completed.computeIfAbsent(t.job, k -> new HashSet<>()).add(t.number);
+                    }
                 }
             });
         }
--- a/src/test/java/io/kitepath/core/block/ServedTest.java
+++ b/src/test/java/io/kitepath/core/block/ServedTest.java
@@ -23,7 +23,7 @@
     private Job job(String of, String team, Double deadlineS) {
         JobSpec s = new JobSpec("j-" + ++named, of, team, JobSpec.Shape.ARRAY, JobSpec.Priority.LOW, 1, 1, 0, 1, null,
                 null, false, false, false, "img", 1, 10, 0, 0, deadlineS);
-        Job j = new Job(s, 0, facts.startWithinS(s), 1, 256);
+        Job j = new Job(s, 0, facts.startWithinS(s), "k", 1, 256);
         served.came(j);
         return j;
     }
--- a/src/test/java/io/kitepath/core/place/ServiceOrderTest.java
+++ b/src/test/java/io/kitepath/core/place/ServiceOrderTest.java
@@ -25,7 +25,7 @@
     private Job job(String id, String of, int tasks, double... startWithinS) {
         JobSpec s = new JobSpec(id, of, "red", JobSpec.Shape.ARRAY, JobSpec.Priority.NORMAL, tasks, 1, 0, 1, null,
                 null, false, false, true, "img", 1, 10, 0, 0, null);
-        Job j = new Job(s, 0, startWithinS, 1, 256);
+        Job j = new Job(s, 0, startWithinS, "k", 1, 256);
         jobs.add(j);
         return j;
     }
--- a/src/test/java/io/kitepath/peers/MessagesTest.java
+++ b/src/test/java/io/kitepath/peers/MessagesTest.java
@@ -1,9 +1,13 @@
 package io.kitepath.peers;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.kitepath.core.model.CellMessage;
 import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineKind;
 import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Order;
 import io.kitepath.core.model.Progress;
@@ -53,6 +57,34 @@
         assertEquals(answer, sent(answer));
     }
 
+    @Test
+    void whatCellsSayTooAndOnlyWhereThereAreOthers() {
+        JobSpec job = new JobSpec("j-1", "work", "red", JobSpec.Shape.GANG, JobSpec.Priority.HIGH, 4, 2, 0, 1,
+                List.of("m4"), null, true, false, false, "img", 1, 20, 45, 6, 90.0);
+        CellMessage.Room room = new CellMessage.Room(new MachineKind("m4", "a", true), 12, 0, 40, 3);
+        List<CellMessage> all = List.of(new CellMessage.Elsewhere("kite-1"), new CellMessage.Elsewhere(null),
+                new CellMessage.Summary("east", "kite-0", 3, true, List.of(room), List.of(0.0, 4.5), List.of("west")),
+                new CellMessage.Offer("east", 1L << 40, 7, job, 1000.5, 0, 4, 2),
+                new CellMessage.Recall("east", 8, 7, true), new CellMessage.Settled(8, 9),
+                new CellMessage.UserAsk(CellMessage.Wish.SUBMIT, "j-1", job),
+                new CellMessage.UserAsk(CellMessage.Wish.STATUS, "j-1", null),
+                new CellMessage.UserAnswer("KNOWN", new JobState("j-1", "running", 1, 2, "waits")));
+        Messages one = new Messages(true);
+        Messages other = new Messages(true);
+        for (CellMessage m : all) {
+            assertEquals(new Messages.AskCell(5, m), other.value(one.bytes(new Messages.AskCell(5, m))));
+            assertEquals(new Messages.AnswerCell(5, m), other.value(one.bytes(new Messages.AnswerCell(5, m))));
+        }
+        CellMessage.Word w = new CellMessage.Word("west", 8, CellMessage.Standing.BACK, new byte[] {3, 1}, 4);
+        CellMessage.Word got = (CellMessage.Word) ((Messages.AnswerCell) other.value(one.bytes(
+                new Messages.AnswerCell(6, w)))).message();
+        assertEquals(List.of(w.cell(), w.number(), w.standing(), w.next()),
+                List.of(got.cell(), got.number(), got.standing(), got.next()));
+        assertArrayEquals(w.done(), got.done());
+        byte[] bytes = one.bytes(new Messages.AskCell(5, all.get(0)));
+        assertThrows(Malformed.class, () -> there.value(bytes));
+    }
+
     @Test
     void badBytesAreRefusedAndHarmNothing() {
         Random random = new Random(1);
