--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -164,6 +164,16 @@
         return retries.refuse();
     }
 
+    /** The token that it leads with, 0 if it does not lead. */
+    public long leadsWith() {
+        return leadership.leading() ? leadership.token() : 0;
+    }
+
+    /** Whether it holds the block and knows the jobs. */
+    public boolean holds() {
+        return leadership.leading() && keeper.loaded();
+    }
+
     /** Rounds of placing so far. */
     long rounds() {
         return rounds;
--- a/src/test/java/io/kitepath/core/Cellular.java
+++ b/src/main/java/io/kitepath/standin/Cellular.java
@@ -1,4 +1,4 @@
-package io.kitepath.core;
+package io.kitepath.standin;
 
 import io.kitepath.core.model.CellMessage;
 import io.kitepath.core.model.Directory;
@@ -25,33 +25,33 @@
  * Several cells, each a {@link World} of its own, on one clock, with a network between them that loses, doubles, delays
  * and cuts. It watches the rules over all of them, knowing nothing of how they are kept.
  */
-final class Cellular {
+public final class Cellular {
     /** Seconds that a task may still be on a machine once its user was told that it is cancelled. */
     private static final double CANCEL_S = 30;
 
-    final World.Clock clock = new World.Clock();
-    final Map<String, World> worlds = new LinkedHashMap<>();
+    public final Clock clock = new Clock();
+    public final Map<String, World> worlds = new LinkedHashMap<>();
     /** "a>b": nothing gets from a to b. */
-    final Set<String> cut = new HashSet<>();
+    public final Set<String> cut = new HashSet<>();
     /** Shares of messages, with a seed. */
-    double lost;
-    double doubled;
-    double late;
-    Predicate<CellMessage> loses = m -> false;
+    public double lost;
+    public double doubled;
+    public double late;
+    public Predicate<CellMessage> loses = m -> false;
     /** Messages that the network keeps, to be delivered at some other time. */
-    Predicate<CellMessage> keeps = m -> false;
-    final List<Runnable> kept = new ArrayList<>();
-    final List<CellMessage> keptMessages = new ArrayList<>();
+    public Predicate<CellMessage> keeps = m -> false;
+    public final List<Runnable> kept = new ArrayList<>();
+    public final List<CellMessage> keptMessages = new ArrayList<>();
     private final Random random;
-    final Map<String, JobSpec> specs = new HashMap<>();
-    final List<String> broken = new ArrayList<>();
+    public final Map<String, JobSpec> specs = new HashMap<>();
+    public final List<String> broken = new ArrayList<>();
     private final Map<String, String> told = new HashMap<>();
     private final Map<String, Double> cancelledAt = new HashMap<>();
     private final Set<String> accepted = new HashSet<>();
-    long messages;
+    public long messages;
 
     /** Cells that are homes, by name, and after them in the second list cells that only lend their room. */
-    Cellular(long seed, List<String> homes, List<String> rooms) {
+    public Cellular(long seed, List<String> homes, List<String> rooms) {
         this.random = new Random(seed);
         List<String> names = new ArrayList<>(homes);
         names.addAll(rooms);
@@ -70,12 +70,12 @@
         watch();
     }
 
-    World world(String cell) {
+    public World world(String cell) {
         return worlds.get(cell);
     }
 
     /** Nodes and machines of a cell. */
-    void cell(String cell, int nodes, int machines) {
+    public void cell(String cell, int nodes, int machines) {
         World w = worlds.get(cell);
         for (int i = 0; i < nodes; i++) {
             w.siblings.add(cell + "-k" + i);
@@ -88,27 +88,27 @@
         }
     }
 
-    World.NodeInWorld any(String cell) {
+    public Node any(String cell) {
         return worlds.get(cell).nodes.values().stream().filter(n -> n.alive).findFirst().orElseThrow();
     }
 
-    World.NodeInWorld leader(String cell) {
+    public Node leader(String cell) {
         return worlds.get(cell).leader();
     }
 
     /** The process ends, and starts again after some seconds. */
-    void restart(World.NodeInWorld n, double afterS) {
+    public void restart(Node n, double afterS) {
         World w = worlds.values().stream().filter(x -> x.nodes.get(n.name) == n).findFirst().orElseThrow();
         n.crash();
         clock.after(afterS, () -> w.node(n.name));
     }
 
-    void run(double s) {
+    public void run(double s) {
         clock.run(s);
     }
 
     /** Runs until that holds, at most so long; returns the seconds, or fails. */
-    double until(double mostS, BooleanSupplier holds) {
+    public double until(double mostS, BooleanSupplier holds) {
         double from = clock.now;
         while (!holds.getAsBoolean()) {
             if (clock.now - from > mostS) {
@@ -121,12 +121,12 @@
 
     // ---- the network ----------------------------------------------------------------------------
 
-    void cutBetween(String a, String b) {
+    public void cutBetween(String a, String b) {
         cut.add(a + ">" + b);
         cut.add(b + ">" + a);
     }
 
-    void ask(World from, World.NodeInWorld by, String cell, String node, CellMessage m, Consumer<CellMessage> answer) {
+    public void ask(World from, Node by, String cell, String node, CellMessage m, Consumer<CellMessage> answer) {
         messages++;
         World to = worlds.get(cell);
         boolean[] heard = new boolean[1];
@@ -139,13 +139,13 @@
         clock.after(1, () -> once.accept(null));
         String out = from.directory.own() + ">" + cell;
         String back = cell + ">" + from.directory.own();
-        List<World.NodeInWorld> up = to.nodes.values().stream().filter(n -> n.alive).toList();
-        World.NodeInWorld asked = node != null ? to.nodes.get(node)
+        List<Node> up = to.nodes.values().stream().filter(n -> n.alive).toList();
+        Node asked = node != null ? to.nodes.get(node)
                 : up.isEmpty() ? null : up.get(random.nextInt(up.size()));
         if (asked == null || cut.contains(out)) {
             return;
         }
-        Consumer<World.NodeInWorld> deliver = n -> n.deliver(() -> n.controller.cells().asked(m, a -> {
+        Consumer<Node> deliver = n -> n.deliver(() -> n.controller.cells().asked(m, a -> {
             if (!cut.contains(back) && !(a != null && loses.test(a)) && random.nextDouble() >= lost) {
                 clock.after(0.002, () -> once.accept(a));
             }
@@ -173,7 +173,7 @@
     // ---- users ----------------------------------------------------------------------------------
 
     /** An id whose home is that cell. */
-    String id(String home, int n) {
+    public String id(String home, int n) {
         Directory d = worlds.get(home).directory;
         for (int i = 1000 * n;; i++) {
             if (d.home("j-" + i).equals(home)) {
@@ -182,7 +182,7 @@
         }
     }
 
-    Verdict submit(World.NodeInWorld n, JobSpec s) {
+    public Verdict submit(Node n, JobSpec s) {
         specs.put(s.id(), s);
         Registry.Answer[] got = new Registry.Answer[1];
         n.controller.registry().submit(s, a -> got[0] = a);
@@ -195,14 +195,14 @@
     }
 
     /** As users do: again until there is an answer. */
-    void submitSurely(String cell, JobSpec s) {
+    public void submitSurely(String cell, JobSpec s) {
         until(60, () -> {
             Verdict v = submit(any(cell), s);
             return v == Verdict.CREATED || v == Verdict.KNOWN;
         });
     }
 
-    String status(World.NodeInWorld n, String id) {
+    public String status(Node n, String id) {
         Registry.Answer[] got = new Registry.Answer[1];
         n.controller.registry().status(id, a -> got[0] = a);
         run(0.2);
@@ -213,7 +213,7 @@
         return got[0].verdict() == Verdict.KNOWN ? got[0].state().status() : got[0].verdict().toString();
     }
 
-    String cancel(World.NodeInWorld n, String id) {
+    public String cancel(Node n, String id) {
         Registry.Answer[] got = new Registry.Answer[1];
         n.controller.registry().cancel(id, a -> got[0] = a);
         run(0.2);
@@ -251,21 +251,21 @@
     }
 
     /** Tasks that have completed on some machine at some time. */
-    int tasksDone(String id) {
+    public int tasksDone(String id) {
         Set<Integer> done = new HashSet<>();
         worlds.values().forEach(w -> done.addAll(w.completed.getOrDefault(id, Set.of())));
         return done.size();
     }
 
-    long onMachines(String id) {
+    public long onMachines(String id) {
         return worlds.values().stream().mapToLong(w -> w.onMachines(id)).sum();
     }
 
     private void watch() {
         Map<String, String> where = new HashMap<>();
         for (World w : worlds.values()) {
-            for (World.Worker x : w.workers.values()) {
-                for (World.Task t : x.tasks.values()) {
+            for (Worker x : w.workers.values()) {
+                for (Task t : x.tasks.values()) {
                     if (!x.up || t.state == State.ENDED) {
                         continue;
                     }
@@ -284,14 +284,14 @@
     }
 
     /** All that broke, in any cell. */
-    List<String> broken() {
+    public List<String> broken() {
         List<String> all = new ArrayList<>(broken);
         worlds.values().forEach(w -> all.addAll(w.broken));
         return all;
     }
 
     /** Records of jobs that are left in the stores, those of jobs that are over apart. */
-    List<String> leftovers() {
+    public List<String> leftovers() {
         List<String> out = new ArrayList<>();
         worlds.forEach((c, w) -> w.store.keys.keySet().stream().filter(k -> k.startsWith("jobs/")
                 && !k.startsWith("jobs/over/")).forEach(k -> out.add(c + ":" + k)));
@@ -299,7 +299,7 @@
     }
 
     /** Sees every transaction that changes something about loans, with the cell and the node that wrote it. */
-    void onLoanWrites(LoanWrites seen) {
+    public void onLoanWrites(LoanWrites seen) {
         worlds.forEach((c, w) -> w.store.written = (n, t) -> {
             if (t.writes().stream().map(Store.Write::key).anyMatch(k -> k.startsWith("jobs/lent/")
                     || k.startsWith("jobs/guest/") || k.startsWith("jobs/leave/") || k.startsWith("kitepath/void/"))) {
@@ -308,7 +308,7 @@
         });
     }
 
-    interface LoanWrites {
-        void written(String cell, World.NodeInWorld by, Store.Transaction t);
+    public interface LoanWrites {
+        void written(String cell, Node by, Store.Transaction t);
     }
 }
--- /dev/null
+++ b/src/main/java/io/kitepath/standin/MemoryStore.java
@@ -0,0 +1,174 @@
+package io.kitepath.standin;
+
+import io.kitepath.core.model.Tree;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.state.Keys;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.IntPredicate;
+import java.util.function.Predicate;
+
+/** The state service: keys, leases, follows; can refuse, or lose an answer, or execute late. */
+public final class MemoryStore {
+    public MemoryStore(World w) {
+        this.w = w;
+    }
+
+    public final TreeMap<String, Store.Entry> keys = new TreeMap<>();
+    public final Map<String, Long> lease = new HashMap<>();
+    public final Map<Long, Double> leases = new HashMap<>();
+    public final Map<Long, Double> life = new HashMap<>();
+    public final List<Store.Entry> log = new ArrayList<>();
+    public long revision = 1;
+    public long nextLease = 1;
+    public boolean out;
+    private final World w;
+    /** Watches that wait for changes. */
+    private final List<Watch> watches = new ArrayList<>();
+    /** Pages asked for, and which of them are refused. */
+    public int pages;
+    public IntPredicate refusePage = n -> false;
+    /** The next transactions are executed, but nobody hears of it. */
+    public int swallow;
+    /** The next transactions get no answer, and are kept to be executed late. */
+    public int hold;
+    public final List<Store.Transaction> heldBack = new ArrayList<>();
+    /** Transactions that get no answer and are kept, as by a network that delivers them some other time. */
+    public Predicate<Store.Transaction> withheld = t -> false;
+    /** Sees every transaction that was executed and changed something, and by whom. */
+    public BiConsumer<Node, Store.Transaction> written = (n, t) -> { };
+    public long changes;
+
+    public long token() {
+        Store.Entry e = keys.get(Keys.TOKEN);
+        return e == null ? 0 : Tree.of(e.value()).count("token");
+    }
+
+    public void expire() {
+        for (Long id : new ArrayList<>(leases.keySet())) {
+            if (!out && leases.get(id) < w.clock.now) {
+                end(id);
+            }
+        }
+    }
+
+    public void end(long id) {
+        leases.remove(id);
+        for (String k : new ArrayList<>(lease.keySet())) {
+            if (lease.get(k) == id) {
+                put(k, null, 0, ++revision);
+            }
+        }
+    }
+
+    public void outage(double seconds) {
+        out = true;
+        w.after(seconds, () -> {
+            out = false;
+            leases.replaceAll((id, t) -> w.clock.now + life.get(id));
+        });
+    }
+
+    public void put(String k, Object v, long l, long r) {
+        Store.Entry e = new Store.Entry(k, v, r);
+        lease.remove(k);
+        if (v == null) {
+            keys.remove(k);
+        } else {
+            keys.put(k, e);
+            if (l != 0) {
+                lease.put(k, l);
+            }
+        }
+        log.add(e);
+        for (Watch x : watches) {
+            x.touched |= k.startsWith(x.prefix);
+        }
+    }
+
+    /** One that waits for changes under a prefix. */
+    private final class Watch {
+        private final Node node;
+        private final String prefix;
+        private final long after;
+        private final Consumer<Store.Changes> answer;
+        private boolean touched;
+
+        Watch(Node node, String prefix, long after, Consumer<Store.Changes> answer) {
+            this.node = node;
+            this.prefix = prefix;
+            this.after = after;
+            this.answer = answer;
+        }
+
+        /** Looks after some changes; while the store does not serve the node, nothing is seen. */
+        private boolean served(boolean last) {
+            boolean no = out || node.cutFromStore;
+            List<Store.Entry> events = new ArrayList<>();
+            if (!no && (touched || last)) {
+                for (int i = log.size() - 1; i >= 0 && log.get(i).revision() > after; i--) {
+                    if (log.get(i).key().startsWith(prefix)) {
+                        events.add(0, log.get(i));
+                    }
+                }
+            }
+            touched &= no;
+            if (events.isEmpty() && !last) {
+                return !node.alive;
+            }
+            long r = no ? after : revision;
+            node.after(0.002, () -> answer.accept(new Store.Changes(Store.Outcome.OK, r, events)));
+            return true;
+        }
+    }
+
+    private boolean looking;
+
+    /** Watches are looked through every few milliseconds, as long as there are any. */
+    private void look() {
+        looking = !watches.isEmpty();
+        if (looking) {
+            w.after(0.01, () -> {
+                expire();
+                watches.removeIf(x -> x.touched && x.served(false));
+                look();
+            });
+        }
+    }
+
+    public void follow(Node node, String prefix, long after, double holdS, Consumer<Store.Changes> answer) {
+        Watch x = new Watch(node, prefix, after, answer);
+        x.touched = true;
+        watches.add(x);
+        w.after(holdS, () -> {
+            if (watches.remove(x)) {
+                x.served(true);
+            }
+        });
+        if (!looking) {
+            look();
+        }
+    }
+
+    public Store.Committed execute(Store.Transaction t) {
+        expire();
+        List<String> failed = new ArrayList<>();
+        for (Store.Condition c : t.conditions()) {
+            Store.Entry e = keys.get(c.key());
+            if ((e == null ? 0 : e.revision()) != c.revision()) {
+                failed.add(c.key());
+            }
+        }
+        if (!failed.isEmpty()) {
+            return new Store.Committed(Store.Outcome.NO, 0, failed, false);
+        }
+        long r = t.writes().isEmpty() ? revision : ++revision;
+        t.writes().forEach(w -> put(w.key(), w.value(), w.lease(), r));
+        return new Store.Committed(Store.Outcome.OK, r, List.of(), false);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/standin/Node.java
@@ -0,0 +1,129 @@
+package io.kitepath.standin;
+
+import io.kitepath.core.Controller;
+import io.kitepath.core.model.CellMessage;
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.port.Siblings;
+import io.kitepath.core.port.Timers;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+public final class Node implements Timers, Siblings {
+    private final World w;
+    public final String name;
+    public final Controller controller;
+    public boolean alive = true;
+    public double frozenUntil;
+    /** Cut off from the store, as is what it sent there unless it is delivered late. */
+    public boolean cutFromStore;
+    /** Siblings that it can't reach, nor they it. */
+    public final Set<String> cutFrom = new HashSet<>();
+    /** What it asked of the store, watches apart. */
+    public int requests;
+
+    public Node(World w, String name) {
+        this.w = w;
+        this.name = name;
+        this.controller = new Controller(w.facts(name), new StoreLink(w, this), new CloudLink(w, this), this::direct, this, this,
+                new Random(7 + name.hashCode()), w.directory, w.around == null ? null : this::askCell);
+    }
+
+    private void direct(String address, long token, long session, List<Order> orders, Consumer<Report> answer) {
+        Worker x = w.workers.get(address);
+        if (x == null || x.cut || !x.up || w.refuseDirect) {
+            after(0.5, () -> answer.accept(null));
+            return;
+        }
+        w.after(w.directDelayS, () -> {
+            boolean takes = token >= x.token && session == x.session;
+            if (takes) {
+                x.token = token;
+                orders.forEach(x::execute);
+            }
+            Report r = takes ? x.message() : null;
+            after(0.002, () -> answer.accept(r));
+        });
+    }
+
+    private void askCell(String cell, String node, CellMessage m, Consumer<CellMessage> answer) {
+        w.around.ask(w, this, cell, node, m, answer);
+    }
+
+    public void crash() {
+        alive = false;
+    }
+
+    @Override
+    public double now() {
+        return w.clock.now;
+    }
+
+    @Override
+    public double wallMs() {
+        return w.clock.now * 1000;
+    }
+
+    @Override
+    public void after(double seconds, Runnable run) {
+        w.after(Math.max(0.001, seconds), () -> deliver(run));
+    }
+
+    /** What comes while the process stands still waits until it goes on. */
+    public void deliver(Runnable run) {
+        if (alive && w.clock.now < frozenUntil) {
+            w.after(frozenUntil - w.clock.now, () -> deliver(run));
+        } else if (alive) {
+            run.run();
+        }
+    }
+
+    @Override
+    public void tell(long token, String leader, boolean served) {
+        w.nodes.values().stream().filter(n -> n != this && n.alive && reaches(n)).forEach(n ->
+                n.after(0.001, () -> n.controller.told(name, token, leader != null, served)));
+    }
+
+    @Override
+    public void over(JobState job) {
+        w.nodes.values().stream().filter(n -> n != this && n.alive && reaches(n)).forEach(n ->
+                n.after(0.001, () -> n.controller.toldOver(job)));
+    }
+
+    @Override
+    public void progress(String leader, List<String> jobs, Consumer<List<Progress>> answer) {
+        Node n = w.nodes.get(leader);
+        boolean[] heard = new boolean[1];
+        Consumer<List<Progress>> once = p -> {
+            if (!heard[0]) {
+                heard[0] = true;
+                answer.accept(p);
+            }
+        };
+        n.after(0.001, () -> {
+            List<Progress> p = n.controller.progress(jobs);
+            after(0.001, () -> once.accept(p));
+        });
+        after(0.5, () -> once.accept(List.of()));
+    }
+
+    @Override
+    public boolean relay(String sibling, Report report, boolean passOn, Consumer<CheckIn> answer) {
+        Node n = w.nodes.get(sibling);
+        if (n == null || !reaches(n)) {
+            return false;
+        }
+        n.after(0.001, () -> n.controller.answerFor(report, passOn, c -> after(0.001, () -> answer.accept(c))));
+        return true;
+    }
+
+    private boolean reaches(Node other) {
+        return !cutFrom.contains(other.name) && !other.cutFrom.contains(name);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/standin/StoreLink.java
@@ -0,0 +1,112 @@
+package io.kitepath.standin;
+
+import io.kitepath.core.port.Store;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** One node's connection to the store. */
+final class StoreLink implements Store {
+    private final World w;
+    private final MemoryStore store;
+    private final Node node;
+
+    StoreLink(World w, Node node) {
+        this.w = w;
+        this.store = w.store;
+        this.node = node;
+    }
+
+    /** Runs on the store a moment later, and the answer on the node a moment after that. */
+    private void exchange(Runnable served, Runnable refused) {
+        node.requests++;
+        w.after(0.002, () -> {
+            store.expire();
+            boolean no = store.out || node.cutFromStore;
+            (no ? refused : served).run();
+        });
+    }
+
+    private void back(Runnable r) {
+        node.after(0.002, r);
+    }
+
+    @Override
+    public void get(String key, BiConsumer<Outcome, Entry> answer) {
+        exchange(() -> {
+            Entry e = store.keys.get(key);
+            back(() -> answer.accept(e == null ? Outcome.NO : Outcome.OK, e));
+        }, () -> back(() -> answer.accept(Outcome.REFUSED, null)));
+    }
+
+    @Override
+    public void page(String prefix, String from, int limit, Consumer<Listing> answer) {
+        exchange(() -> {
+            store.pages++;
+            if (store.refusePage.test(store.pages)) {
+                back(() -> answer.accept(new Listing(Outcome.REFUSED, List.of(), 0, false)));
+                return;
+            }
+            List<Entry> all = store.keys.tailMap(from.isEmpty() ? prefix : from, from.isEmpty()).values().stream()
+                    .filter(e -> e.key().startsWith(prefix)).toList();
+            long r = store.revision;
+            back(() -> answer.accept(new Listing(Outcome.OK, all.subList(0, Math.min(limit, all.size())), r,
+                    all.size() > limit)));
+        }, () -> back(() -> answer.accept(new Listing(Outcome.REFUSED, List.of(), 0, false))));
+    }
+
+    @Override
+    public void commit(Transaction t, Consumer<Committed> answer) {
+        exchange(() -> {
+            boolean job = t.writes().stream().anyMatch(w -> w.key().startsWith("jobs/"));
+            if (job && store.hold > 0 || store.withheld.test(t)) {
+                store.hold -= store.hold > 0 ? 1 : 0;
+                store.heldBack.add(t);
+                node.after(0.5, () -> answer.accept(new Committed(Outcome.UNKNOWN, 0, List.of(), false)));
+                return;
+            }
+            Committed c = store.execute(t);
+            if (c.outcome() == Outcome.OK && !t.writes().isEmpty()) {
+                store.changes += t.writes().size();
+                store.written.accept(node, t);
+            }
+            if (job && store.swallow > 0) {
+                store.swallow--;
+                node.after(0.5, () -> answer.accept(new Committed(Outcome.UNKNOWN, 0, List.of(), false)));
+                return;
+            }
+            back(() -> answer.accept(c));
+        }, () -> back(() -> answer.accept(new Committed(Outcome.REFUSED, 0, List.of(), false))));
+    }
+
+    @Override
+    public void grant(long lifeMs, BiConsumer<Outcome, Long> answer) {
+        exchange(() -> {
+            long id = store.nextLease++;
+            store.leases.put(id, w.clock.now + lifeMs / 1000.0);
+            store.life.put(id, lifeMs / 1000.0);
+            back(() -> answer.accept(Outcome.OK, id));
+        }, () -> back(() -> answer.accept(Outcome.REFUSED, null)));
+    }
+
+    @Override
+    public void renew(long lease, Consumer<Outcome> answer) {
+        exchange(() -> {
+            boolean there = store.leases.containsKey(lease);
+            if (there) {
+                store.leases.put(lease, w.clock.now + store.life.get(lease));
+            }
+            back(() -> answer.accept(there ? Outcome.OK : Outcome.NO));
+        }, () -> back(() -> answer.accept(Outcome.REFUSED)));
+    }
+
+    @Override
+    public void revoke(long lease) {
+        exchange(() -> store.end(lease), () -> { });
+    }
+
+    @Override
+    public void follow(String prefix, long after, long holdMs, Consumer<Changes> answer) {
+        store.follow(node, prefix, after, holdMs / 1000.0, answer);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/standin/Task.java
@@ -0,0 +1,31 @@
+package io.kitepath.standin;
+
+import io.kitepath.core.model.Report.Cause;
+import io.kitepath.core.model.Report.State;
+
+/** One attempt of a task on a worker. */
+public final class Task {
+    public final Worker worker;
+    public final String job;
+    public final int number;
+    public final long attempt;
+    public State state;
+    public Cause cause;
+
+    public Task(Worker worker, String job, int number, long attempt, State state) {
+        this.worker = worker;
+        this.job = job;
+        this.number = number;
+        this.attempt = attempt;
+        this.state = state;
+    }
+
+    /** Whether it is on its machine. */
+    public boolean on() {
+        return worker.up && state != State.ENDED && worker.tasks.get(key()) == this;
+    }
+
+    public String key() {
+        return job + "/" + number + "#" + attempt;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -0,0 +1,183 @@
+package io.kitepath.standin;
+
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Report.Cause;
+import io.kitepath.core.model.Report.State;
+import io.kitepath.core.model.Report.TaskReport;
+import io.kitepath.core.model.Report;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A machine with its worker, by the protocol: one report in flight, sessions, tokens, leases. */
+public final class Worker {
+    private final World w;
+    public final String id;
+    public final String zone;
+    public final Map<String, Task> tasks = new LinkedHashMap<>();
+    public final Set<String> images = new HashSet<>();
+    public long session = 1;
+    public long sequence;
+    public long token;
+    public boolean up = true;
+    /** Its packets get lost. */
+    public boolean cut;
+    public boolean fails;
+    public boolean spot;
+    public double runsFor = 20;
+    private double answered;
+    private String node;
+    public int started;
+
+    public Worker(World w, String id, String zone) {
+        this.w = w;
+        this.answered = w.clock.now;
+        this.id = id;
+        this.zone = zone;
+    }
+
+    public void die() {
+        up = false;
+        tasks.clear();
+    }
+
+    public Report message() {
+        return new Report(id, id, w.type.name(), zone, spot, session, ++sequence, token, null, tasks.values().stream()
+                .map(t -> new TaskReport(t.job, t.number, t.attempt, t.state, t.cause)).toList());
+    }
+
+    private Node target() {
+        Node n = node == null ? null : w.nodes.get(node);
+        if (n == null || !n.alive) {
+            List<String> alive = w.nodes.values().stream().filter(x -> x.alive).map(x -> x.name).toList();
+            node = alive.isEmpty() ? null : alive.get((int) (sequence % alive.size()));
+        }
+        return node == null ? null : w.nodes.get(node);
+    }
+
+    public void report() {
+        if (!up) {
+            return;
+        }
+        if (w.clock.now - answered > w.leaseS) {
+            tasks.clear();
+            session++;
+            answered = w.clock.now;
+        }
+        Node n = target();
+        long mySession = session;
+        double sent = w.clock.now;
+        boolean[] heard = new boolean[1];
+        if (n != null && !cut) {
+            Report r = message();
+            w.after(0.002, () -> {
+                n.deliver(() -> n.controller.checkIn(r, c -> w.after(0.002, () -> {
+                    if (!heard[0] && up && session == mySession && !cut) {
+                        heard[0] = true;
+                        hear(c, sent);
+                    }
+                })));
+            });
+        }
+        w.after(4, () -> {
+            if (!heard[0] && up) {
+                heard[0] = true;
+                node = null;
+                w.after(0.2, this::report);
+            }
+        });
+    }
+
+    private void hear(CheckIn c, double sent) {
+        if (c.token() == 0) {
+            node = c.anchor();
+            w.after(c.anchor() == null ? 1 : 0.1, this::report);
+            return;
+        }
+        if (c.token() >= token) {
+            token = c.token();
+            answered = sent;
+            c.orders().forEach(this::execute);
+        }
+        w.after(Math.max(0.5, w.reportS - (w.clock.now - sent)), this::report);
+    }
+
+    public void execute(Order o) {
+        String key = o.job() + "/" + o.task() + "#" + o.attempt();
+        Task t = tasks.get(key);
+        switch (o.verb()) {
+            case START -> {
+                if (t == null) {
+                    start(o, key);
+                }
+            }
+            case STOP -> {
+                if (t != null && t.state != State.ENDED) {
+                    t.state = State.ENDED;
+                    t.cause = Cause.STOPPED;
+                }
+            }
+            case FORGET -> {
+                if (t != null && t.state == State.ENDED) {
+                    tasks.remove(key);
+                }
+            }
+        }
+    }
+
+    private void fetched(Task t, String key, JobSpec s) {
+        if (tasks.get(key) != t || t.state != State.FETCHING) {
+            return; // Given up, and what was fetched with it.
+        }
+        images.add(s.image());
+        t.state = State.WAITING;
+        List<Task> gang = w.workers.values().stream().flatMap(w -> w.tasks.values().stream()).filter(x ->
+                x.job.equals(t.job) && x.attempt == t.attempt && x.state == State.WAITING).toList();
+        if (gang.size() == s.tasks()) {
+            gang.forEach(x -> x.state = State.RUNNING);
+            w.after(runsFor, () -> gang.stream().filter(x -> x.state == State.RUNNING).forEach(x -> {
+                x.state = State.ENDED;
+                x.cause = Cause.DONE;
+            }));
+            return;
+        }
+        w.after(30, () -> {
+            if (t.state == State.WAITING) {
+                t.state = State.ENDED;
+                t.cause = Cause.ALONE;
+            }
+        });
+    }
+
+    private void start(Order o, String key) {
+        Task other = w.clock.lastStarts.get(o.job() + "/" + o.task());
+        if (other != null && other.on()) {
+            w.broken.add("ran twice: " + key + " on " + id + " and " + other.worker.id);
+        }
+        started++;
+        Task t = new Task(this, o.job(), o.task(), o.attempt(), State.RUNNING);
+        tasks.put(key, t);
+        w.clock.lastStarts.put(o.job() + "/" + o.task(), t);
+        w.clock.started(t);
+        JobSpec s = w.specs.get(o.job());
+        if (w.fetchS != null && s.gang()) {
+            t.state = State.FETCHING;
+            w.after(images.contains(s.image()) ? 0 : w.fetchS.applyAsDouble(id), () -> fetched(t, key, s));
+            return;
+        }
+        boolean error = fails || w.mistaken.contains(o.job());
+        w.after(error ? 0.1 : runsFor, () -> {
+            if (up && tasks.get(key) == t && t.state != State.ENDED) {
+                t.state = State.ENDED;
+                t.cause = error ? Cause.ERROR : Cause.DONE;
+                if (!error) {
+                    w.completed.computeIfAbsent(t.job, k -> new HashSet<>()).add(t.number);
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -0,0 +1,177 @@
+package io.kitepath.standin;
+
+import io.kitepath.core.model.Directory;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.model.Report.State;
+import io.kitepath.core.port.Cloud;
+import io.kitepath.core.serve.Registry;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * A small world in memory for stories: a clock, a store, a cloud, workers and up to three controllers. Nothing here
+ * waits for real time, and nothing is random without a seed.
+ */
+public final class World {
+    /** Seconds between a worker's reports, and those of its lease. */
+    public double reportS = 1;
+    public double leaseS = 10;
+
+    public final Clock clock;
+    /** The cells that this world is one of, or null. */
+    public final Cellular around;
+    public final Directory directory;
+    /** Changes a second that the settings allow. */
+    public double writeRps = 1000;
+
+    public final Map<String, Facts.Team> teams = new LinkedHashMap<>();
+    /** What the settings name as siblings, whether or not they run. */
+    public final List<String> siblings = new ArrayList<>();
+    public final List<Facts.Objective> objectives = new ArrayList<>();
+    public final MemoryStore store = new MemoryStore(this);
+    public final MemoryCloud cloud = new MemoryCloud();
+    public final Map<String, Node> nodes = new LinkedHashMap<>();
+    public final Map<String, Worker> workers = new TreeMap<>();
+    /** Jobs that fail on every machine. */
+    public final Set<String> mistaken = new HashSet<>();
+    /** Workers get no direct commands. */
+    public boolean refuseDirect;
+    /** How late they come. */
+    public double directDelayS = 0.002;
+    /**
+     * How long a machine fetches an image that it does not have, by its name; with this set, the tasks of a gang wait
+     * for each other, and give up after the settings' time.
+     */
+    public ToDoubleFunction<String> fetchS;
+    public Map<String, JobSpec> specs = new HashMap<>();
+    /** Tasks that completed, by job. */
+    public final Map<String, Set<Integer>> completed = new HashMap<>();
+    /** What broke: a task that starts while it is on another machine. */
+    public final List<String> broken = new ArrayList<>();
+    public MachineType type = new MachineType("m4", 4, 0, 16, 50, 1, 1.0, 0.4, 40, List.of("a", "b"));
+    public List<String> zones = List.of("a", "b");
+
+    public World() {
+        this(new Clock(), null, null);
+    }
+
+    /** One cell among others, which share a clock. */
+    public World(Clock clock, Cellular around, Directory directory) {
+        this.clock = clock;
+        this.around = around;
+        this.directory = directory;
+        clock.worlds.add(this);
+        teams.put("red", new Facts.Team("red", 0, 0, 0, 0));
+    }
+
+    public void after(double s, Runnable r) {
+        clock.after(s, r);
+    }
+
+    public void run(double seconds) {
+        clock.run(seconds);
+    }
+
+    public Facts facts(String node) {
+        return new Facts(node, "a", siblings, zones, teams, objectives,
+                new Facts.Workers(reportS, leaseS, 30, 5, 30), new Facts.StoreLimits(1000, writeRps, 8, 40),
+                new Facts.CloudLimits(10, 2), new Facts.Limits(1, 200, 1000), 5);
+    }
+
+    public Node node(String name) {
+        Node n = new Node(this, name);
+        nodes.put(name, n);
+        n.controller.start();
+        return n;
+    }
+
+    public Node leader() {
+        return nodes.values().stream().filter(n -> n.alive && n.controller.leadsWith() == store.token()).findFirst().orElseThrow();
+    }
+
+    public Worker worker(String id, String zone) {
+        Worker w = new Worker(this, id, zone);
+        workers.put(id, w);
+        cloud.machines.put(id, new Cloud.Listed(id, type.name(), zone, false, "running", 60));
+        after(0, w::report);
+        return w;
+    }
+
+    public Worker spotWorker(String id, String zone) {
+        Worker w = worker(id, zone);
+        w.spot = true;
+        cloud.machines.put(id, new Cloud.Listed(id, type.name(), zone, true, "running", 60));
+        return w;
+    }
+
+    public static JobSpec onSpot(JobSpec s, double estimateS) {
+        return new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.priority(), s.tasks(), s.cpus(), s.gpus(),
+                s.memoryGb(), s.types(), s.zone(), s.oneZone(), s.spread(), true, s.image(), s.imageGb(),
+                estimateS, s.checkpointS(), s.saveS(), s.deadlineS());
+    }
+
+    public static JobSpec job(String id, JobSpec.Shape shape, int tasks, double cpus) {
+        return new JobSpec(id, "work", "red", shape, JobSpec.Priority.NORMAL, tasks, cpus, 0, 1, null, null, false,
+                false, false, "img", 1, 20, 0, 0, null);
+    }
+
+    public static JobSpec with(JobSpec s, String team, JobSpec.Priority priority, boolean oneZone) {
+        return new JobSpec(s.id(), s.jobClass(), team, s.shape(), priority, s.tasks(), s.cpus(), s.gpus(),
+                s.memoryGb(), s.types(), s.zone(), oneZone, s.spread(), s.spot(), s.image(), s.imageGb(),
+                s.estimateS(), s.checkpointS(), s.saveS(), s.deadlineS());
+    }
+
+    public Registry.Answer submit(Node n, JobSpec s) {
+        Registry.Answer[] got = new Registry.Answer[1];
+        specs.put(s.id(), s);
+        n.controller.registry().submit(s, a -> got[0] = a);
+        run(0.1);
+        return got[0];
+    }
+
+    public Registry.Answer cancel(Node n, String id) {
+        Registry.Answer[] got = new Registry.Answer[1];
+        n.controller.registry().cancel(id, a -> got[0] = a);
+        run(0.1);
+        return got[0];
+    }
+
+    public Registry.Answer ask(Node n, String id) {
+        Registry.Answer[] got = new Registry.Answer[1];
+        n.controller.registry().status(id, a -> got[0] = a);
+        run(0.1);
+        return got[0];
+    }
+
+    public String status(Node n, String id) {
+        Registry.Answer a = ask(n, id);
+        return a.verdict() == Registry.Verdict.KNOWN ? a.state().status() : a.verdict().toString();
+    }
+
+    /** How many tasks of the job are on machines. */
+    public long onMachines(String job) {
+        return workers.values().stream().filter(w -> w.up).flatMap(w -> w.tasks.values().stream())
+                .filter(t -> t.job.equals(job) && t.state != State.ENDED).count();
+    }
+
+    // ---- controllers ----------------------------------------------------------------------------
+
+
+    // ---- the store ------------------------------------------------------------------------------
+
+
+    // ---- the cloud ------------------------------------------------------------------------------
+
+
+    // ---- workers --------------------------------------------------------------------------------
+
+}
--- a/src/test/java/io/kitepath/core/CellsTest.java
+++ b/src/test/java/io/kitepath/core/CellsTest.java
@@ -1,6 +1,6 @@
 package io.kitepath.core;
 
-import static io.kitepath.core.World.job;
+import static io.kitepath.standin.World.job;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,6 +13,8 @@
 import io.kitepath.core.model.JobSpec.Shape;
 import io.kitepath.core.serve.Registry.Verdict;
 import io.kitepath.core.state.Keys;
+import io.kitepath.standin.Cellular;
+import io.kitepath.standin.Node;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -296,7 +298,7 @@
     @Test
     void aCellThatIsSilentCostsTheOthersNothingButItsRoom() {
         settled(4, 10);
-        c.world("west").nodes.values().forEach(World.NodeInWorld::crash);
+        c.world("west").nodes.values().forEach(Node::crash);
         c.run(30);
         String id = array(1, 8);
         c.until(40, () -> c.status(c.any("east"), id).equals("done"));
@@ -387,7 +389,7 @@
                     boolean ends = who.equals("both") || who.equals("writer") && of.equals(cell)
                             || who.equals("home") && of.equals("east") || who.equals("other") && of.equals("west");
                     if (ends) {
-                        World.NodeInWorld l = of.equals(cell) ? by : x.leader(of);
+                        Node l = of.equals(cell) ? by : x.leader(of);
                         x.restart(l, 8);
                     }
                 }
--- a/src/test/java/io/kitepath/core/FleetStoriesTest.java
+++ b/src/test/java/io/kitepath/core/FleetStoriesTest.java
@@ -1,7 +1,7 @@
 package io.kitepath.core;
 
-import static io.kitepath.core.World.job;
-import static io.kitepath.core.World.with;
+import static io.kitepath.standin.World.job;
+import static io.kitepath.standin.World.with;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,6 +11,9 @@
 import io.kitepath.core.model.JobSpec.Priority;
 import io.kitepath.core.model.JobSpec.Shape;
 import io.kitepath.core.model.MachineType;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.Worker;
+import io.kitepath.standin.World;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -24,7 +27,7 @@
         assertEquals(List.of(), w.broken);
     }
 
-    private World.NodeInWorld fleet(int nodes, int machines, double cpus) {
+    private Node fleet(int nodes, int machines, double cpus) {
         w.type = new MachineType("m", cpus, 0, 64, 50, 1, 1.0, 0.4, 40, List.of("a", "b"));
         for (int i = 0; i < nodes; i++) {
             w.node("k" + i);
@@ -44,7 +47,7 @@
         return n;
     }
 
-    private String[] arrays(World.NodeInWorld n, int count, int tasks) {
+    private String[] arrays(Node n, int count, int tasks) {
         String[] ids = new String[count];
         for (int i = 0; i < count; i++) {
             ids[i] = "j-" + (100 + i);
@@ -55,7 +58,7 @@
 
     @Test
     void aTakeoverOfNineHundredMachinesPlacesAsSoonAsTheirWorkersHaveReported() {
-        World.NodeInWorld first = fleet(3, 900, 4);
+        Node first = fleet(3, 900, 4);
         w.workers.values().forEach(x -> x.runsFor = 60);
         arrays(first, 10, 300);
         w.run(3);
@@ -66,13 +69,13 @@
                 && n.controller.leadership.leading() && n.controller.keeper.loaded())) {
             w.run(0.1);
         }
-        World.NodeInWorld second = w.leader();
+        Node second = w.leader();
         // The lease of two seconds, and a moment to claim it and to read ten jobs and their parts.
         assertTrue(w.clock.now - crashed < 2.6, "read after " + (w.clock.now - crashed));
         int before = second.requests;
         w.submit(second, job("j-900", Shape.ARRAY, 500, 1));
         // Idle machines' reports were held by the node that died, for which their workers wait 4 s.
-        w.run(4 + 2 * World.REPORT_S);
+        w.run(4 + 2 * w.reportS);
         assertEquals(500, running("j-900"));
         // 900 machines that report anew cost the store nothing.
         assertTrue(second.requests - before < 60, "requests: " + (second.requests - before));
@@ -83,14 +86,14 @@
 
     @Test
     void machinesThatFallSilentTogetherAndComeBackRunNothingTwice() {
-        World.NodeInWorld n = fleet(2, 200, 4);
+        Node n = fleet(2, 200, 4);
         w.workers.values().forEach(x -> x.runsFor = 40);
         arrays(n, 4, 200);
         w.run(3);
-        List<World.Worker> cut = w.workers.values().stream().limit(70).toList();
+        List<Worker> cut = w.workers.values().stream().limit(70).toList();
         cut.forEach(x -> x.cut = true);
         // Their leases end, but nobody can know that: their tasks count as running until they report anew.
-        w.run(World.LEASE_S + 2);
+        w.run(w.leaseS + 2);
         assertEquals(800, w.workers.values().stream().mapToInt(x -> x.started).sum());
         cut.forEach(x -> x.cut = false);
         w.run(100);
@@ -101,10 +104,10 @@
 
     @Test
     void aMachineThatStandsStillAndGoesOnWithinItsLeaseKeepsItsTasks() {
-        World.NodeInWorld n = fleet(2, 3, 4);
+        Node n = fleet(2, 3, 4);
         arrays(n, 1, 6);
         w.run(2);
-        World.Worker still = w.workers.values().stream().filter(x -> !x.tasks.isEmpty()).findFirst().orElseThrow();
+        Worker still = w.workers.values().stream().filter(x -> !x.tasks.isEmpty()).findFirst().orElseThrow();
         still.cut = true;
         w.run(3);
         still.cut = false;
@@ -115,10 +118,10 @@
 
     @Test
     void aCrashOfAllNodesDuringABurstLosesNoJobAndStartsNoTaskTwice() {
-        World.NodeInWorld n = fleet(3, 100, 4);
+        Node n = fleet(3, 100, 4);
         w.workers.values().forEach(x -> x.runsFor = 8);
         String[] ids = arrays(n, 12, 60);
-        w.nodes.values().forEach(World.NodeInWorld::crash);
+        w.nodes.values().forEach(Node::crash);
         w.run(3);
         for (String name : List.of("k0", "k1", "k2")) {
             w.node(name);
@@ -131,7 +134,7 @@
 
     @Test
     void tenThousandTasksThatWaitOnAFullFleetCostAHolderABoundedRound() {
-        World.NodeInWorld n = fleet(1, 1000, 4);
+        Node n = fleet(1, 1000, 4);
         w.workers.values().forEach(x -> x.runsFor = 1000);
         arrays(n, 10, 400);
         w.run(4);
@@ -150,7 +153,7 @@
 
     @Test
     void gapsThatAreKeptForALargeGangAreUsedByGangsThatWillBeOverBeforeItStarts() {
-        World.NodeInWorld n = fleet(1, 20, 4);
+        Node n = fleet(1, 20, 4);
         w.workers.values().forEach(x -> x.runsFor = 200);
         JobSpec s = job("j-100", Shape.ARRAY, 30, 1);
         w.submit(n, new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.priority(), s.tasks(), s.cpus(), 0, 1,
@@ -169,7 +172,7 @@
     @Test
     void lesserWorkLeavesAnIdleMachineToTheGangThatIsAboutToCome() {
         w.teams.put("red", new Facts.Team("red", 16, 0, 0, 0));
-        World.NodeInWorld n = fleet(1, 4, 4);
+        Node n = fleet(1, 4, 4);
         w.workers.values().forEach(x -> x.runsFor = 1);
         for (int i = 0; i < 6; i++) {
             w.submit(n, with(job("j-1" + i, Shape.GANG, 1, 4), "red", Priority.HIGH, false));
@@ -189,7 +192,7 @@
     void workWithADeadlineStartsWhereItsImageIsAndNotWhereItHasToBeFetched() {
         // Guaranteed, so that idle ordinary machines are kept.
         w.teams.put("red", new Facts.Team("red", 100, 0, 0, 0));
-        World.NodeInWorld n = fleet(1, 0, 4);
+        Node n = fleet(1, 0, 4);
         for (int i = 0; i < 6; i++) {
             w.spotWorker("s-" + i, "a");
         }
@@ -212,7 +215,7 @@
 
     @Test
     void afterHundredsOfJobsTheHolderRemembersOnlyWhatIsOpen() {
-        World.NodeInWorld n = fleet(1, 10, 4);
+        Node n = fleet(1, 10, 4);
         w.workers.values().forEach(x -> x.runsFor = 1);
         for (int i = 0; i < 400; i++) {
             // Users name the classes: any number of them.
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -1,7 +1,7 @@
 package io.kitepath.core;
 
-import static io.kitepath.core.World.job;
-import static io.kitepath.core.World.with;
+import static io.kitepath.standin.World.job;
+import static io.kitepath.standin.World.with;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -22,6 +22,9 @@
 import io.kitepath.core.serve.Registry.Verdict;
 import io.kitepath.core.state.Keys;
 import java.util.HashSet;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.Worker;
+import io.kitepath.standin.World;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -35,7 +38,7 @@
         assertEquals(List.of(), w.broken);
     }
 
-    private World.NodeInWorld settled(int nodes, int machines) {
+    private Node settled(int nodes, int machines) {
         for (int i = 0; i < nodes; i++) {
             w.node("k" + i);
         }
@@ -46,7 +49,7 @@
         return w.leader();
     }
 
-    private World.NodeInWorld notThe(World.NodeInWorld leader) {
+    private Node notThe(Node leader) {
         return w.nodes.values().stream().filter(n -> n != leader).findFirst().orElseThrow();
     }
 
@@ -55,14 +58,14 @@
         settled(3, 2);
         assertEquals(Verdict.CREATED, w.submit(w.nodes.get("k1"), job("j-1", Shape.ARRAY, 6, 1)).verdict());
         w.run(40);
-        for (World.NodeInWorld n : w.nodes.values()) {
+        for (Node n : w.nodes.values()) {
             assertEquals("done", w.status(n, "j-1"));
         }
     }
 
     @Test
     void aJobSubmittedAgainAfterItIsOverGetsItsFinalState() {
-        World.NodeInWorld n = settled(2, 1);
+        Node n = settled(2, 1);
         w.submit(n, job("j-1", Shape.ARRAY, 1, 1));
         w.run(30);
         Registry.Answer again = w.submit(w.nodes.get("k1"), job("j-1", Shape.ARRAY, 1, 1));
@@ -77,7 +80,7 @@
 
     @Test
     void aSubmissionWhoseAnswerWasLostIsKnownWhenItIsRepeated() {
-        World.NodeInWorld n = settled(1, 0);
+        Node n = settled(1, 0);
         w.store.swallow = 1;
         w.submit(n, job("j-1", Shape.ARRAY, 1, 1));
         w.run(1);
@@ -86,7 +89,7 @@
 
     @Test
     void duringAnOutageNothingIsAcceptedAndWorkGoesOn() {
-        World.NodeInWorld n = settled(3, 1);
+        Node n = settled(3, 1);
         w.workers.get("i-000000").runsFor = 60;
         w.submit(n, job("j-1", Shape.ARRAY, 2, 1));
         w.run(3);
@@ -102,7 +105,7 @@
 
     @Test
     void inAnOutageThatIsKnownUsersAreToldAtOnceToComeBack() {
-        World.NodeInWorld n = settled(1, 1);
+        Node n = settled(1, 1);
         w.submit(n, job("j-1", Shape.ARRAY, 1, 1));
         w.run(30);
         assertEquals("done", w.status(n, "j-1"));
@@ -127,7 +130,7 @@
         w.run(2);
         w.store.outage(5);
         w.run(1);
-        w.nodes.values().forEach(World.NodeInWorld::crash);
+        w.nodes.values().forEach(Node::crash);
         w.run(1);
         w.node("k0");
         w.node("k1");
@@ -138,13 +141,13 @@
     @Test
     void aTakeoverWhileLaunchesAreInFlightStartsNothingTwice() {
         settled(2, 3);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.submit(first, job("j-1", Shape.ARRAY, 9, 1));
         // Written, and perhaps launched, when the leader dies.
         w.run(0.02);
         first.crash();
         w.run(60);
-        World.NodeInWorld second = w.leader();
+        Node second = w.leader();
         assertTrue(second.controller.block.token() > first.controller.block.token());
         assertEquals("done", w.status(second, "j-1"));
     }
@@ -152,7 +155,7 @@
     @Test
     void aNewHolderPlacesOnlyOnMachinesThatHaveReportedWithItsToken() {
         settled(2, 1);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.submit(first, job("j-1", Shape.ARRAY, 1, 1));
         w.run(2);
         w.workers.get("i-000000").cut = true;
@@ -166,12 +169,12 @@
     @Test
     void aFrozenLeaderThatGoesOnStartsNothingAndYields() {
         settled(3, 3);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.submit(first, job("j-1", Shape.ARRAY, 9, 1));
         w.run(0.02);
         first.frozenUntil = w.clock.now + 7;
         w.run(6.9);
-        World.NodeInWorld second = w.leader();
+        Node second = w.leader();
         assertTrue(second != first);
         w.submit(second, job("j-2", Shape.ARRAY, 3, 1));
         long launched = first.controller.checkIns.launches();
@@ -187,7 +190,7 @@
     @Test
     void aLateTransactionOfAFormerLeaderFails() {
         settled(2, 1);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.store.hold = 1;
         // Accepted through the other node, so that only the leader's write is held back.
         JobSpec s = job("j-1", Shape.ARRAY, 1, 1);
@@ -210,7 +213,7 @@
 
     @Test
     void aWriteWhoseAnswerWasLostIsSettledByTheStore() {
-        World.NodeInWorld n = settled(1, 1);
+        Node n = settled(1, 1);
         w.store.execute(submission(job("j-1", Shape.ARRAY, 3, 1)));
         w.store.swallow = 1;
         w.run(60);
@@ -221,12 +224,12 @@
     @Test
     void theLeaderRefusedByTheStoreAloneYieldsToOneThatIsServed() {
         settled(3, 2);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.submit(first, job("j-1", Shape.ARRAY, 4, 1));
         w.run(2);
         first.cutFromStore = true;
         w.run(8);
-        World.NodeInWorld second = w.leader();
+        Node second = w.leader();
         assertFalse(second == first);
         assertFalse(first.controller.leadership.leading());
         assertFalse(first.controller.healthy());
@@ -237,8 +240,8 @@
 
     @Test
     void aWorkerWhoseSessionEndedHasItsTasksPlacedAgain() {
-        World.NodeInWorld n = settled(1, 2);
-        World.Worker one = w.workers.get("i-000000");
+        Node n = settled(1, 2);
+        Worker one = w.workers.get("i-000000");
         w.submit(n, job("j-1", Shape.ARRAY, 8, 1));
         w.run(3);
         assertEquals(8, w.onMachines("j-1"));
@@ -250,10 +253,10 @@
 
     @Test
     void aSilentMachineIsReleasedBeforeItsTasksRunElsewhere() {
-        World.NodeInWorld n = settled(1, 3);
+        Node n = settled(1, 3);
         w.submit(n, job("j-1", Shape.ARRAY, 3, 4));
         w.run(3);
-        World.Worker lost = w.workers.get("i-000001");
+        Worker lost = w.workers.get("i-000001");
         assertEquals(1, lost.started);
         lost.cut = true;
         w.run(6);
@@ -275,7 +278,7 @@
 
     @Test
     void aCancellationRacingTheLaunchWins() {
-        World.NodeInWorld n = settled(2, 2);
+        Node n = settled(2, 2);
         w.submit(n, job("j-1", Shape.ARRAY, 8, 1));
         assertEquals("cancelled", w.cancel(w.nodes.get("k1"), "j-1").state().status());
         w.run(5);
@@ -287,7 +290,7 @@
 
     @Test
     void aDoneJobCanNotBeCancelled() {
-        World.NodeInWorld n = settled(1, 1);
+        Node n = settled(1, 1);
         w.submit(n, job("j-1", Shape.ARRAY, 1, 1));
         w.run(30);
         assertEquals("done", w.cancel(n, "j-1").state().status());
@@ -296,12 +299,12 @@
     @Test
     void whatACancelledJobLeftOnMachinesIsStoppedByTheNextLeader() {
         settled(2, 1);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.workers.get("i-000000").runsFor = 500;
         w.submit(first, job("j-1", Shape.SERVICE, 2, 1));
         w.run(3);
         first.crash();
-        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n != first).findFirst().orElseThrow();
+        Node other = w.nodes.values().stream().filter(n -> n != first).findFirst().orElseThrow();
         w.cancel(other, "j-1");
         w.run(15);
         assertEquals(0, w.onMachines("j-1"));
@@ -309,7 +312,7 @@
 
     @Test
     void aGangStartsWholeOrNotAtAll() {
-        World.NodeInWorld n = settled(1, 3);
+        Node n = settled(1, 3);
         w.submit(n, job("j-1", Shape.GANG, 4, 4));
         w.run(10);
         assertEquals(0, w.workers.values().stream().mapToInt(x -> x.started).sum());
@@ -322,10 +325,10 @@
 
     @Test
     void aGangThatLosesATaskRestartsWholeWithANewAttempt() {
-        World.NodeInWorld n = settled(1, 4);
+        Node n = settled(1, 4);
         w.submit(n, job("j-1", Shape.GANG, 2, 4));
         w.run(4);
-        World.Worker one = w.workers.values().stream().filter(x -> x.started > 0).findFirst().orElseThrow();
+        Worker one = w.workers.values().stream().filter(x -> x.started > 0).findFirst().orElseThrow();
         long attempt = one.tasks.values().iterator().next().attempt;
         one.tasks.clear();
         one.session++;
@@ -342,7 +345,7 @@
 
     @Test
     void aGangInOneZoneStaysInOne() {
-        World.NodeInWorld n = settled(1, 6);
+        Node n = settled(1, 6);
         w.submit(n, with(job("j-1", Shape.GANG, 3, 4), "red", Priority.HIGH, true));
         w.run(4);
         assertEquals(3, w.onMachines("j-1"));
@@ -353,7 +356,7 @@
     void unprovenAttemptsCountAgainstTheTeamsLimit() {
         w.teams.put("blue", new Facts.Team("blue", 0, 4, 0, 0));
         settled(2, 2);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.submit(first, with(job("j-1", Shape.ARRAY, 6, 1), "blue", Priority.NORMAL, false));
         w.run(3);
         assertEquals(4, w.onMachines("j-1"));
@@ -367,7 +370,7 @@
 
     @Test
     void lesserWorkGivesWayToAGangOfHigherPriority() {
-        World.NodeInWorld n = settled(1, 2);
+        Node n = settled(1, 2);
         w.workers.values().forEach(x -> x.runsFor = 300);
         w.submit(n, with(job("j-1", Shape.ARRAY, 8, 1), "red", Priority.LOW, false));
         w.run(4);
@@ -382,7 +385,7 @@
 
     @Test
     void whatGivesWayIsToldSoAtOnceAndNotOnlyWhenItsMachineReports() {
-        World.NodeInWorld n = settled(1, 4);
+        Node n = settled(1, 4);
         w.workers.values().forEach(x -> x.runsFor = 300);
         w.submit(n, with(job("j-1", Shape.ARRAY, 16, 1), "red", Priority.LOW, false));
         w.run(4);
@@ -395,7 +398,7 @@
 
     @Test
     void aDirectCommandThatRunsLateStopsNothingElse() {
-        World.NodeInWorld n = settled(1, 1);
+        Node n = settled(1, 1);
         w.workers.values().forEach(x -> x.runsFor = 8);
         w.directDelayS = 15;
         w.submit(n, with(job("j-1", Shape.ARRAY, 1, 4), "red", Priority.LOW, false));
@@ -415,7 +418,7 @@
     @Test
     void guaranteedWorkThatGivesWayToHigherPriorityDoesNotTakeTheRoomAgain() {
         w.teams.put("blue", new Facts.Team("blue", 16, 0, 0, 0));
-        World.NodeInWorld n = settled(1, 2);
+        Node n = settled(1, 2);
         w.workers.values().forEach(x -> x.runsFor = 60);
         w.submit(n, with(job("j-1", Shape.ARRAY, 16, 1), "blue", Priority.LOW, false));
         w.run(4);
@@ -429,7 +432,7 @@
 
     @Test
     void workThatGivesWayRunsOnMachinesKeptForAGangThatStillWaits() {
-        World.NodeInWorld n = settled(1, 3);
+        Node n = settled(1, 3);
         w.workers.values().forEach(x -> x.runsFor = 40);
         w.submit(n, with(job("j-1", Shape.GANG, 1, 4), "red", Priority.HIGH, false));
         w.run(4);
@@ -446,7 +449,7 @@
 
     @Test
     void aMachineThatFailsEveryTaskIsSetAsideAndReturned() {
-        World.NodeInWorld n = settled(1, 3);
+        Node n = settled(1, 3);
         w.workers.get("i-000000").fails = true;
         w.submit(n, job("j-1", Shape.ARRAY, 12, 1));
         w.run(60);
@@ -457,7 +460,7 @@
 
     @Test
     void aJobThatFailsEverywhereDoesNotCostTheMachinesOrOthers() {
-        World.NodeInWorld n = settled(1, 4);
+        Node n = settled(1, 4);
         w.workers.values().forEach(x -> x.fails = true);
         w.submit(n, job("j-1", Shape.ARRAY, 1, 1));
         w.run(30);
@@ -475,7 +478,7 @@
         w.cloud.capacity = 2;
         w.submit(w.leader(), job("j-1", Shape.ARRAY, 4, 4));
         w.run(60);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         first.crash();
         w.cloud.capacity = 1;
         w.run(10);
@@ -489,8 +492,8 @@
     @Test
     void aWorkerCutOffFromTheLeaderIsAnsweredThroughASibling() {
         settled(2, 1);
-        World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = notThe(leader);
+        Node leader = w.leader();
+        Node other = notThe(leader);
         Report r = new Report("i-000077", "", "m4", "a", false, 1, 1, 0, null, List.of());
         CheckIn[] got = new CheckIn[2];
         other.controller.checkIn(r, c -> got[0] = c);
@@ -503,8 +506,8 @@
     @Test
     void aWorkerThatLostTheLeaderIsRelayedAtOnce() {
         settled(2, 1);
-        World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = notThe(leader);
+        Node leader = w.leader();
+        Node other = notThe(leader);
         long token = leader.controller.block.token();
         CheckIn[] got = new CheckIn[1];
         other.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of()),
@@ -517,8 +520,8 @@
     void aWorkerAndANodeThatBothLostTheLeaderAreAnsweredThroughTheThirdNode() {
         w.siblings.addAll(List.of("k0", "k1", "k2"));
         settled(3, 1);
-        World.NodeInWorld leader = w.leader();
-        World.NodeInWorld cut = notThe(leader);
+        Node leader = w.leader();
+        Node cut = notThe(leader);
         long token = leader.controller.block.token();
         cut.cutFrom.add(leader.name);
         w.run(4);
@@ -532,8 +535,8 @@
     @Test
     void aCheckInThatWaitsForALeaderThatFellSilentGoesToTheNextOne() {
         settled(2, 1);
-        World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = notThe(leader);
+        Node leader = w.leader();
+        Node other = notThe(leader);
         w.submit(leader, job("j-1", Shape.ARRAY, 1, 1));
         w.run(2);
         long token = leader.controller.block.token();
@@ -551,9 +554,9 @@
         settled(2, 1);
         w.submit(w.leader(), job("j-1", Shape.ARRAY, 1, 1));
         w.run(3);
-        w.nodes.values().forEach(World.NodeInWorld::crash);
+        w.nodes.values().forEach(Node::crash);
         w.run(5);
-        World.NodeInWorld n = w.node("k0");
+        Node n = w.node("k0");
         CheckIn[] got = new CheckIn[1];
         n.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, 1, null, List.of()), c -> got[0] = c);
         w.run(0.9);
@@ -562,7 +565,7 @@
 
     @Test
     void severalMachinesSilentTogetherAreNotGivenBackAtOnce() {
-        World.NodeInWorld n = settled(1, 8);
+        Node n = settled(1, 8);
         w.workers.values().forEach(x -> x.runsFor = 100);
         w.submit(n, job("j-1", Shape.ARRAY, 8, 4));
         w.run(2);
@@ -585,7 +588,7 @@
     @Test
     void aBlockOfHundredsOfMachinesIsWorkedWithBoundedEffort() {
         w.writeRps = 50;
-        World.NodeInWorld n = settled(1, 400);
+        Node n = settled(1, 400);
         int tasks = 0;
         for (int i = 0; i < 10; i++) {
             w.submit(n, job("j-10" + i, Shape.ARRAY, 120, 1));
@@ -607,7 +610,7 @@
     @Test
     void manyQuestionsCostTheStateServiceFewRequests() {
         settled(3, 4);
-        World.NodeInWorld asked = notThe(w.leader());
+        Node asked = notThe(w.leader());
         for (int i = 0; i < 300; i++) {
             w.submit(asked, job("j-" + i, Shape.ARRAY, 1, 1));
         }
@@ -627,14 +630,14 @@
     @Test
     void progressIsToldFromTheHoldersMemoryAndFromTheRecordsWhenItIsSilent() {
         settled(2, 2);
-        World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = notThe(leader);
+        Node leader = w.leader();
+        Node other = notThe(leader);
         w.submit(leader, job("j-1", Shape.ARRAY, 5, 1));
         w.run(5);
         JobState seen = w.ask(other, "j-1").state();
         assertEquals("running", seen.status());
         assertEquals(5, seen.running());
-        World.NodeInWorld fresh = w.node("k2");
+        Node fresh = w.node("k2");
         w.siblings.addAll(List.of("k0", "k1"));
         w.run(0.05);
         leader.crash();
@@ -646,7 +649,7 @@
         settled(3, 1);
         w.submit(w.leader(), job("j-1", Shape.ARRAY, 1, 1));
         w.run(40);
-        for (World.NodeInWorld n : w.nodes.values()) {
+        for (Node n : w.nodes.values()) {
             int before = n.requests;
             assertEquals("done", w.status(n, "j-1"));
             assertTrue(n.requests - before <= 2, "asked the store again");
@@ -656,7 +659,7 @@
     @Test
     void aNewHolderReadsOnWhereAPageWasRefused() {
         settled(2, 2);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         for (int i = 0; i < 520; i++) {
             w.submit(first, job("j-" + i, Shape.ARRAY, 1, 4));
         }
@@ -672,14 +675,14 @@
     @Test
     void aHolderThatCanNotReadTheJobsLetsLeasesEndBeforeACancellationIsOverdue() {
         settled(3, 2);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.workers.values().forEach(x -> x.runsFor = 500);
         w.submit(first, job("j-1", Shape.ARRAY, 2, 1));
         w.run(3);
         assertEquals(2, w.onMachines("j-1"));
         first.crash();
         w.store.refusePage = n -> true;
-        World.NodeInWorld other = w.nodes.values().stream().filter(n -> n.alive).findFirst().orElseThrow();
+        Node other = w.nodes.values().stream().filter(n -> n.alive).findFirst().orElseThrow();
         assertEquals(Verdict.KNOWN, w.cancel(other, "j-1").verdict());
         w.run(29);
         assertEquals(0, w.onMachines("j-1"));
@@ -687,7 +690,7 @@
 
     @Test
     void aMistakenArrayOrGangCostsLittleAndIsCancelledAtOnce() {
-        World.NodeInWorld n = settled(1, 6);
+        Node n = settled(1, 6);
         w.cloud.capacity = 50;
         w.mistaken.addAll(List.of("j-1", "j-2"));
         w.submit(n, job("j-3", Shape.ARRAY, 4, 1));
@@ -711,7 +714,7 @@
 
     @Test
     void aGoodJobThatMetFaultyMachinesIsNotHeldBack() {
-        World.NodeInWorld n = settled(1, 8);
+        Node n = settled(1, 8);
         for (int i = 0; i < 4; i++) {
             w.workers.get("i-00000" + i).fails = true;
         }
@@ -725,7 +728,7 @@
 
     @Test
     void machinesThatComeLateOrNeverAreReplacedInTimeAndGivenBack() {
-        World.NodeInWorld n = settled(1, 0);
+        Node n = settled(1, 0);
         w.cloud.capacity = 50;
         // Two of the first three never come, later ones as they should.
         w.cloud.bootS = i -> i < 2 ? -1 : 40;
@@ -738,7 +741,7 @@
 
     @Test
     void whenAllMachinesComeLateTheyAreNotRentedOverAndOver() {
-        World.NodeInWorld n = settled(1, 0);
+        Node n = settled(1, 0);
         w.cloud.capacity = 50;
         w.cloud.bootS = i -> 120 + i;
         w.workers.values().forEach(x -> x.runsFor = 60);
@@ -754,8 +757,8 @@
     @Test
     void anUnfinishedJobSaysWhatItWaitsFor() {
         settled(2, 1);
-        World.NodeInWorld leader = w.leader();
-        World.NodeInWorld other = notThe(leader);
+        Node leader = w.leader();
+        Node other = notThe(leader);
         w.submit(other, job("j-1", Shape.ARRAY, 6, 1));
         w.run(5);
         assertEquals("2 tasks wait for room of 1.0 CPUs each", w.ask(other, "j-1").state().note());
@@ -771,7 +774,7 @@
     @Test
     void aNewHolderKnowsWhereImagesAre() {
         settled(2, 2);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.workers.values().forEach(x -> x.runsFor = 2);
         w.submit(first, job("j-1", Shape.ARRAY, 8, 1));
         w.run(30);
@@ -790,7 +793,7 @@
 
     @Test
     void aSwarmOfSmallJobsThatWaitsCostsBoundedEffortAndFewChanges() {
-        World.NodeInWorld n = settled(1, 4);
+        Node n = settled(1, 4);
         w.workers.values().forEach(x -> x.runsFor = 5);
         int before = w.store.log.size();
         for (int i = 0; i < 200; i++) {
@@ -811,7 +814,7 @@
 
     @Test
     void aFewSmallTasksAreMovedOffAnOrdinaryMachineToASpotOneThatHasRoom() {
-        World.NodeInWorld n = settled(1, 1);
+        Node n = settled(1, 1);
         w.workers.values().forEach(x -> x.runsFor = 300);
         w.submit(n, World.onSpot(job("j-1", Shape.ARRAY, 1, 1), 300));
         w.run(3);
@@ -827,7 +830,7 @@
     @Test
     void aGangsRecordsDoNotWaitForThoseOfASwarm() {
         w.writeRps = 20;
-        World.NodeInWorld n = settled(1, 30);
+        Node n = settled(1, 30);
         w.workers.values().forEach(x -> x.runsFor = 6);
         for (int i = 0; i < 100; i++) {
             n.controller.registry().submit(with(job("j-" + i, Shape.ARRAY, 1, 1), "red", Priority.LOW, false),
@@ -845,7 +848,7 @@
 
     @Test
     void aGangWhoseImageTakesLongerThanItsTasksWaitStartsOnceAllHaveIt() {
-        World.NodeInWorld n = settled(1, 4);
+        Node n = settled(1, 4);
         w.fetchS = machine -> machine.equals("i-000000") ? 1 : machine.equals("i-000001") ? 45 : 80;
         w.submit(n, job("j-1", Shape.GANG, 4, 4));
         w.run(50);
@@ -860,7 +863,7 @@
     @Test
     void aHugeArrayCostsFewChangesAndGoesOnAfterItsLeaderCrashed() {
         settled(2, 20);
-        World.NodeInWorld first = w.leader();
+        Node first = w.leader();
         w.workers.values().forEach(x -> x.runsFor = 2);
         int before = w.store.log.size();
         w.submit(first, job("j-1", Shape.ARRAY, 4000, 0.25));
@@ -877,7 +880,7 @@
     void guestsWithoutAGuaranteeMakeRoomForGuaranteedWorkAndFinishAfterIt() {
         w.teams.put("red", new Facts.Team("red", 8, 0, 0, 0));
         w.teams.put("guests", new Facts.Team("guests", 0, 0, 0, 0));
-        World.NodeInWorld n = settled(1, 2);
+        Node n = settled(1, 2);
         w.submit(n, with(job("j-1", Shape.ARRAY, 16, 1), "guests", Priority.LOW, false));
         w.run(3);
         assertEquals(8, w.onMachines("j-1"));
