--- a/src/main/java/io/kitepath/cli/CommandLineEntry.java
+++ b/src/main/java/io/kitepath/cli/CommandLineEntry.java
@@ -24,7 +24,7 @@
 @Command(name = "kitepath", mixinStandardHelpOptions = true, versionProvider = CommandLineEntry.Version.class,
         description = "A cluster scheduler.",
         subcommands = {CommandLineEntry.Serve.class, CommandLineEntry.Submit.class, CommandLineEntry.Status.class,
-            CommandLineEntry.Cancel.class, CommandLineEntry.Check.class})
+            CommandLineEntry.Cancel.class, CommandLineEntry.Check.class, Rehearse.class})
 final class CommandLineEntry implements Callable<Integer> {
     @Option(names = "--config", paramLabel = "FILE", description = "Without a command: serve with these settings.")
     Path config;
--- a/src/main/java/io/kitepath/core/cell/Spill.java
+++ b/src/main/java/io/kitepath/core/cell/Spill.java
@@ -31,6 +31,9 @@
      */
     record Plan(Job job, String to, int from, int until, String why) {}
 
+    /** Owners' estimates are often wrong by half: what would wait longer than the time it has, over this, goes. */
+    private static final double UNSURE = 2;
+
     private final Facts facts;
     private final Map<String, MachineType> types;
     private final Map<String, Integer> zonesOf;
@@ -106,7 +109,7 @@
         for (int goal = 0; goal < j.goals(); goal++) {
             double left = (j.goalMs(goal) - wallMs) / 1000;
             if (left > 0) {
-                return waitS > left ? String.format("would wait %.0f s here of %.0f", waitS, left) : null;
+                return waitS * UNSURE > left ? String.format("would wait %.0f s here of %.0f", waitS, left) : null;
             }
         }
         return String.format("past its goals, and would wait %.0f s here", waitS);
--- a/src/main/java/io/kitepath/standin/Cellular.java
+++ b/src/main/java/io/kitepath/standin/Cellular.java
@@ -29,7 +29,12 @@
     /** Seconds that a task may still be on a machine once its user was told that it is cancelled. */
     private static final double CANCEL_S = 30;
 
+    private static final Map<String, Facts.Team> TEAMS = Map.of("red", new Facts.Team("red", 0, 0, 0, 0), "blue",
+            new Facts.Team("blue", 0, 0, 0, 0));
+
     public final Clock clock = new Clock();
+    /** Seconds between looks at every task on every machine. */
+    public double watchS = 0.25;
     public final Map<String, World> worlds = new LinkedHashMap<>();
     /** "a>b": nothing gets from a to b. */
     public final Set<String> cut = new HashSet<>();
@@ -52,16 +57,21 @@
 
     /** Cells that are homes, by name, and after them in the second list cells that only lend their room. */
     public Cellular(long seed, List<String> homes, List<String> rooms) {
+        this(seed, homes, rooms, false);
+    }
+
+    /** {@code apart}: the cells know nothing of each other. */
+    public Cellular(long seed, List<String> homes, List<String> rooms, boolean apart) {
         this.random = new Random(seed);
         List<String> names = new ArrayList<>(homes);
         names.addAll(rooms);
         for (String own : names) {
             Map<String, Directory.Cell> cells = new LinkedHashMap<>();
             for (String n : names) {
-                cells.put(n, new Directory.Cell(n, homes.contains(n), List.of(n + "1", n + "2"), Map.of(),
-                        Map.of("red", new Facts.Team("red", 0, 0, 0, 0))));
+                cells.put(n, new Directory.Cell(n, homes.contains(n), List.of(n + "1", n + "2"), Map.of(), TEAMS));
             }
-            World w = new World(clock, this, new Directory(1, own, cells));
+            World w = new World(clock, this, apart ? null : new Directory(1, own, cells));
+            w.teams.putAll(TEAMS);
             w.specs = specs;
             w.zones = List.of(own + "1", own + "2");
             w.type = new MachineType("m4", 4, 0, 16, 50, 1, 1.0, 0.4, 1000, w.zones);
@@ -176,7 +186,7 @@
     public String id(String home, int n) {
         Directory d = worlds.get(home).directory;
         for (int i = 1000 * n;; i++) {
-            if (d.home("j-" + i).equals(home)) {
+            if (d == null || d.home("j-" + i).equals(home)) {
                 return "j-" + i;
             }
         }
@@ -280,7 +290,7 @@
                 }
             }
         }
-        clock.after(0.25, this::watch);
+        clock.after(watchS, this::watch);
     }
 
     /** All that broke, in any cell. */
--- a/src/main/java/io/kitepath/standin/Clock.java
+++ b/src/main/java/io/kitepath/standin/Clock.java
@@ -23,6 +23,13 @@
     /** Sees every start. */
     public Consumer<Task> starts = t -> { };
 
+    /** Sees every task that completed, or failed. */
+    public Consumer<Task> ends = t -> { };
+
+    public void ended(Task t) {
+        ends.accept(t);
+    }
+
     public void started(Task t) {
         starts.accept(t);
     }
--- /dev/null
+++ b/src/main/java/io/kitepath/standin/Rehearsal.java
@@ -0,0 +1,311 @@
+package io.kitepath.standin;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.MachineType;
+import io.kitepath.core.serve.Registry.Verdict;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * One rehearsal: several cells under load, with failures, in simulated time; what their users got, what it cost, and
+ * whether a rule broke. The same plan gives the same result.
+ */
+public final class Rehearsal {
+    /** Cells apart, cells that hand work to each other, or one cell with all the machines of all. */
+    public enum Way { APART, CELLS, WHOLE }
+
+    /**
+     * What breaks.
+     *
+     * @param kind {@code nodes} end, {@code store} is away, {@code network} to the other cells is cut, {@code holder}
+     *     ends, {@code freeze}: the holder stands still, {@code zone}: half of the machines are cut off
+     * @param cell which one, from 0
+     * @param atS after the load began, in seconds
+     * @param forS how long, in seconds
+     */
+    public record Fault(String kind, int cell, double atS, double forS) {}
+
+    /**
+     * What is played.
+     *
+     * @param cells how many
+     * @param machines in each, of 16 CPUs
+     * @param load what each cell is asked for, of what its machines can do
+     * @param hot how many times as much the first cell is asked for
+     * @param forS for how long jobs come, in seconds
+     * @param bad shares of messages between cells that are lost, doubled and late
+     */
+    public record Plan(int cells, int machines, double load, double hot, double forS, double bad, long seed,
+            List<Fault> faults) {}
+
+    /**
+     * What came of it.
+     *
+     * @param waits seconds from submission to the first start of each task: of the first cell's, of the others'; in ms
+     * @param served by class and team: jobs that were done in time, and all
+     * @param handOvers loans, {@code messages} between cells, {@code changes} of the stores
+     * @param refusals tries to submit that were not accepted at once
+     * @param tookS from the end of the load until all was done
+     * @param realS of this machine's time
+     */
+    public record Result(long jobs, long tasks, long starts, Histogram hot, Histogram others,
+            Map<String, int[]> served, long handOvers, long messages, long changes, long refusals, double tookS,
+            double realS, List<String> broken, long unfinished) {
+        /** The lowest share served of any class or team. */
+        public double least() {
+            return served.values().stream().mapToDouble(x -> (double) x[0] / x[1]).min().orElse(1);
+        }
+    }
+
+    private static final double CPUS = 16;
+    /** What is expected: done within that time. */
+    private static final double GOAL_S = 120;
+    /** How long after the load everything may take. */
+    private static final double MOST_S = 1800;
+
+    private final Plan plan;
+    private final Way way;
+    private final Cellular cells;
+    private final Random random;
+    private final Map<String, Coming> coming = new HashMap<>();
+    private final Histogram hot = new Histogram(3);
+    private final Histogram others = new Histogram(3);
+    private final Map<String, int[]> served = new TreeMap<>();
+    private long starts;
+    private long refusals;
+    private long tasks;
+    private int open;
+
+    /** A job that comes, or has come. */
+    private static final class Coming {
+        private final JobSpec spec;
+        private final int cell;
+        private final double runS;
+        private double at;
+        private final BitSet started = new BitSet();
+        private final BitSet done = new BitSet();
+
+        Coming(JobSpec spec, int cell, double runS) {
+            this.spec = spec;
+            this.cell = cell;
+            this.runS = runS;
+        }
+    }
+
+    public Rehearsal(Plan plan, Way way) {
+        this.plan = plan;
+        this.way = way;
+        this.random = new Random(plan.seed);
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < (way == Way.WHOLE ? 1 : plan.cells); i++) {
+            names.add("c" + i);
+        }
+        this.cells = new Cellular(plan.seed, names, List.of(), way != Way.CELLS);
+        cells.watchS = 2;
+        cells.lost = plan.bad;
+        cells.doubled = plan.bad;
+        cells.late = plan.bad / 2;
+        for (String c : names) {
+            World w = cells.world(c);
+            w.reportS = 4;
+            w.leaseS = 20;
+            w.reportsChanges = true;
+            w.writeRps = 250 * (way == Way.WHOLE ? plan.cells : 1);
+            w.type = new MachineType("m16", CPUS, 0, 64, 50, 1, 1.0, 0.4, 1e6, w.zones);
+            w.objectives.add(new Facts.Objective("finished", "tiles", GOAL_S, 1, 0.9));
+            w.objectives.add(new Facts.Objective("finished", "plates", GOAL_S, 1, 0.9));
+            w.runsFor = id -> coming.get(id).runS;
+            cells.cell(c, 2, plan.machines * (way == Way.WHOLE ? plan.cells : 1));
+        }
+        cells.clock.starts = this::started;
+        cells.clock.ends = this::ended;
+    }
+
+    // ---- load -----------------------------------------------------------------------------------
+
+    private double exponential(double perS) {
+        return -Math.log(1 - random.nextDouble()) / perS;
+    }
+
+    private void load() {
+        int n = 0;
+        for (int cell = 0; cell < plan.cells; cell++) {
+            double cpus = plan.load * plan.machines * CPUS * (cell == 0 ? plan.hot : 1);
+            // Two thirds of the work are arrays, a third gangs; by their mean work.
+            double tilesPerS = cpus * 2 / 3 / (66 * 20);
+            double platesPerS = cpus / 3 / (3.75 * 8 * 40);
+            for (double t = exponential(tilesPerS); t < plan.forS; t += exponential(tilesPerS)) {
+                int size = (int) Math.max(1, Math.min(1000, 40 * Math.exp(random.nextGaussian())));
+                come(t, cell, ++n, "tiles", JobSpec.Shape.ARRAY, size, 1, 20);
+            }
+            for (double t = exponential(platesPerS); t < plan.forS; t += exponential(platesPerS)) {
+                come(t, cell, ++n, "plates", JobSpec.Shape.GANG, 1 << random.nextInt(4), 8, 40);
+            }
+        }
+    }
+
+    private void come(double t, int cell, int n, String jobClass, JobSpec.Shape shape, int size, double cpus,
+            double estimateS) {
+        String home = "c" + (way == Way.WHOLE ? 0 : cell);
+        JobSpec s = new JobSpec(cells.id(home, n), jobClass, random.nextBoolean() ? "red" : "blue", shape,
+                shape == JobSpec.Shape.GANG ? JobSpec.Priority.HIGH : JobSpec.Priority.NORMAL, size, cpus, 0, 2, null,
+                null, false, false, false, "img", 1, estimateS, 0, 0, null);
+        Coming c = new Coming(s, cell, estimateS * (0.8 + 0.4 * random.nextDouble()));
+        coming.put(s.id(), c);
+        open++;
+        tasks += size;
+        cells.specs.put(s.id(), s);
+        cells.clock.after(t, () -> {
+            c.at = cells.clock.now;
+            submit(c, home);
+        });
+    }
+
+    private void submit(Coming c, String home) {
+        List<Node> up = cells.world(home).nodes.values().stream().filter(x -> x.alive).toList();
+        boolean[] heard = new boolean[1];
+        Runnable again = () -> {
+            if (!heard[0]) {
+                heard[0] = true;
+                refusals++;
+                cells.clock.after(1 + random.nextDouble(), () -> submit(c, home));
+            }
+        };
+        cells.clock.after(5, again);
+        if (up.isEmpty()) {
+            again.run();
+            return;
+        }
+        up.get(random.nextInt(up.size())).controller.registry().submit(c.spec, a -> {
+            if (a.verdict() == Verdict.LATER) {
+                again.run();
+            } else {
+                heard[0] = true;
+            }
+        });
+    }
+
+    private void started(Task t) {
+        starts++;
+        Coming c = coming.get(t.job);
+        if (!c.started.get(t.number)) {
+            c.started.set(t.number);
+            (c.cell == 0 ? hot : others).recordValue(Math.max(0, Math.round(1000 * (cells.clock.now - c.at))));
+        }
+    }
+
+    private void ended(Task t) {
+        Coming c = coming.get(t.job);
+        if (c.done.cardinality() == c.spec.tasks()) {
+            return;
+        }
+        if (c.spec.gang()) {
+            c.done.set(0, c.spec.tasks()); // They complete together.
+        }
+        c.done.set(t.number);
+        if (c.done.cardinality() == c.spec.tasks()) {
+            open--;
+            boolean inTime = cells.clock.now - c.at <= GOAL_S;
+            count("class " + c.spec.jobClass(), inTime);
+            count("team " + c.spec.team(), inTime);
+        }
+    }
+
+    private void count(String group, boolean inTime) {
+        int[] x = served.computeIfAbsent(group, k -> new int[2]);
+        x[0] += inTime ? 1 : 0;
+        x[1]++;
+    }
+
+    // ---- failures -------------------------------------------------------------------------------
+
+    private void fail(Fault f) {
+        String cell = "c" + f.cell;
+        World w = cells.world(cell);
+        if (w == null) {
+            return;
+        }
+        cells.clock.after(f.atS, () -> {
+            List<Node> up = w.nodes.values().stream().filter(n -> n.alive).toList();
+            Node holder = up.stream().filter(n -> n.controller.leadsWith() > 0).findFirst().orElse(null);
+            switch (f.kind) {
+                case "nodes" -> up.forEach(n -> cells.restart(n, f.forS));
+                case "store" -> w.store.outage(f.forS);
+                case "network" -> {
+                    for (String other : cells.worlds.keySet()) {
+                        cells.cutBetween(cell, other);
+                    }
+                    cells.clock.after(f.forS, () -> cells.cut.removeIf(x -> x.startsWith(cell + ">")
+                            || x.endsWith(">" + cell)));
+                }
+                case "holder" -> {
+                    if (holder != null) {
+                        cells.restart(holder, f.forS);
+                    }
+                }
+                case "freeze" -> {
+                    if (holder != null) {
+                        holder.frozenUntil = cells.clock.now + f.forS;
+                    }
+                }
+                case "zone" -> {
+                    List<Worker> of = w.workers.values().stream().filter(x -> x.zone.equals(cell + "1")).toList();
+                    of.forEach(x -> x.cut = true);
+                    cells.clock.after(f.forS, () -> of.forEach(x -> x.cut = false));
+                }
+                default -> throw new IllegalArgumentException("no such fault: " + f.kind);
+            }
+        });
+    }
+
+    // ---- the whole ------------------------------------------------------------------------------
+
+    /** Plays it. */
+    public Result play() {
+        long began = System.nanoTime();
+        cells.run(15);
+        load();
+        plan.faults.forEach(this::fail);
+        cells.run(plan.forS);
+        double from = cells.clock.now;
+        while (open > 0 && cells.clock.now - from < MOST_S) {
+            cells.run(1);
+        }
+        double tookS = cells.clock.now - from;
+        for (Coming c : coming.values()) {
+            if (c.done.cardinality() < c.spec.tasks()) {
+                count("class " + c.spec.jobClass(), false);
+                count("team " + c.spec.team(), false);
+            }
+        }
+        // What is lent, lost in a message or late has its time to do harm.
+        cells.run(90);
+        List<String> broken = new ArrayList<>(cells.broken());
+        if (way == Way.CELLS && open == 0) {
+            cells.leftovers().stream().limit(3).forEach(k -> broken.add("left over: " + k));
+        }
+        Collection<World> all = cells.worlds.values();
+        long handOvers = 0;
+        for (World w : all) {
+            for (Node n : w.nodes.values()) {
+                handOvers += figure(n, "cells.lent");
+            }
+        }
+        return new Result(coming.size(), tasks, starts, hot, others, served, handOvers, cells.messages,
+                all.stream().mapToLong(w -> w.store.changes).sum(), refusals, tookS,
+                (System.nanoTime() - began) / 1e9, broken, open);
+    }
+
+    private static long figure(Node n, String name) {
+        var f = n.controller.figures().get(name);
+        return f == null ? 0 : (long) f.value().getAsDouble();
+    }
+}
--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -30,6 +30,10 @@
     public boolean spot;
     public double runsFor = 20;
     private double answered;
+    /** The next report that is due; those scheduled before it are not made. */
+    private long due;
+    private double sentAt = Double.NEGATIVE_INFINITY;
+    private boolean inFlight;
     private String node;
     public int started;
 
@@ -59,10 +63,28 @@
         return node == null ? null : w.nodes.get(node);
     }
 
+    private void reportIn(double seconds) {
+        long mine = ++due;
+        w.after(seconds, () -> {
+            if (mine == due) {
+                report();
+            }
+        });
+    }
+
+    /** A task ended: said at once, but at most every half second. */
+    private void changed() {
+        if (w.reportsChanges && !inFlight) {
+            reportIn(Math.max(0.001, sentAt + 0.5 - w.clock.now));
+        }
+    }
+
     public void report() {
         if (!up) {
             return;
         }
+        inFlight = true;
+        sentAt = w.clock.now;
         if (w.clock.now - answered > w.leaseS) {
             tasks.clear();
             session++;
@@ -86,16 +108,18 @@
         w.after(4, () -> {
             if (!heard[0] && up) {
                 heard[0] = true;
+                inFlight = false;
                 node = null;
-                w.after(0.2, this::report);
+                reportIn(0.2);
             }
         });
     }
 
     private void hear(CheckIn c, double sent) {
+        inFlight = false;
         if (c.token() == 0) {
             node = c.anchor();
-            w.after(c.anchor() == null ? 1 : 0.1, this::report);
+            reportIn(c.anchor() == null ? 1 : 0.1);
             return;
         }
         if (c.token() >= token) {
@@ -103,7 +127,7 @@
             answered = sent;
             c.orders().forEach(this::execute);
         }
-        w.after(Math.max(0.5, w.reportS - (w.clock.now - sent)), this::report);
+        reportIn(Math.max(0.5, w.reportS - (w.clock.now - sent)));
     }
 
     public void execute(Order o) {
@@ -170,13 +194,15 @@
             return;
         }
         boolean error = fails || w.mistaken.contains(o.job());
-        w.after(error ? 0.1 : runsFor, () -> {
+        w.after(error ? 0.1 : w.runsFor == null ? runsFor : w.runsFor.applyAsDouble(o.job()), () -> {
             if (up && tasks.get(key) == t && t.state != State.ENDED) {
                 t.state = State.ENDED;
                 t.cause = error ? Cause.ERROR : Cause.DONE;
                 if (!error) {
                     w.completed.computeIfAbsent(t.job, k -> new HashSet<>()).add(t.number);
                 }
+                w.clock.ended(t);
+                changed();
             }
         });
     }
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -53,6 +53,10 @@
      */
     public ToDoubleFunction<String> fetchS;
     public Map<String, JobSpec> specs = new HashMap<>();
+    /** How long a job's tasks run, by its id; null: as long as the machine's tasks do. */
+    public ToDoubleFunction<String> runsFor;
+    /** Whether workers report as soon as a task ends, as they do outside. */
+    public boolean reportsChanges;
     /** Tasks that completed, by job. */
     public final Map<String, Set<Integer>> completed = new HashMap<>();
     /** What broke: a task that starts while it is on another machine. */
