--- a/src/main/java/io/kitepath/core/block/TeamUse.java
+++ b/src/main/java/io/kitepath/core/block/TeamUse.java
@@ -7,7 +7,28 @@
 
 /** What each team's attempts take that are not proven over, against its limit. */
 public final class TeamUse {
+    /** What this decider may use of a team's limits; infinite where there is none. */
+    public interface Limits {
+        double cpus(Facts.Team team);
+
+        double gpus(Facts.Team team);
+    }
+
+    /** As the settings say. */
+    private static final class Whole implements Limits {
+        @Override
+        public double cpus(Facts.Team t) {
+            return t.cpusMax() > 0 ? t.cpusMax() : Double.POSITIVE_INFINITY;
+        }
+
+        @Override
+        public double gpus(Facts.Team t) {
+            return t.gpusMax() > 0 ? t.gpusMax() : Double.POSITIVE_INFINITY;
+        }
+    }
+
     private final Facts facts;
+    private Limits limits = new Whole();
     /** CPUs and GPUs by team. */
     private final Map<String, double[]> used = new HashMap<>();
 
@@ -15,6 +36,10 @@
         this.facts = facts;
     }
 
+    public void limits(Limits others) {
+        limits = others;
+    }
+
     void clear() {
         used.clear();
     }
@@ -32,6 +57,12 @@
         return u == null ? 0 : u[0];
     }
 
+    /** And their GPUs. */
+    public double gpus(String team) {
+        double[] u = used.get(team);
+        return u == null ? 0 : u[1];
+    }
+
     /** How many more tasks of this kind the team's limit allows. */
     public int left(JobSpec s) {
         Facts.Team t = facts.teams().get(s.team());
@@ -40,11 +71,11 @@
         }
         double[] u = used.getOrDefault(s.team(), new double[2]);
         double n = Integer.MAX_VALUE;
-        if (t.cpusMax() > 0 && s.cpus() > 0) {
-            n = Math.min(n, (t.cpusMax() - u[0] + 1e-6) / s.cpus());
+        if (s.cpus() > 0) {
+            n = Math.min(n, (limits.cpus(t) - u[0] + 1e-6) / s.cpus());
         }
-        if (t.gpusMax() > 0 && s.gpus() > 0) {
-            n = Math.min(n, (t.gpusMax() - u[1] + 1e-6) / s.gpus());
+        if (s.gpus() > 0) {
+            n = Math.min(n, (limits.gpus(t) - u[1] + 1e-6) / s.gpus());
         }
         return (int) Math.max(0, n);
     }
--- a/src/main/java/io/kitepath/core/cell/CellDesk.java
+++ b/src/main/java/io/kitepath/core/cell/CellDesk.java
@@ -6,6 +6,7 @@
 import io.kitepath.core.model.Bucket;
 import io.kitepath.core.model.CellMessage;
 import io.kitepath.core.model.CellMessage.Elsewhere;
+import io.kitepath.core.model.CellMessage.Grant;
 import io.kitepath.core.model.CellMessage.Offer;
 import io.kitepath.core.model.CellMessage.Recall;
 import io.kitepath.core.model.CellMessage.Summary;
@@ -68,6 +69,7 @@
     private final Spill spill;
     private final Lending lending;
     private final Guests guests;
+    private final Shares shares;
     private final Homes homes;
     private final HomeJobs jobs;
     private final Bucket budget;
@@ -91,6 +93,8 @@
         this.lending = new Lending(directory.own(), block, riding, timers, neighbours, spill, this::askHolder, random,
                 node::cancelled);
         this.guests = new Guests(directory.own(), block, riding, timers, this::askHolder, random);
+        this.shares = new Shares(directory.own(), block, riding, timers, this::askHolder, random);
+        block.teamUse().limits(shares);
         this.homes = new Homes(directory, store, timers);
         this.jobs = new HomeJobs(directory, registry, cells, homes::agreed);
         this.budget = new Bucket(Math.max(1, block.facts().store().writeRps() * SPILL_SHARE));
@@ -150,6 +154,8 @@
             guests.offered(o, welcome(o), answer);
         } else if (m instanceof Recall r) {
             guests.recalled(r, answer);
+        } else if (m instanceof Grant g) {
+            shares.granted(g, answer);
         } else if (m instanceof Word w) {
             lending.said(w, answer);
         } else {
@@ -175,7 +181,17 @@
 
     private Summary summary() {
         return new Summary(directory.own(), node.leader(), directory.version(), !guests.draining(), here.room(),
-                here.waitS(), neighbours.hears(timers.now()));
+                here.waitS(), neighbours.hears(timers.now()), shares());
+    }
+
+    private List<CellMessage.Share> shares() {
+        double cpus = 0;
+        double gpus = 0;
+        for (CellMessage.Room r : here.room()) {
+            cpus += r.cpus();
+            gpus += r.gpus();
+        }
+        return shares.told(cpus, gpus);
     }
 
     // ---- the holder's loops ---------------------------------------------------------------------
@@ -186,6 +202,7 @@
         neighbours.look(now);
         lending.tend(now);
         guests.tend(now);
+        shares.tend(now);
         if (now - exchangedAt >= EVERY_S) {
             exchangedAt = now;
             Summary mine = summary();
@@ -199,6 +216,7 @@
                     });
                 }
             }
+            shares.divide(neighbours.fresh(now));
             spillOver(now);
         }
     }
@@ -210,7 +228,7 @@
             return;
         }
         spill.forget(block.jobs().keySet());
-        for (Spill.Plan p : spill.plan(queue, this::fitsHere, here.cpus(), neighbours.all().values(), most, now,
+        for (Spill.Plan p : spill.plan(queue, this::fitsHere, block.teamUse()::left, here.cpus(), neighbours.all().values(), most, now,
                 timers.wallMs())) {
             budget.take(1, now);
             lending.lend(p);
@@ -237,6 +255,7 @@
     public void adopt(Reading.Found found) {
         lending.adopt(found, timers.now());
         guests.adopt(found, timers.now());
+        shares.adopt(found);
     }
 
     @Override
@@ -260,6 +279,9 @@
         f.put("cells.returned", Figure.total("hand-overs that came to an end", lending::returned));
         f.put("cells.taken", Figure.total("hand-overs taken from other cells", guests::taken));
         f.put("cells.refused", Figure.total("hand-overs refused for lack of room", guests::refused));
+        f.put("cells.shares.given", Figure.total("parts of teams' limits given to other cells", shares::given));
+        f.put("cells.shares.came", Figure.total("parts of teams' limits that came from other cells", shares::came));
+        f.put("cells.shares.under.way", Figure.now("parts given that are not known to have arrived", shares::underWay));
         f.put("cells.messages", Figure.total("messages sent to other cells by the holder", () -> messages));
     }
 }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/cell/Division.java
@@ -0,0 +1,112 @@
+package io.kitepath.core.cell;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * How a team's limit is divided between the cells that want some of it; a function of what they say, so that cells
+ * that have heard the same divide it alike. What is in use stays where it is. Then whoever has waited longest gets what
+ * its first task or gang needs, all of it, before the next one gets anything: two gangs that each hold half of what
+ * they need would wait for each other for ever. The rest is divided so that the least is as large as can be (max-min
+ * fairness), and what nobody wants stays where it is.
+ */
+final class Division {
+    /**
+     * One cell's claim; amounts in thousandths.
+     *
+     * @param holds its share, used or not
+     * @param used what its attempts that are not proven over take
+     * @param wants what its waiting work could use at once beyond that
+     * @param head what the first of that needs at once
+     * @param since when that was submitted, in milliseconds since 1970
+     */
+    record Claim(String cell, long holds, long used, long wants, long head, double since) {}
+
+    private Division() {}
+
+    /** By cell: what it is to have now. In all exactly what they hold, and none less than it uses. */
+    static Map<String, Long> targets(List<Claim> claims) {
+        Map<String, Long> fair = fair(claims);
+        Map<String, Long> out = new HashMap<>();
+        Map<String, Long> wanted = new HashMap<>();
+        long free = 0;
+        for (Claim c : claims) {
+            out.put(c.cell, c.used);
+            free += Math.max(0, c.holds - c.used);
+            wanted.put(c.cell, c.wants);
+        }
+        // Guards against a cell that is full of work and has the oldest of it: it would take all that comes free.
+        List<Claim> due = waiting(claims);
+        due.removeIf(c -> c.used >= fair.get(c.cell));
+        for (Claim c : due) {
+            long first = Math.min(free, Math.min(c.head, c.wants));
+            out.merge(c.cell, first, Long::sum);
+            wanted.merge(c.cell, -first, Long::sum);
+            free -= first;
+        }
+        Map<String, Long> upToFair = new HashMap<>();
+        due.forEach(c -> upToFair.put(c.cell, Math.min(wanted.get(c.cell), fair.get(c.cell) - out.get(c.cell))));
+        free = alike(free, upToFair, out);
+        upToFair.forEach((cell, n) -> wanted.merge(cell, -Math.max(0, n), Long::sum));
+        free = alike(free, wanted, out);
+        // What nobody wants stays with those that have it.
+        for (Claim c : claims.stream().sorted(Comparator.comparing(Claim::cell)).toList()) {
+            long over = Math.min(free, Math.max(0, c.holds - out.get(c.cell)));
+            out.merge(c.cell, over, Long::sum);
+            free -= over;
+        }
+        return out;
+    }
+
+    /**
+     * By cell: how much it had best use, if nothing of it were in use now. A cell that uses more puts nothing new in the
+     * place of what ends, while others want it.
+     */
+    static Map<String, Long> fair(List<Claim> claims) {
+        long all = claims.stream().mapToLong(Claim::holds).sum();
+        Map<String, Long> out = new HashMap<>();
+        Map<String, Long> wanted = new HashMap<>();
+        claims.forEach(c -> {
+            out.put(c.cell, 0L);
+            wanted.put(c.cell, c.used + c.wants);
+        });
+        for (Claim c : waiting(claims)) {
+            long first = Math.min(all, Math.min(c.head, c.wants));
+            out.merge(c.cell, first, Long::sum);
+            wanted.merge(c.cell, -first, Long::sum);
+            all -= first;
+        }
+        alike(all, wanted, out);
+        return out;
+    }
+
+    private static List<Claim> waiting(List<Claim> claims) {
+        List<Claim> out = new ArrayList<>(claims.stream().filter(c -> c.wants > 0).toList());
+        out.sort(Comparator.comparingDouble(Claim::since).thenComparing(Claim::cell));
+        return out;
+    }
+
+    /** Equal parts of what is free, again and again as some have all they want; returns what nobody wants. */
+    private static long alike(long free, Map<String, Long> wanted, Map<String, Long> out) {
+        Map<String, Long> left = new TreeMap<>(wanted);
+        long rest = free;
+        while (rest > 0) {
+            left.values().removeIf(n -> n <= 0);
+            if (left.isEmpty()) {
+                break;
+            }
+            long part = Math.max(1, rest / left.size());
+            for (Map.Entry<String, Long> e : left.entrySet()) {
+                long more = Math.min(rest, Math.min(part, e.getValue()));
+                out.merge(e.getKey(), more, Long::sum);
+                e.setValue(e.getValue() - more);
+                rest -= more;
+            }
+        }
+        return rest;
+    }
+}
--- a/src/main/java/io/kitepath/core/cell/Neighbours.java
+++ b/src/main/java/io/kitepath/core/cell/Neighbours.java
@@ -153,6 +153,11 @@
         n.state = to;
     }
 
+    /** What those said of themselves that are heard now. */
+    List<Summary> fresh(double now) {
+        return all.values().stream().filter(n -> n.hears(now)).map(Neighbour::summary).toList();
+    }
+
     /** The cells heard lately. */
     List<String> hears(double now) {
         List<String> out = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/io/kitepath/core/cell/Shares.java
@@ -0,0 +1,444 @@
+package io.kitepath.core.cell;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.block.TeamUse;
+import io.kitepath.core.cell.Division.Claim;
+import io.kitepath.core.model.CellMessage;
+import io.kitepath.core.model.CellMessage.Grant;
+import io.kitepath.core.model.CellMessage.Granted;
+import io.kitepath.core.model.CellMessage.Share;
+import io.kitepath.core.model.CellMessage.Summary;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Tree;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.state.Keeper;
+import io.kitepath.core.state.Keys;
+import io.kitepath.core.state.Reading;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This cell's shares of the teams' limits. What a cell may use is its part by the cells file and what came to it since,
+ * less what it gave; what it gives is out of its share, in its store, before the other hears of it, and in the other's
+ * share only once that has written it, under a number that can be taken once. So the shares of all, and what is under
+ * way, never add up to more than the limit, whoever crashes, freezes or is cut off, and a cell that nobody hears keeps
+ * its own (escrow: P. E. O'Neil, "The escrow transactional method", ACM TODS, 1986). Amounts are in thousandths.
+ */
+final class Shares implements TeamUse.Limits {
+    private static final Logger LOG = LoggerFactory.getLogger(Shares.class);
+    private static final int BITS = 20;
+    /** Resources: CPUs and GPUs. */
+    private static final int KINDS = 2;
+    /** Grants of one team that are under way at most. */
+    private static final int MOST_OUT = 8;
+    /** Teams told of in a summary, those that want most first. */
+    private static final int MOST_TOLD = 64;
+    private static final long UNLIMITED = Long.MAX_VALUE;
+
+    /** What was given and is not known to have been taken. */
+    private static final class Out {
+        final long number;
+        final String to;
+        final int kind;
+        final long amount;
+        boolean written;
+        boolean asking;
+        int unanswered;
+        double askedAt = Double.NEGATIVE_INFINITY;
+
+        Out(long number, String to, int kind, long amount) {
+            this.number = number;
+            this.to = to;
+            this.kind = kind;
+            this.amount = amount;
+        }
+    }
+
+    /** One team here. */
+    private static final class Held {
+        final String team;
+        /** What came less what went, by resource. */
+        final long[] moved = new long[KINDS];
+        /** What came and is being written: it is not ours before. */
+        final long[] coming = new long[KINDS];
+        /** More than this is not used at the moment, as others are to have it. */
+        final long[] cap = {UNLIMITED, UNLIMITED};
+        final List<Out> out = new ArrayList<>();
+        long revision;
+        boolean writing;
+
+        Held(String team) {
+            this.team = team;
+        }
+
+        Map<String, Object> record() {
+            List<Object> list = new ArrayList<>();
+            for (Out o : out) {
+                list.add(List.of(o.number, o.to, (long) o.kind, o.amount));
+            }
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("team", team);
+            m.put("cpus", moved[0] + coming[0]);
+            m.put("gpus", moved[1] + coming[1]);
+            m.put("out", list);
+            return m;
+        }
+    }
+
+    private final String own;
+    private final Block block;
+    private final Consumer<Keeper.Rider> riding;
+    private final Timers timers;
+    private final Asking asking;
+    private final Random random;
+    private final Map<String, Held> held = new HashMap<>();
+    private final Map<String, Numbers> numbers = new HashMap<>();
+    /** Grants that are being written as taken, by giver and number. */
+    private final Map<String, List<Consumer<CellMessage>>> taking = new HashMap<>();
+    private final long[] room = new long[KINDS];
+    private List<Share> told = List.of();
+    private long sequence;
+    private long given;
+    private long came;
+
+    Shares(String own, Block block, Consumer<Keeper.Rider> riding, Timers timers, Asking asking, Random random) {
+        this.own = own;
+        this.block = block;
+        this.riding = riding;
+        this.timers = timers;
+        this.asking = asking;
+        this.random = random;
+    }
+
+    long given() {
+        return given;
+    }
+
+    long came() {
+        return came;
+    }
+
+    long underWay() {
+        return held.values().stream().mapToLong(h -> h.out.size()).sum();
+    }
+
+    /** A team's name may be longer than a key. */
+    private static String key(String team) {
+        return Keys.SHARE + Long.toHexString(Hashing.xxh3_64().hashCharsToLong(team));
+    }
+
+    private Held of(String team) {
+        return held.computeIfAbsent(team, Held::new);
+    }
+
+    // ---- what a new holder reads ----------------------------------------------------------------
+
+    void adopt(Reading.Found found) {
+        held.clear();
+        numbers.clear();
+        taking.clear();
+        for (Entry x : found.voids()) {
+            String of = x.key().substring(Keys.VOID.length());
+            if (of.startsWith("share/")) {
+                numbers.put(of.substring("share/".length()), Numbers.read(x.value(), x.revision()));
+            }
+        }
+        for (Entry x : found.shares()) {
+            try {
+                Tree t = Tree.of(x.value());
+                Held h = of(t.text("team"));
+                h.revision = x.revision();
+                h.moved[0] = t.integer("cpus", Long.MIN_VALUE, Long.MAX_VALUE);
+                h.moved[1] = t.integer("gpus", Long.MIN_VALUE, Long.MAX_VALUE);
+                for (Object o : t.list("out")) {
+                    List<?> l = (List<?>) o;
+                    Out out = new Out(((Number) l.get(0)).longValue(), (String) l.get(1), ((Number) l.get(2)).intValue(),
+                            ((Number) l.get(3)).longValue());
+                    out.written = true;
+                    h.out.add(out);
+                }
+            } catch (Malformed | ClassCastException | IndexOutOfBoundsException bad) {
+                LOG.error("record {} is unreadable: {}", x.key(), bad.getMessage());
+            }
+        }
+    }
+
+    // ---- what may be used -----------------------------------------------------------------------
+
+    private static long whole(Facts.Team t, int kind) {
+        double max = kind == 0 ? t.cpusMax() : t.gpusMax();
+        return max <= 0 ? UNLIMITED : (long) Math.floor(max * 1000 + 1e-3);
+    }
+
+    /** The cell's share now; unlimited if the team has no limit. */
+    private long holds(Facts.Team t, int kind) {
+        long part = whole(t, kind);
+        Held h = held.get(t.name());
+        return part == UNLIMITED || h == null ? part : Math.max(0, part + h.moved[kind]);
+    }
+
+    private long mayUse(Facts.Team t, int kind) {
+        Held h = held.get(t.name());
+        return h == null ? holds(t, kind) : Math.min(holds(t, kind), h.cap[kind]);
+    }
+
+    @Override
+    public double cpus(Facts.Team t) {
+        long may = mayUse(t, 0);
+        return may == UNLIMITED ? Double.POSITIVE_INFINITY : may / 1000.0;
+    }
+
+    @Override
+    public double gpus(Facts.Team t) {
+        long may = mayUse(t, 1);
+        return may == UNLIMITED ? Double.POSITIVE_INFINITY : may / 1000.0;
+    }
+
+    private long used(String team, int kind) {
+        TeamUse u = block.teamUse();
+        return (long) Math.ceil((kind == 0 ? u.cpus(team) : u.gpus(team)) * 1000 - 1e-3);
+    }
+
+    // ---- what is wanted -------------------------------------------------------------------------
+
+    private static long need(JobSpec s, int kind, int tasks) {
+        return (long) Math.ceil((kind == 0 ? s.cpus() : s.gpus()) * 1000 * tasks - 1e-3);
+    }
+
+    /**
+     * What this cell says of its shares, for its summary.
+     *
+     * @param freeCpus CPUs and GPUs that are free on its machines: what it can't use it does not want
+     */
+    List<Share> told(double freeCpus, double freeGpus) {
+        room[0] = (long) (freeCpus * 1000);
+        room[1] = (long) (freeGpus * 1000);
+        Map<String, Share> rows = new HashMap<>();
+        Map<String, List<Job>> waiting = new HashMap<>();
+        for (Job j : block.jobs().values()) {
+            if (j.waiting() > 0) {
+                waiting.computeIfAbsent(j.spec.team(), k -> new ArrayList<>()).add(j);
+            }
+        }
+        for (Facts.Team t : block.facts().teams().values()) {
+            for (int kind = 0; kind < KINDS; kind++) {
+                if (whole(t, kind) != UNLIMITED) {
+                    rows.put(t.name() + kind, row(t, kind, waiting.getOrDefault(t.name(), List.of())));
+                }
+            }
+        }
+        List<Share> out = new ArrayList<>(rows.values());
+        out.sort(Comparator.comparingLong((Share s) -> -s.wants()).thenComparing(Share::team));
+        told = out.size() > MOST_TOLD ? new ArrayList<>(out.subList(0, MOST_TOLD)) : out;
+        return told;
+    }
+
+    private Share row(Facts.Team t, int kind, List<Job> waiting) {
+        long wants = 0;
+        Job first = null;
+        for (Job j : waiting) {
+            wants += need(j.spec, kind, j.waiting());
+            boolean older = first == null || j.submittedMs < first.submittedMs
+                    || j.submittedMs == first.submittedMs && j.spec.id().compareTo(first.spec.id()) < 0;
+            if (need(j.spec, kind, 1) > 0 && older) {
+                first = j;
+            }
+        }
+        long head = first == null ? 0 : need(first.spec, kind, first.spec.gang() ? first.waiting() : 1);
+        wants = room[kind] < head ? 0 : Math.min(wants, room[kind]);
+        return new Share(t.name(), kind, holds(t, kind), used(t.name(), kind), wants, head,
+                first == null ? 0 : first.submittedMs);
+    }
+
+    // ---- giving ---------------------------------------------------------------------------------
+
+    /** Divides what is held anew by what the others said lately and what was told last, and gives what is to go. */
+    void divide(Collection<Summary> others) {
+        Map<String, List<Claim>> claims = new HashMap<>();
+        for (Summary s : others) {
+            for (Share x : s.shares()) {
+                claims.computeIfAbsent(x.team() + '\0' + x.kind(), k -> new ArrayList<>()).add(new Claim(s.cell(),
+                        x.holds(), x.used(), x.wants(), x.head(), x.since()));
+            }
+        }
+        Map<String, Share> mine = new HashMap<>();
+        told.forEach(x -> mine.put(x.team() + '\0' + x.kind(), x));
+        held.values().forEach(h -> Arrays.fill(h.cap, UNLIMITED));
+        claims.forEach((k, list) -> {
+            Share x = mine.get(k);
+            if (x != null && list.stream().anyMatch(c -> c.wants() > 0)) {
+                list.add(new Claim(own, x.holds(), x.used(), x.wants(), x.head(), x.since()));
+                give(x, list);
+            }
+        });
+    }
+
+    private void give(Share x, List<Claim> claims) {
+        Map<String, Long> targets = Division.targets(claims);
+        Held h = of(x.team());
+        // What was told may be a moment old; what is given must be free now.
+        long usedNow = used(x.team(), x.kind());
+        long over = holds(block.facts().teams().get(x.team()), x.kind()) - Math.max(targets.get(own), usedNow);
+        // What others are to have is not used here again, so that it comes free as what runs ends.
+        h.cap[x.kind()] = Math.max(Math.min(targets.get(own), x.holds()), 0);
+        if (claims.stream().anyMatch(c -> !c.cell().equals(own) && c.wants() > 0)) {
+            h.cap[x.kind()] = Math.min(h.cap[x.kind()], Division.fair(claims).get(own));
+        }
+        if (over <= 0 || h.writing || h.out.size() >= MOST_OUT) {
+            return;
+        }
+        Claim to = null;
+        for (Claim c : claims) {
+            long lacks = targets.get(c.cell()) - c.holds();
+            boolean onItsWay = h.out.stream().anyMatch(o -> o.to.equals(c.cell()));
+            if (!c.cell().equals(own) && lacks > 0 && !onItsWay
+                    && (to == null || lacks > targets.get(to.cell()) - to.holds())) {
+                to = c;
+            }
+        }
+        if (to == null) {
+            return;
+        }
+        long amount = Math.min(over, targets.get(to.cell()) - to.holds());
+        Out o = new Out((block.token() << BITS) + ++sequence, to.cell(), x.kind(), amount);
+        h.moved[x.kind()] -= amount;
+        h.out.add(o);
+        given++;
+        LOG.info("gives {} {} of team {} to cell {} as {}: it holds {} and is to have {}, here {} of {} are used",
+                amount / 1000.0, x.kind() == 0 ? "CPUs" : "GPUs", x.team(), to.cell(), o.number, to.holds() / 1000.0,
+                targets.get(to.cell()) / 1000.0, x.used() / 1000.0, x.holds() / 1000.0);
+        write(h, null, () -> {
+            o.written = true;
+            tell(h, o, timers.now());
+        });
+    }
+
+    /** Writes the team's record, and with it that a number of another cell's is taken. */
+    private void write(Held h, String giver, Runnable then) {
+        h.writing = true;
+        riding.accept(new Keeper.Rider() {
+            @Override
+            public boolean wanted() {
+                return held.get(h.team) == h;
+            }
+
+            @Override
+            public void board(Store.Transaction t) {
+                t.when(key(h.team), h.revision).put(key(h.team), h.record());
+                if (giver != null) {
+                    Numbers n = numbers(giver);
+                    t.when(Keys.VOID + "share/" + giver, n.revision());
+                    t.writes().removeIf(w -> w.key().equals(Keys.VOID + "share/" + giver));
+                    t.put(Keys.VOID + "share/" + giver, n.record());
+                }
+            }
+
+            @Override
+            public void written(long revision) {
+                h.writing = false;
+                h.revision = revision;
+                if (giver != null) {
+                    numbers(giver).recorded(revision);
+                }
+                then.run();
+            }
+        });
+    }
+
+    private Numbers numbers(String giver) {
+        return numbers.computeIfAbsent(giver, k -> new Numbers());
+    }
+
+    /** Nothing below this number is under way to the cell any more. */
+    private long floor(String cell) {
+        long least = (block.token() << BITS) + sequence + 1;
+        for (Held h : held.values()) {
+            for (Out o : h.out) {
+                if (o.to.equals(cell)) {
+                    least = Math.min(least, o.number);
+                }
+            }
+        }
+        return least;
+    }
+
+    void tend(double now) {
+        for (Held h : new ArrayList<>(held.values())) {
+            for (Out o : new ArrayList<>(h.out)) {
+                if (o.written) {
+                    tell(h, o, now);
+                }
+            }
+        }
+    }
+
+    private void tell(Held h, Out o, double now) {
+        if (o.asking || now - o.askedAt < Pace.againS(o.unanswered, 1, block.facts().workers().leaseS(), random)) {
+            return;
+        }
+        o.asking = true;
+        o.askedAt = now;
+        o.unanswered++;
+        asking.ask(o.to, new Grant(own, o.number, floor(o.to), h.team, o.kind, o.amount), answer -> {
+            o.asking = false;
+            if (answer instanceof Granted g && g.number() == o.number && held.get(h.team) == h && !h.writing
+                    && h.out.remove(o)) {
+                write(h, null, () -> { });
+            }
+        });
+    }
+
+    // ---- taking ---------------------------------------------------------------------------------
+
+    /** A share of another cell's becomes ours, once. */
+    void granted(Grant g, Consumer<CellMessage> answer) {
+        Facts.Team t = block.facts().teams().get(g.team());
+        Numbers n = numbers(g.from());
+        n.raise(g.floor());
+        String id = g.from() + '/' + g.number();
+        if (n.isVoid(g.number())) {
+            if (taking.containsKey(id)) {
+                taking.get(id).add(answer); // Being written; said once it is.
+            } else {
+                answer.accept(new Granted(g.number()));
+            }
+            return;
+        }
+        Held h = of(g.team());
+        if (t == null || n.full() || h.writing) {
+            answer.accept(null);
+            return;
+        }
+        n.add(g.number());
+        h.coming[g.kind()] = g.amount();
+        taking.put(id, new ArrayList<>(List.of(answer)));
+        write(h, g.from(), () -> {
+            came++;
+            h.moved[g.kind()] += h.coming[g.kind()];
+            h.coming[g.kind()] = 0;
+            LOG.info("{} {} of team {} came from cell {} as {}", g.amount() / 1000.0, g.kind() == 0 ? "CPUs" : "GPUs",
+                    g.team(), g.from(), g.number());
+            List<Consumer<CellMessage>> who = taking.remove(id);
+            if (who != null) {
+                who.forEach(x -> x.accept(new Granted(g.number())));
+            }
+            block.change();
+        });
+    }
+}
--- a/src/main/java/io/kitepath/core/cell/Spill.java
+++ b/src/main/java/io/kitepath/core/cell/Spill.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 /**
  * Which waiting work goes to which other cell: the paper's Threshold one floor up. Work that would miss what is
@@ -61,10 +62,11 @@
     /**
      * @param order unfinished jobs in the order of service
      * @param fitsHere whether a machine of this cell's own zones may ever run the job
+     * @param allowed how many more such tasks the team's limit allows here
      * @param most hand-overs at most
      */
-    List<Plan> plan(List<Job> order, Predicate<JobSpec> fitsHere, double hereCpus,
-            Collection<Neighbour> cells, int most, double now, double wallMs) {
+    List<Plan> plan(List<Job> order, Predicate<JobSpec> fitsHere, ToIntFunction<JobSpec> allowed,
+            double hereCpus, Collection<Neighbour> cells, int most, double now, double wallMs) {
         List<Plan> out = new ArrayList<>();
         double ahead = 0;
         for (Job j : order) {
@@ -75,7 +77,8 @@
             double waitS = (ahead + work) / Math.max(1, hereCpus);
             ahead += work;
             String why = whyNotHere(j, fitsHere.test(j.spec), hereCpus, waitS, wallMs);
-            if (why == null) {
+            // What waits for its team's limit waits for it everywhere: the limit's shares move to where room is.
+            if (why == null || allowed.applyAsInt(j.spec) < least(j)) {
                 continue;
             }
             Neighbour to = choose(j, cells, waitS, now);
--- a/src/main/java/io/kitepath/core/model/CellMessage.java
+++ b/src/main/java/io/kitepath/core/model/CellMessage.java
@@ -19,9 +19,28 @@
      * @param room by kind, the most roomy ones first, a bounded number
      * @param waitS by rank: seconds that the work waiting up to that rank would keep all its machines busy
      * @param hears the cells that it has heard lately
+     * @param shares of the teams' limits, those that it wants most of first, a bounded number
      */
     record Summary(String cell, String leader, long version, boolean takes, List<Room> room, List<Double> waitS,
-            List<String> hears) implements CellMessage {}
+            List<String> hears, List<Share> shares) implements CellMessage {}
+
+    /**
+     * What a cell has of a team's limit; amounts in thousandths of a CPU or GPU.
+     *
+     * @param kind 0: CPUs, 1: GPUs
+     * @param holds its share, used or not
+     * @param used what its attempts that are not proven over take
+     * @param wants what it could use at once beyond that
+     * @param head what the first job that waits needs at once
+     * @param since when that was submitted, in milliseconds since 1970
+     */
+    record Share(String team, int kind, long holds, long used, long wants, long head, double since) {}
+
+    /** A part of a team's limit goes over, under a number that can be taken once. */
+    record Grant(String from, long number, long floor, String team, int kind, long amount) implements CellMessage {}
+
+    /** The other cell's store has it. */
+    record Granted(long number) implements CellMessage {}
 
     /**
      * Take these tasks of a job, under a number that its home never gives twice.
--- a/src/main/java/io/kitepath/core/state/Keys.java
+++ b/src/main/java/io/kitepath/core/state/Keys.java
@@ -26,6 +26,8 @@
     public static final String LEAVE = "jobs/leave/";
     /** Which numbers of another cell can never be taken any more, by home. */
     public static final String VOID = "kitepath/void/";
+    /** What came to this cell of each team's limit, and what of it went, by a hash of the team's name. */
+    public static final String SHARE = "kitepath/share/";
     /** By which cells file this cell goes. */
     public static final String CELLS = "kitepath/cells";
 
--- a/src/main/java/io/kitepath/core/state/Reading.java
+++ b/src/main/java/io/kitepath/core/state/Reading.java
@@ -30,11 +30,12 @@
      * @param over by id: jobs that are over and have parts left, so that something of them may be on machines
      * @param lent what of open jobs is lent to other cells
      * @param guests what other cells lent to this one
+     * @param shares of the teams' limits, what came to this cell and what went
      * @param voids which of their numbers can't be taken any more
      * @param leaving open jobs whose users asked to cancel them
      */
     public record Found(long revision, List<Entry> open, List<Entry> parts, Map<String, Entry> over,
-            List<Entry> lent, List<Entry> guests, List<Entry> leaving, List<Entry> voids) {}
+            List<Entry> lent, List<Entry> guests, List<Entry> leaving, List<Entry> voids, List<Entry> shares) {}
 
     /** Takes what the records say about other cells. */
     public interface Elsewhere {
@@ -56,6 +57,7 @@
     private List<Entry> guests = List.of();
     private List<Entry> leaving = List.of();
     private List<Entry> voids = List.of();
+    private List<Entry> shares = List.of();
     private final Deque<String> closed = new ArrayDeque<>();
     private final Map<String, Entry> over = new HashMap<>();
     private int missing;
@@ -88,7 +90,10 @@
                     leaving = x.entries();
                     pages(Keys.VOID, v -> {
                         voids = v.entries();
-                        pages(Keys.PART, parts -> readClosed(open, parts));
+                        pages(Keys.SHARE, s -> {
+                            shares = s.entries();
+                            pages(Keys.PART, parts -> readClosed(open, parts));
+                        });
                     });
                 });
             });
@@ -119,7 +124,7 @@
         closed.addAll(ids);
         missing = closed.size();
         Runnable done = () -> answer.accept(new Found(open.revision(), open.entries(), parts.entries(), over,
-                lent, guests, leaving, voids));
+                lent, guests, leaving, voids, shares));
         if (missing == 0) {
             done.run();
             return;
--- a/src/main/java/io/kitepath/peers/CellWords.java
+++ b/src/main/java/io/kitepath/peers/CellWords.java
@@ -15,7 +15,8 @@
             CellMessage.Room.class, CellMessage.Summary.class, CellMessage.Offer.class, CellMessage.Recall.class,
             CellMessage.Standing.class, CellMessage.Word.class, CellMessage.Settled.class, CellMessage.UserAsk.class,
             CellMessage.Wish.class, CellMessage.UserAnswer.class, JobSpec.class, JobSpec.Shape.class,
-            JobSpec.Priority.class, MachineKind.class, byte[].class};
+            JobSpec.Priority.class, MachineKind.class, byte[].class, CellMessage.Share.class,
+            CellMessage.Grant.class, CellMessage.Granted.class};
     }
 
     /** Kryo knows one kind of list here. */
@@ -28,7 +29,7 @@
     private static CellMessage plain(CellMessage m) {
         if (m instanceof CellMessage.Summary s) {
             return new CellMessage.Summary(s.cell(), s.leader(), s.version(), s.takes(), new ArrayList<>(s.room()),
-                    new ArrayList<>(s.waitS()), new ArrayList<>(s.hears()));
+                    new ArrayList<>(s.waitS()), new ArrayList<>(s.hears()), new ArrayList<>(s.shares()));
         }
         if (m instanceof CellMessage.Offer o) {
             return new CellMessage.Offer(o.home(), o.number(), o.floor(), plain(o.job()), o.submittedMs(), o.from(),
--- a/src/main/java/io/kitepath/standin/Cellular.java
+++ b/src/main/java/io/kitepath/standin/Cellular.java
@@ -6,6 +6,7 @@
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.MachineType;
 import io.kitepath.core.model.Report.State;
+import io.kitepath.core.model.Tree;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.serve.Registry;
 import io.kitepath.core.serve.Registry.Verdict;
@@ -48,6 +49,9 @@
     public final List<Runnable> kept = new ArrayList<>();
     public final List<CellMessage> keptMessages = new ArrayList<>();
     private final Random random;
+    private final Map<String, Double> limits;
+    /** The most CPUs that a team had on machines at once. */
+    public final Map<String, Double> mostUsed = new HashMap<>();
     public final Map<String, JobSpec> specs = new HashMap<>();
     public final List<String> broken = new ArrayList<>();
     private final Map<String, String> told = new HashMap<>();
@@ -62,16 +66,28 @@
 
     /** {@code apart}: the cells know nothing of each other. */
     public Cellular(long seed, List<String> homes, List<String> rooms, boolean apart) {
+        this(seed, homes, rooms, apart, Map.of());
+    }
+
+    /** {@code limits}: CPUs of each team, of which every cell has an equal part at first. */
+    public Cellular(long seed, List<String> homes, List<String> rooms, boolean apart, Map<String, Double> limits) {
+        this.limits = limits;
         this.random = new Random(seed);
         List<String> names = new ArrayList<>(homes);
         names.addAll(rooms);
+        Map<String, Facts.Team> wholes = new LinkedHashMap<>(TEAMS);
+        Map<String, Facts.Team> parts = new LinkedHashMap<>(TEAMS);
+        limits.forEach((t, cpus) -> {
+            wholes.put(t, new Facts.Team(t, 0, cpus, 0, 0));
+            parts.put(t, new Facts.Team(t, 0, cpus / names.size(), 0, 0));
+        });
         for (String own : names) {
             Map<String, Directory.Cell> cells = new LinkedHashMap<>();
             for (String n : names) {
-                cells.put(n, new Directory.Cell(n, homes.contains(n), List.of(n + "1", n + "2"), Map.of(), TEAMS));
+                cells.put(n, new Directory.Cell(n, homes.contains(n), List.of(n + "1", n + "2"), Map.of(), parts));
             }
             World w = new World(clock, this, apart ? null : new Directory(1, own, cells));
-            w.teams.putAll(TEAMS);
+            w.teams.putAll(apart ? parts : wholes);
             w.specs = specs;
             w.zones = List.of(own + "1", own + "2");
             w.type = new MachineType("m4", 4, 0, 16, 50, 1, 1.0, 0.4, 1000, w.zones);
@@ -273,6 +289,7 @@
 
     private void watch() {
         Map<String, String> where = new HashMap<>();
+        Map<String, Double> used = new HashMap<>();
         for (World w : worlds.values()) {
             for (Worker x : w.workers.values()) {
                 for (Task t : x.tasks.values()) {
@@ -283,6 +300,8 @@
                     if (other != null) {
                         broken.add("twice: " + t.job + "/" + t.number + " on " + other + " and " + x.id);
                     }
+                    JobSpec spec = specs.get(t.job);
+                    used.merge(spec.team(), spec.cpus(), Double::sum);
                     Double at = cancelledAt.get(t.job);
                     if (at != null && clock.now > at + CANCEL_S) {
                         broken.add("ran cancelled: " + t.job + "/" + t.number + " on " + x.id);
@@ -290,6 +309,12 @@
                 }
             }
         }
+        used.forEach((team, cpus) -> {
+            mostUsed.merge(team, cpus, Math::max);
+            if (cpus > limits.getOrDefault(team, Double.MAX_VALUE) + 1e-6) {
+                broken.add("quota: team " + team + " has " + cpus + " CPUs");
+            }
+        });
         clock.after(watchS, this::watch);
     }
 
@@ -308,11 +333,29 @@
         return out;
     }
 
+    /** What the stores say has come to cells and gone from them of all limits: nothing in all, once all has arrived. */
+    public List<String> sharesAstray() {
+        List<String> out = new ArrayList<>();
+        long[] sum = new long[1];
+        worlds.forEach((c, w) -> w.store.keys.values().stream().filter(e -> e.key().startsWith("kitepath/share/"))
+                .forEach(e -> {
+                    Tree t = Tree.of(e.value());
+                    sum[0] += t.integer("cpus", Long.MIN_VALUE, Long.MAX_VALUE);
+                    if (!t.list("out").isEmpty()) {
+                        out.add(c + " has " + t.list("out") + " under way");
+                    }
+                }));
+        if (sum[0] != 0) {
+            out.add(sum[0] + " thousandths came from nowhere");
+        }
+        return out;
+    }
+
     /** Sees every transaction that changes something about loans, with the cell and the node that wrote it. */
     public void onLoanWrites(LoanWrites seen) {
         worlds.forEach((c, w) -> w.store.written = (n, t) -> {
             if (t.writes().stream().map(Store.Write::key).anyMatch(k -> k.startsWith("jobs/lent/")
-                    || k.startsWith("jobs/guest/") || k.startsWith("jobs/leave/") || k.startsWith("kitepath/void/"))) {
+                    || k.startsWith("jobs/guest/") || k.startsWith("kitepath/share/") || k.startsWith("jobs/leave/") || k.startsWith("kitepath/void/"))) {
                 seen.written(c, n, t);
             }
         });
