--- a/src/main/java/io/kitepath/cli/Main.java
+++ b/src/main/java/io/kitepath/cli/Main.java
@@ -42,7 +42,7 @@
         System.setProperty("io.netty.processId", "1");
     }
 
-    /** Starts a node, with other cells if a file names them; returns 2 for bad settings, 1 if it can't listen, 0 if it runs. */
+    /** Starts a node, with others if a cells file is given; returns 2 for bad files, 1 if it can't listen, else 0. */
     static int serve(Path file, Path cells) {
         try {
             Settings settings = Settings.read(file);
--- a/src/main/java/io/kitepath/cli/Rehearse.java
+++ b/src/main/java/io/kitepath/cli/Rehearse.java
@@ -23,11 +23,11 @@
 import picocli.CommandLine.Parameters;
 
 /** Plays cells with failures in simulated time and says what their users got. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, description = {"Plays several cells under load and failures, "
-        + "in simulated time, with this very program's controllers.", "Exits 1 if a rule broke, work was left undone, "
+@Command(name = "rehearse", mixinStandardHelpOptions = true, description = {
+    "Plays several cells under load and failures, in simulated time, with this very program's controllers.", "Exits 1 if a rule broke, work was left undone, "
         + "or less than half of a class or team was served.",
-    "Builtin plans: spill (the first cell is asked for five times as much), lost (its network, nodes and store are away "
-            + "for a minute each), seeds (random failures on a bad network)."})
+    "Builtin plans: spill (the first cell is asked for five times as much), lost (its network, nodes and store are "
+            + "away for a minute each), seeds (random failures on a bad network)."})
 final class Rehearse implements Callable<Integer> {
     private static final double HALF = 0.5;
 
@@ -116,7 +116,8 @@
                 if (!List.of("network", "nodes", "store", "holder", "freeze", "zone").contains(kind)) {
                     throw x.complaint("kind", "must be network, nodes, store, holder, freeze or zone");
                 }
-                faults.add(new Fault(kind, (int) x.integer("cell", 0, n - 1), x.number("at_s", 0), x.number("for_s", 0)));
+                faults.add(new Fault(kind, (int) x.integer("cell", 0, n - 1), x.number("at_s", 0),
+                        x.number("for_s", 0)));
             }
             return new Plan(n, (int) t.integer("machines", 1, 10_000), t.number("load", 0.01), t.numberOr("hot", 0, 1),
                     t.number("for_s", 1), t.numberOr("bad_network", 0, 0), t.has("seed") ? t.count("seed") + s - 1 : s,
@@ -139,11 +140,11 @@
         b.append("  in time:");
         r.served().forEach((k, x) -> b.append(String.format(Locale.ROOT, " %s %.3f of %d;", k, (double) x[0] / x[1],
                 x[1])));
-        b.append(String.format(Locale.ROOT, "%n  hand-overs %d, messages %.3f and changes %.3f a task; starts %.3f a task; "
-                + "submissions refused at first %d%n", r.handOvers(), (double) r.messages() / r.tasks(),
+        b.append(String.format(Locale.ROOT, "%n  hand-overs %d, messages %.3f and changes %.3f a task; starts %.3f a "
+                + "task; submissions refused at first %d%n", r.handOvers(), (double) r.messages() / r.tasks(),
                 (double) r.changes() / r.tasks(), (double) r.starts() / r.tasks(), r.refusals()));
-        b.append(String.format(Locale.ROOT, "  rules broken: %d%s; jobs not done: %d; played in %.1f s, %.0f us a start",
-                r.broken().size(), r.broken().isEmpty() ? "" : " " + r.broken().subList(0, Math.min(3,
+        b.append(String.format(Locale.ROOT,
+                "  rules broken: %d%s; jobs not done: %d; played in %.1f s, %.0f us a start", r.broken().size(), r.broken().isEmpty() ? "" : " " + r.broken().subList(0, Math.min(3,
                         r.broken().size())), r.unfinished(), r.realS(), 1e6 * r.realS() / Math.max(1, r.starts())));
         return b.toString();
     }
@@ -153,8 +154,8 @@
         b.append(String.format(Locale.ROOT, "{\"way\":\"%s\",\"seed\":%d,\"cells\":%d,\"machines\":%d,\"jobs\":%d,"
                 + "\"tasks\":%d,\"starts\":%d,\"hot_p50\":%s,\"hot_p99\":%s,\"others_p50\":%s,\"others_p99\":%s,"
                 + "\"hand_overs\":%d,\"messages\":%d,\"changes\":%d,\"refusals\":%d,\"took_s\":%.1f,\"real_s\":%.2f,"
-                + "\"broken\":%d,\"unfinished\":%d,\"served\":{", way.name().toLowerCase(Locale.ROOT), p.seed(), p.cells(),
-                p.machines(), r.jobs(), r.tasks(), r.starts(), s(r.hot(), 50), s(r.hot(), 99), s(r.others(), 50),
+                + "\"broken\":%d,\"unfinished\":%d,\"served\":{", way.name().toLowerCase(Locale.ROOT), p.seed(),
+                p.cells(), p.machines(), r.jobs(), r.tasks(), r.starts(), s(r.hot(), 50), s(r.hot(), 99), s(r.others(), 50),
                 s(r.others(), 99), r.handOvers(), r.messages(), r.changes(), r.refusals(), r.tookS(), r.realS(),
                 r.broken().size(), r.unfinished()));
         String comma = "";
--- a/src/main/java/io/kitepath/core/block/Job.java
+++ b/src/main/java/io/kitepath/core/block/Job.java
@@ -195,8 +195,8 @@
     }
 
     /**
-     * What the other cell's store says is over: its tasks are done, or ours to place again. It stays on the record until
-     * {@link #forget}.
+     * What the other cell's store says is over: its tasks are done, or ours to place again. It stays on the record
+     * until {@link #forget}.
      */
     public void close(Loan l, BitSet doneOfIt) {
         l.closed = true;
--- a/src/main/java/io/kitepath/core/block/Notes.java
+++ b/src/main/java/io/kitepath/core/block/Notes.java
@@ -30,7 +30,7 @@
         JobSpec s = job.spec;
         String tasks = waiting == 1 ? "1 task waits" : waiting + " tasks wait";
         if (block.teamUse().left(s) < (s.gang() ? s.tasks() : 1)) {
-            return tasks + ": team " + s.team() + " is at its limit";
+            return tasks + ": team " + s.team() + " is at its limit" + block.teamUse().share(s.team());
         }
         if (s.gang() && !job.live.isEmpty()) {
             return tasks + " for the rest of the last attempt to end";
--- a/src/main/java/io/kitepath/core/block/TeamUse.java
+++ b/src/main/java/io/kitepath/core/block/TeamUse.java
@@ -3,6 +3,7 @@
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.JobSpec;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 
 /** What each team's attempts take that are not proven over, against its limit. */
@@ -63,6 +64,14 @@
         return u == null ? 0 : u[1];
     }
 
+    /** For notes: what of the limit this decider may use, if that is less than the settings say. */
+    String share(String team) {
+        Facts.Team t = facts.teams().get(team);
+        boolean part = t != null && !(limits instanceof Whole) && limits.cpus(t) < Double.POSITIVE_INFINITY;
+        return part ? String.format(Locale.ROOT, "; this cell may use %.1f CPUs of it now and uses %.1f",
+                limits.cpus(t), cpus(team)) : "";
+    }
+
     /** How many more tasks of this kind the team's limit allows. */
     public int left(JobSpec s) {
         Facts.Team t = facts.teams().get(s.team());
--- a/src/main/java/io/kitepath/core/cell/CellDesk.java
+++ b/src/main/java/io/kitepath/core/cell/CellDesk.java
@@ -95,6 +95,7 @@
         this.guests = new Guests(directory.own(), block, riding, timers, this::askHolder, random);
         this.shares = new Shares(directory.own(), block, riding, timers, this::askHolder, random);
         block.teamUse().limits(shares);
+        drain(directory.here().drained());
         this.homes = new Homes(directory, store, timers);
         this.jobs = new HomeJobs(directory, registry, cells, homes::agreed);
         this.budget = new Bucket(Math.max(1, block.facts().store().writeRps() * SPILL_SHARE));
@@ -112,6 +113,7 @@
     /** Takes nothing more, and gives back what has not begun; or takes work again. */
     public void drain(boolean so) {
         guests.drain(so);
+        spill.drain(so);
     }
 
     // ---- asking ---------------------------------------------------------------------------------
@@ -228,8 +230,8 @@
             return;
         }
         spill.forget(block.jobs().keySet());
-        for (Spill.Plan p : spill.plan(queue, this::fitsHere, block.teamUse()::left, here.cpus(), neighbours.all().values(), most, now,
-                timers.wallMs())) {
+        for (Spill.Plan p : spill.plan(queue, this::fitsHere, block.teamUse()::left, here.cpus(),
+                neighbours.all().values(), most, now, timers.wallMs())) {
             budget.take(1, now);
             lending.lend(p);
         }
--- a/src/main/java/io/kitepath/core/cell/Division.java
+++ b/src/main/java/io/kitepath/core/cell/Division.java
@@ -63,8 +63,8 @@
     }
 
     /**
-     * By cell: how much it had best use, if nothing of it were in use now. A cell that uses more puts nothing new in the
-     * place of what ends, while others want it.
+     * By cell: how much it had best use, if nothing of it were in use now. A cell that uses more puts nothing new in
+     * the place of what ends, while others want it.
      */
     static Map<String, Long> fair(List<Claim> claims) {
         long all = claims.stream().mapToLong(Claim::holds).sum();
--- a/src/main/java/io/kitepath/core/cell/Guests.java
+++ b/src/main/java/io/kitepath/core/cell/Guests.java
@@ -59,7 +59,8 @@
         int untold;
         double toldAt = Double.NEGATIVE_INFINITY;
 
-        Guest(String home, long number, JobSpec spec, double submittedMs, int from, int until, long next, double since) {
+        Guest(String home, long number, JobSpec spec, double submittedMs, int from, int until, long next,
+                double since) {
             this.home = home;
             this.number = number;
             this.spec = spec;
@@ -124,7 +125,8 @@
 
     /** Tasks of other cells that are this one's to run. */
     long tasksHere() {
-        return guests.values().stream().filter(g -> g.standing == Standing.TAKEN).mapToLong(g -> g.until - g.from).sum();
+        return guests.values().stream().filter(g -> g.standing == Standing.TAKEN).mapToLong(g -> g.until - g.from)
+                .sum();
     }
 
     /** Whether the cell takes nothing more, and gives back what has not begun. */
@@ -158,7 +160,8 @@
         Tree t = Tree.of(x.value());
         JobSpec spec = JobSpec.fromRecord(t.text("job"), t.raw("spec"));
         Guest g = new Guest(t.text("home"), t.count("number"), spec, t.number("submittedMs", 0),
-                (int) t.integer("from", 0, spec.tasks()), (int) t.integer("until", 0, spec.tasks()), t.count("next"), now);
+                (int) t.integer("from", 0, spec.tasks()), (int) t.integer("until", 0, spec.tasks()), t.count("next"),
+                now);
         g.standing = Standing.valueOf(t.text("standing"));
         g.done = Base64.getDecoder().decode(t.text("done"));
         g.revision = x.revision();
@@ -218,7 +221,8 @@
     }
 
     private void take(Offer o, String key, Consumer<CellMessage> answer) {
-        Guest g = new Guest(o.home(), o.number(), o.job(), o.submittedMs(), o.from(), o.until(), o.next(), timers.now());
+        Guest g = new Guest(o.home(), o.number(), o.job(), o.submittedMs(), o.from(), o.until(), o.next(),
+                timers.now());
         answering.put(key, new ArrayList<>(List.of(answer)));
         riding.accept(new Keeper.Rider() {
             @Override
@@ -378,17 +382,12 @@
                 }
             } else if (g.job.complete()) {
                 end(g, Standing.DONE);
-            } else if (g.job.live().isEmpty() && (draining || now - g.since > lease && idle(g))) {
-                end(g, Standing.BACK);
+            } else if (g.job.live().isEmpty() && (draining || now - g.since > lease)) {
+                end(g, Standing.BACK); // Nothing of it was placed for so long that its home had better try elsewhere.
             }
         }
     }
 
-    /** Whether nothing of it was placed for so long that its home had better try elsewhere. */
-    private boolean idle(Guest g) {
-        return g.job.tasksDone() == 0 || g.job.waiting() > 0;
-    }
-
     private void tell(Guest g, double now) {
         double mostS = block.facts().workers().leaseS();
         if (g.telling || now - g.toldAt < Pace.againS(g.untold, 0.5, mostS, random)) {
--- a/src/main/java/io/kitepath/core/cell/Lending.java
+++ b/src/main/java/io/kitepath/core/cell/Lending.java
@@ -61,8 +61,8 @@
     /** Jobs whose cancellation is under way, and the revision of the record that says so. */
     private final Map<String, Long> leaving = new HashMap<>();
 
-    Lending(String own, Block block, Consumer<Keeper.Rider> riding, Timers timers, Neighbours neighbours, Spill spill, Asking asking,
-            Random random, Listener listener) {
+    Lending(String own, Block block, Consumer<Keeper.Rider> riding, Timers timers, Neighbours neighbours,
+            Spill spill, Asking asking, Random random, Listener listener) {
         this.own = own;
         this.block = block;
         this.riding = riding;
--- a/src/main/java/io/kitepath/core/cell/Shares.java
+++ b/src/main/java/io/kitepath/core/cell/Shares.java
@@ -168,8 +168,8 @@
                 h.moved[1] = t.integer("gpus", Long.MIN_VALUE, Long.MAX_VALUE);
                 for (Object o : t.list("out")) {
                     List<?> l = (List<?>) o;
-                    Out out = new Out(((Number) l.get(0)).longValue(), (String) l.get(1), ((Number) l.get(2)).intValue(),
-                            ((Number) l.get(3)).longValue());
+                    Out out = new Out(((Number) l.get(0)).longValue(), (String) l.get(1),
+                            ((Number) l.get(2)).intValue(), ((Number) l.get(3)).longValue());
                     out.written = true;
                     h.out.add(out);
                 }
--- a/src/main/java/io/kitepath/core/cell/Spill.java
+++ b/src/main/java/io/kitepath/core/cell/Spill.java
@@ -39,6 +39,7 @@
     private final Map<String, MachineType> types;
     private final Map<String, Integer> zonesOf;
     private final Random random;
+    private boolean draining;
     /** Cells that gave a job back, by job, and when that counts no more. */
     private final Map<String, Map<String, Double>> givenBack = new HashMap<>();
 
@@ -50,6 +51,10 @@
         this.random = random;
     }
 
+    void drain(boolean so) {
+        draining = so;
+    }
+
     /** Guards against work that bounces: a cell that gave it back is not asked again until that has news. */
     void gaveBack(String job, String cell, double now) {
         givenBack.computeIfAbsent(job, k -> new HashMap<>()).put(cell, now + 2 * facts.workers().leaseS());
@@ -105,6 +110,9 @@
         if (!fits) {
             return "no machine of this cell may run it";
         }
+        if (draining) {
+            return "this cell is drained";
+        }
         // What has only just come may still find room in one of the next rounds.
         if (ageS < 2 * facts.workers().reportS() || cpus > 0 && waitS < 2 * facts.workers().reportS()) {
             return null;
--- a/src/main/java/io/kitepath/core/model/Directory.java
+++ b/src/main/java/io/kitepath/core/model/Directory.java
@@ -20,10 +20,11 @@
      * One cell.
      *
      * @param home whether jobs are at home here; one that is not only lends its room
+     * @param drained whether it is being emptied: it takes nothing of others and hands over what waits
      * @param nodes addresses of its nodes by name
      * @param teams the part of each team's limits and guarantees that is this cell's
      */
-    public record Cell(String name, boolean home, List<String> zones, Map<String, String> nodes,
+    public record Cell(String name, boolean home, boolean drained, List<String> zones, Map<String, String> nodes,
             Map<String, Facts.Team> teams) {}
 
     /**
--- a/src/main/java/io/kitepath/core/place/ServiceOrder.java
+++ b/src/main/java/io/kitepath/core/place/ServiceOrder.java
@@ -17,7 +17,8 @@
  * The order in which jobs are served: work within its team's guarantee, then by priority; within that so that as many
  * jobs as possible meet what is expected of them. That is the rule of Moore and Hodgson: by the time at which a job
  * has to start, and where the work up to some job is more than the machines get done until then, the largest one so
- * far goes without; the largest of those whose class and team are not behind, as long as there is one. Guards against an overload in which, by due times alone, each job gets its turn just too late.
+ * far goes without; the largest of those whose class and team are not behind, as long as there is one. Guards against
+ * an overload in which, by due times alone, each job gets its turn just too late.
  */
 public final class ServiceOrder {
     /** A job, which of its goals is tried for, and its work in CPU seconds. */
--- a/src/main/java/io/kitepath/peers/CellWords.java
+++ b/src/main/java/io/kitepath/peers/CellWords.java
@@ -44,7 +44,7 @@
     private static JobSpec plain(JobSpec s) {
         return s == null || s.types() == null || s.types() instanceof ArrayList ? s
                 : new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.priority(), s.tasks(), s.cpus(), s.gpus(),
-                        s.memoryGb(), new ArrayList<>(s.types()), s.zone(), s.oneZone(), s.spread(), s.spot(), s.image(),
-                        s.imageGb(), s.estimateS(), s.checkpointS(), s.saveS(), s.deadlineS());
+                        s.memoryGb(), new ArrayList<>(s.types()), s.zone(), s.oneZone(), s.spread(), s.spot(),
+                        s.image(), s.imageGb(), s.estimateS(), s.checkpointS(), s.saveS(), s.deadlineS());
     }
 }
--- a/src/main/java/io/kitepath/settings/CellsFile.java
+++ b/src/main/java/io/kitepath/settings/CellsFile.java
@@ -72,7 +72,8 @@
                 addresses.put(name, at);
             }
             boolean home = !c.has("home") || c.flag("home");
-            cells.put(name, new Directory.Cell(name, home, c.texts("zones"), of, teams(c, facts)));
+            cells.put(name, new Directory.Cell(name, home, c.has("drained") && c.flag("drained"),
+                    c.texts("zones"), of, teams(c, facts)));
         }
         if (own == null) {
             throw t.complaint("cells", "no cell has this node, \"" + facts.node() + "\"");
--- a/src/main/java/io/kitepath/standin/Cellular.java
+++ b/src/main/java/io/kitepath/standin/Cellular.java
@@ -84,7 +84,8 @@
         for (String own : names) {
             Map<String, Directory.Cell> cells = new LinkedHashMap<>();
             for (String n : names) {
-                cells.put(n, new Directory.Cell(n, homes.contains(n), List.of(n + "1", n + "2"), Map.of(), parts));
+                cells.put(n, new Directory.Cell(n, homes.contains(n), false, List.of(n + "1", n + "2"), Map.of(),
+                        parts));
             }
             World w = new World(clock, this, apart ? null : new Directory(1, own, cells));
             w.teams.putAll(apart ? parts : wholes);
@@ -355,7 +356,8 @@
     public void onLoanWrites(LoanWrites seen) {
         worlds.forEach((c, w) -> w.store.written = (n, t) -> {
             if (t.writes().stream().map(Store.Write::key).anyMatch(k -> k.startsWith("jobs/lent/")
-                    || k.startsWith("jobs/guest/") || k.startsWith("kitepath/share/") || k.startsWith("jobs/leave/") || k.startsWith("kitepath/void/"))) {
+                    || k.startsWith("jobs/guest/") || k.startsWith("kitepath/share/") || k.startsWith("jobs/leave/")
+                    || k.startsWith("kitepath/void/"))) {
                 seen.written(c, n, t);
             }
         });
--- a/src/main/java/io/kitepath/standin/Node.java
+++ b/src/main/java/io/kitepath/standin/Node.java
@@ -31,8 +31,8 @@
     public Node(World w, String name) {
         this.w = w;
         this.name = name;
-        this.controller = new Controller(w.facts(name), new StoreLink(w, this), new CloudLink(w, this), this::direct, this, this,
-                new Random(7 + name.hashCode()), w.directory, w.around == null ? null : this::askCell);
+        this.controller = new Controller(w.facts(name), new StoreLink(w, this), new CloudLink(w, this), this::direct, this,
+                this, new Random(7 + name.hashCode()), w.directory, w.around == null ? null : this::askCell);
     }
 
     private void direct(String address, long token, long session, List<Order> orders, Consumer<Report> answer) {
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -99,7 +99,8 @@
     }
 
     public Node leader() {
-        return nodes.values().stream().filter(n -> n.alive && n.controller.leadsWith() == store.token()).findFirst().orElseThrow();
+        return nodes.values().stream().filter(n -> n.alive && n.controller.leadsWith() == store.token()).findFirst()
+                .orElseThrow();
     }
 
     public Worker worker(String id, String zone) {
--- a/src/test/java/io/kitepath/core/CellsTest.java
+++ b/src/test/java/io/kitepath/core/CellsTest.java
@@ -362,6 +362,17 @@
         assertEquals(0, c.world("west").onMachines(id));
     }
 
+    @Test
+    void aDrainedHomeHandsOverWhatWaits() {
+        settled(1, 10);
+        String id = array(1, 12);
+        c.run(4);
+        assertEquals(0, inWest(id), "it would be in time at home");
+        c.leader("east").controller.cells().drain(true);
+        c.until(10, () -> inWest(id) > 0);
+        allDone(id);
+    }
+
     /** The writes of one hand-over to its end, in both stores; each of them once the last one its node made. */
     @Test
     void everyWriteOfAHandOverMayBeTheLastOfItsNode() {
@@ -420,15 +431,15 @@
                 String home = i % 3 == 0 ? "west" : "east";
                 String id = x.id(home, i);
                 ids.add(id);
-                x.submitSurely(home, job(id, i % 3 == 1 ? Shape.GANG : Shape.ARRAY, i % 3 == 1 ? 3 : 30, i % 3 == 1 ? 4 : 1));
+                x.submitSurely(home, i % 3 == 1 ? job(id, Shape.GANG, 3, 4) : job(id, Shape.ARRAY, 30, 1));
                 x.run(3);
             }
             x.run(10);
             String gone = ids.get(1);
             x.until(120, () -> List.of("cancelled", "done").contains(x.cancel(x.any("east"), gone)));
             for (String id : ids) {
-                x.until(400, () -> List.of("done", "cancelled").contains(x.status(x.any(x.world("east").directory.home(id)),
-                        id)));
+                String home = x.world("east").directory.home(id);
+                x.until(400, () -> List.of("done", "cancelled").contains(x.status(x.any(home), id)));
             }
             x.run(100);
             assertEquals(List.of(), x.broken(), "seed " + seed);
--- a/src/test/java/io/kitepath/core/place/ServiceOrderTest.java
+++ b/src/test/java/io/kitepath/core/place/ServiceOrderTest.java
@@ -96,7 +96,7 @@
         job("j-2", 80, 15);
         job("j-3", 80, 20);
         // The fleet has a thousand CPUs, but of these jobs it can run only sixty tasks at once.
-        assertEquals(List.of("j-2", "j-3", "j-1"), new ServiceOrder(s -> s.spot() ? 60 : 1000, s -> 0, s -> false, 0, 0).of(jobs)
-                .stream().map(j -> j.spec.id()).toList());
+        assertEquals(List.of("j-2", "j-3", "j-1"), new ServiceOrder(s -> s.spot() ? 60 : 1000, s -> 0, s -> false, 0, 0)
+                .of(jobs).stream().map(j -> j.spec.id()).toList());
     }
 }
