--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -106,8 +106,7 @@
         this.views = new Views(facts, timers);
         this.leadership = new Leadership(facts, store, timers, random, new Leading());
         this.registry = new Registry(facts, store, timers, this::served, new Holder(), directory != null);
-        this.cells = directory == null ? null : new CellDesk(directory, block, this::ride, store, timers,
-                registry, others, random, new InCells());
+        this.cells = directory == null ? null : new InCells().desk(store, others, random);
         this.keeper = new Keeper(store, timers, block, images, new Keeping(), cells);
         this.rentals = new Rentals(block, new Fleet(block, placer), store, cloud, timers, leadership::leading,
                 this::soon);
@@ -255,6 +254,11 @@
 
     /** What the desk for other cells has to know of this node. */
     private final class InCells implements CellDesk.Node {
+        /** In here, so that nothing about other cells is loaded where there are none. */
+        CellDesk desk(Store store, Cells others, Random random) {
+            return new CellDesk(directory, block, Controller.this::ride, store, timers, registry, others, random, this);
+        }
+
         @Override
         public boolean holds() {
             return leadership.leading() && keeper.loaded() && leadership.inTouch();
--- a/src/main/java/io/kitepath/core/cell/Division.java
+++ b/src/main/java/io/kitepath/core/cell/Division.java
@@ -22,9 +22,10 @@
      * @param used what its attempts that are not proven over take
      * @param wants what its waiting work could use at once beyond that
      * @param head what the first of that needs at once
+     * @param task what one task of that needs: less is of no use to it
      * @param since when that was submitted, in milliseconds since 1970
      */
-    record Claim(String cell, long holds, long used, long wants, long head, double since) {}
+    record Claim(String cell, long holds, long used, long wants, long head, long task, double since) {}
 
     private Division() {}
 
--- a/src/main/java/io/kitepath/core/cell/Numbers.java
+++ b/src/main/java/io/kitepath/core/cell/Numbers.java
@@ -68,4 +68,9 @@
     void recorded(long atRevision) {
         revision = atRevision;
     }
+
+    @Override
+    public String toString() {
+        return record().toString();
+    }
 }
--- a/src/main/java/io/kitepath/core/cell/Shares.java
+++ b/src/main/java/io/kitepath/core/cell/Shares.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -263,7 +264,14 @@
         long head = first == null ? 0 : need(first.spec, kind, first.spec.gang() ? first.waiting() : 1);
         wants = room[kind] < head ? 0 : Math.min(wants, room[kind]);
         return new Share(t.name(), kind, holds(t, kind), used(t.name(), kind), wants, head,
-                first == null ? 0 : first.submittedMs);
+                first == null ? 0 : need(first.spec, kind, 1), first == null ? 0 : first.submittedMs);
+    }
+
+    /** What was given to the cell and is not known to have arrived. */
+    private long underWay(String team, int kind, String cell) {
+        Held h = held.get(team);
+        return h == null ? 0 : h.out.stream().filter(o -> o.kind == kind && o.to.equals(cell))
+                .mapToLong(o -> o.amount).sum();
     }
 
     // ---- giving ---------------------------------------------------------------------------------
@@ -274,7 +282,8 @@
         for (Summary s : others) {
             for (Share x : s.shares()) {
                 claims.computeIfAbsent(x.team() + '\0' + x.kind(), k -> new ArrayList<>()).add(new Claim(s.cell(),
-                        x.holds(), x.used(), x.wants(), x.head(), x.since()));
+                        x.holds() + underWay(x.team(), x.kind(), s.cell()), x.used(), x.wants(), x.head(), x.task(),
+                        x.since()));
             }
         }
         Map<String, Share> mine = new HashMap<>();
@@ -283,7 +292,7 @@
         claims.forEach((k, list) -> {
             Share x = mine.get(k);
             if (x != null && list.stream().anyMatch(c -> c.wants() > 0)) {
-                list.add(new Claim(own, x.holds(), x.used(), x.wants(), x.head(), x.since()));
+                list.add(new Claim(own, x.holds(), x.used(), x.wants(), x.head(), x.task(), x.since()));
                 give(x, list);
             }
         });
@@ -294,28 +303,27 @@
         Held h = of(x.team());
         // What was told may be a moment old; what is given must be free now.
         long usedNow = used(x.team(), x.kind());
-        long over = holds(block.facts().teams().get(x.team()), x.kind()) - Math.max(targets.get(own), usedNow);
         // What others are to have is not used here again, so that it comes free as what runs ends.
         h.cap[x.kind()] = Math.max(Math.min(targets.get(own), x.holds()), 0);
         if (claims.stream().anyMatch(c -> !c.cell().equals(own) && c.wants() > 0)) {
             h.cap[x.kind()] = Math.min(h.cap[x.kind()], Division.fair(claims).get(own));
         }
+        long mine = claims.stream().filter(c -> c.cell().equals(own)).mapToLong(c -> useful(c, targets)).sum();
+        long over = holds(block.facts().teams().get(x.team()), x.kind()) - Math.max(mine, usedNow);
         if (over <= 0 || h.writing || h.out.size() >= MOST_OUT) {
             return;
         }
         Claim to = null;
         for (Claim c : claims) {
-            long lacks = targets.get(c.cell()) - c.holds();
-            boolean onItsWay = h.out.stream().anyMatch(o -> o.to.equals(c.cell()));
-            if (!c.cell().equals(own) && lacks > 0 && !onItsWay
-                    && (to == null || lacks > targets.get(to.cell()) - to.holds())) {
+            long lacks = useful(c, targets) - c.holds();
+            if (!c.cell().equals(own) && lacks > 0 && (to == null || lacks > useful(to, targets) - to.holds())) {
                 to = c;
             }
         }
         if (to == null) {
             return;
         }
-        long amount = Math.min(over, targets.get(to.cell()) - to.holds());
+        long amount = Math.min(over, useful(to, targets) - to.holds());
         Out o = new Out((block.token() << BITS) + ++sequence, to.cell(), x.kind(), amount);
         h.moved[x.kind()] -= amount;
         h.out.add(o);
@@ -329,6 +337,13 @@
         });
     }
 
+    /** What is in use and whole tasks beyond. Guards against shares that swing to and fro in crumbs of no use to any. */
+    private static long useful(Claim c, Map<String, Long> targets) {
+        long target = targets.get(c.cell());
+        return c.wants() == 0 || c.task() == 0 ? target
+                : c.used() + Math.max(0, target - c.used()) / c.task() * c.task();
+    }
+
     /** Writes the team's record, and with it that a number of another cell's is taken. */
     private void write(Held h, String giver, Runnable then) {
         h.writing = true;
@@ -441,4 +456,15 @@
             block.change();
         });
     }
+
+    /** All that it knows and is about, for a log or a test. */
+    @Override
+    public String toString() {
+        StringBuilder b = new StringBuilder();
+        held.values().stream().sorted(Comparator.comparing(h -> h.team)).forEach(h -> {
+            b.append(h.record()).append(h.writing ? " writing" : "").append(Arrays.toString(h.coming));
+            h.out.forEach(o -> b.append(' ').append(o.number).append(o.written).append(o.asking));
+        });
+        return b.append(new TreeMap<>(taking).keySet()).append(new TreeMap<>(numbers)).toString();
+    }
 }
--- a/src/main/java/io/kitepath/core/model/CellMessage.java
+++ b/src/main/java/io/kitepath/core/model/CellMessage.java
@@ -32,9 +32,10 @@
      * @param used what its attempts that are not proven over take
      * @param wants what it could use at once beyond that
      * @param head what the first job that waits needs at once
+     * @param task what one task of that job needs
      * @param since when that was submitted, in milliseconds since 1970
      */
-    record Share(String team, int kind, long holds, long used, long wants, long head, double since) {}
+    record Share(String team, int kind, long holds, long used, long wants, long head, long task, double since) {}
 
     /** A part of a team's limit goes over, under a number that can be taken once. */
     record Grant(String from, long number, long floor, String team, int kind, long amount) implements CellMessage {}
--- a/src/test/java/io/kitepath/core/cell/DivisionTest.java
+++ b/src/test/java/io/kitepath/core/cell/DivisionTest.java
@@ -14,7 +14,7 @@
 /** Who is to have how much of a limit. */
 class DivisionTest {
     private static Claim claim(String cell, long holds, long used, long wants, long head, double since) {
-        return new Claim(cell, holds, used, wants, head, since);
+        return new Claim(cell, holds, used, wants, head, 1, since);
     }
 
     @Test
--- a/src/test/java/io/kitepath/peers/MessagesTest.java
+++ b/src/test/java/io/kitepath/peers/MessagesTest.java
@@ -64,7 +64,7 @@
         CellMessage.Room room = new CellMessage.Room(new MachineKind("m4", "a", true), 12, 0, 40, 3);
         List<CellMessage> all = List.of(new CellMessage.Elsewhere("kite-1"), new CellMessage.Elsewhere(null),
                 new CellMessage.Summary("east", "kite-0", 3, true, List.of(room), List.of(0.0, 4.5), List.of("west"),
-                        List.of(new CellMessage.Share("red", 0, 4000, 1000, 0, 0, 1.5))),
+                        List.of(new CellMessage.Share("red", 0, 4000, 1000, 0, 0, 0, 1.5))),
                 new CellMessage.Grant("east", 8, 7, "red", 1, 2000), new CellMessage.Granted(8),
                 new CellMessage.Offer("east", 1L << 40, 7, job, 1000.5, 0, 4, 2),
                 new CellMessage.Recall("east", 8, 7, true), new CellMessage.Settled(8, 9),
