--- /dev/null
+++ b/src/test/java/io/kitepath/core/place/GuaranteeTest.java
@@ -0,0 +1,75 @@
+package io.kitepath.core.place;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Spent;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Which of a team's jobs its guarantee is for, when they are more than it. */
+class GuaranteeTest {
+    private final Facts facts = new Facts("n", "a", List.of(), List.of("a"),
+            Map.of("red", new Facts.Team("red", 10, 0, 0, 0)),
+            List.of(new Facts.Objective("finished", "small", 100, 1, 0.9),
+                    new Facts.Objective("finished", "large", 100, 1, 0.9)),
+            new Facts.Workers(1, 10, 30, 5, 30), new Facts.StoreLimits(1000, 100, 8, 40), new Facts.CloudLimits(10, 2),
+            new Facts.Limits(1, 200, 1000), 5);
+    private final Block block = new Block(facts, m -> { });
+    private final Placer placer = new Placer(block, new Random(1), new Spent(() -> 0));
+
+    private Job job(String id, String of, int tasks, double submittedS) {
+        JobSpec s = new JobSpec(id, of, "red", JobSpec.Shape.ARRAY, JobSpec.Priority.LOW, tasks, 1, 0, 1, null, null,
+                false, false, false, "img", 1, 10, 0, 0, null);
+        Job j = new Job(s, 1000 * submittedS, facts.startWithinS(s), "k", 1, 256);
+        block.addJob(j);
+        return j;
+    }
+
+    private List<String> guaranteed(double nowS) {
+        placer.queue(nowS, 1000 * nowS);
+        return new ArrayList<>(block.jobs().values().stream().filter(Job::guaranteed).map(j -> j.spec.id()).toList());
+    }
+
+    @Test
+    void whatFittedWhenItCameKeepsItsWordAndThenTheLeastWorkComes() {
+        job("j-1", "large", 6, 0);
+        assertEquals(List.of("j-1"), guaranteed(1));
+        job("j-2", "large", 7, 1);
+        job("j-3", "small", 3, 2);
+        job("j-4", "small", 2, 3);
+        // Ten CPUs: six are promised; of the others the smallest, which came last.
+        assertEquals(List.of("j-1", "j-4"), guaranteed(4));
+    }
+
+    @Test
+    void whatIsLateWhateverItGetsComesLast() {
+        job("j-1", "large", 9, 0);
+        job("j-2", "large", 9, 50);
+        assertEquals(List.of("j-1"), guaranteed(60));
+        assertEquals(List.of("j-2"), guaranteed(101));
+    }
+
+    @Test
+    void aClassThatGotTooLittleComesBeforeLesserWork() {
+        job("j-0", "small", 10, 0);
+        guaranteed(1);
+        job("j-1", "large", 8, 90);
+        job("j-2", "small", 3, 90);
+        assertEquals(List.of("j-2"), guaranteed(101));
+        for (int i = 10; i < 16; i++) {
+            block.served().look(List.of(job("j-" + i, "large", 100, -10)), 101_000);
+        }
+        for (int i = 20; i < 40; i++) {
+            block.served().done(job("j-" + i, "small", 1, 95), 101_000);
+            block.dropJob(block.jobs().get("j-" + i));
+        }
+        assertEquals(List.of("j-1"), guaranteed(101));
+    }
+}
