--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -97,13 +97,8 @@
         }
         // Guards against an overload in which a team's guarantee goes to its oldest jobs, all of which become late one
         // behind the other: what fitted when it came has its word; then those with the least work left come first, as
-        // most of them can be in time, and before them those of a class or team that got too little that way; what is
-        // past all that is expected of it takes what the others leave.
-        Map<Job, Integer> turn = new HashMap<>();
-        for (Job j : jobs) {
-            turn.put(j, j.missed() ? 3 : j.fittedWhenItCame() ? 0 : block.served().behind(j.spec) ? 1 : 2);
-        }
-        jobs.sort(Comparator.comparing((Job j) -> turn.get(j))
+        // most of them can be in time; what is past all that is expected of it takes what the others leave.
+        jobs.sort(Comparator.comparingInt((Job j) -> j.missed() ? 2 : j.fittedWhenItCame() ? 0 : 1)
                 .thenComparingDouble(j -> j.missed() || j.fittedWhenItCame() ? j.submittedMs
                         : j.left() * j.spec.cpus() * j.spec.estimateS()));
         claimed.clear();
