A node that is back at once ends its earlier process's lease instead of waiting for it

A process that led and was back before its lease ran out read its own name in the leader's record and took it for somebody else: it named itself as leader, workers were sent to it, and nobody placed anything until the lease was over. The record now says which process holds it, since when and on which lease; a later process of the same name ends it, an earlier one stands back, so two under one name can't end each other's leases in turns. Questions to a process that is gone are given up with its connection, check-ins relayed to it are asked again of the one with the higher token, and a node whose addresses are taken ends before it claims anything.

--- a/src/main/java/io/kitepath/cli/Node.java
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -61,11 +61,11 @@
         WorkersApi workers = new WorkersApi(controller);
         HttpServer server = new HttpServer((request, out) -> route(controller, users, workers, request, out),
                 MAX_BODY, facts.limits().sockets() * 3 / 4, 60);
-        loop.submit(() -> {
-            peers.start(controller, settings.internal());
-            controller.start();
-        }).sync();
+        // Guards the leader's lease against a second process started by mistake: one whose addresses are taken must end
+        // before it says in the store that it is this node now.
+        loop.submit(() -> peers.start(controller, settings.internal())).sync().getNow().sync();
         server.listen(group, settings.listen()).sync();
+        loop.submit(controller::start).sync();
         LOG.info("{} listens on {}", facts.node(), settings.listen());
     }
 
--- a/src/main/java/io/kitepath/core/lead/Leadership.java
+++ b/src/main/java/io/kitepath/core/lead/Leadership.java
@@ -17,6 +17,9 @@
  * Who leads, and with which token. The leader's key and its block hang on a lease; taking them raises the
  * stored token in the same transaction, so two nodes never hold the same one. What a former leader may still
  * send to the store fails, because its writes depend on the revision of a key that is gone.
+ *
+ * <p>A process that ended while it led and is back before its lease ran out knows that nobody renews it any more, and
+ * ends it; see {@link Incarnation}.
  */
 public final class Leadership {
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
@@ -45,8 +48,11 @@
     private String leader;
     private long highest;
     private boolean campaigning;
+    private final Incarnation incarnation;
     /** When the store last answered us. */
     private double servedAt;
+    /** A process that was started later leads under our name. */
+    private boolean twin;
 
     public Leadership(Facts facts, Store store, Timers timers, Random random, Listener listener) {
         this.facts = facts;
@@ -57,6 +63,7 @@
         // Short against the workers' lease, so that a new leader is there well before their work is given up.
         this.lifeS = Math.max(2, facts.workers().reportS());
         this.servedAt = timers.now();
+        this.incarnation = new Incarnation(facts.node(), timers.wallMs(), random);
     }
 
     public void start() {
@@ -94,7 +101,7 @@
         if (seen > highest) {
             highest = seen;
             if (by != null && !leading) {
-                follows(by);
+                follows(by, true);
             }
         }
         if (leading && seen > token) {
@@ -112,6 +119,7 @@
         }
         leading = false;
         leader = null;
+        store.revoke(lease); // Nobody need wait for it to run out.
         LOG.info("no longer leader with token {}: {}", token, why);
         listener.lost(why);
     }
@@ -150,6 +158,7 @@
         Tree t = Tree.of(value);
         long held = t.count("token");
         String node = t.text("node");
+        boolean higher = held > highest;
         highest = Math.max(highest, held);
         if (leading && held == token) {
             leader = facts.node();
@@ -160,11 +169,30 @@
                 stepDown(node + " leads with token " + held);
             }
         }
-        follows(node);
+        switch (incarnation.judge(node, t.numberOr("since", 0, 0), t.textOr("life", ""))) {
+            case OTHER -> follows(node, higher);
+            case ENDED -> {
+                // Guards against a node that names itself as leader while it leads nothing: siblings send workers to
+                // it, and nobody places anything until a lease that no process holds has run out.
+                leader = null;
+                if (t.has("lease")) {
+                    LOG.info("an earlier process of this node led with token {}: its lease is ended", held);
+                    store.revoke(t.count("lease"));
+                }
+            }
+            case TWIN -> {
+                leader = null;
+                if (!twin) {
+                    LOG.error("another process that was started later leads as {}: this one stands back", node);
+                }
+                twin = true;
+            }
+        }
     }
 
-    private void follows(String node) {
-        boolean news = !node.equals(leader);
+    /** {@code anew}: its token is higher than all that we knew, so it may have ended and be back since. */
+    private void follows(String node, boolean anew) {
+        boolean news = anew || !node.equals(leader);
         leader = node;
         if (news) {
             LOG.debug("{} leads with token {}", node, highest);
@@ -177,7 +205,10 @@
             stepDown("our key is gone");
         }
         leader = null;
-        timers.after(random.nextDouble() * 0.1, this::campaign);
+        // One that has a twin leaves the others the time to come first, each time: the two never end each other's
+        // lease in turns, since only the later one ever ends one, and this one does not race with it.
+        double patience = twin ? lifeS : 0;
+        timers.after(patience + random.nextDouble() * 0.1, this::campaign);
     }
 
     private double retryS() {
@@ -218,6 +249,9 @@
         Map<String, Object> key = new LinkedHashMap<>();
         key.put("node", facts.node());
         key.put("token", next);
+        key.put("lease", id);
+        key.put("since", incarnation.sinceMs());
+        key.put("life", incarnation.life());
         Map<String, Object> block = new LinkedHashMap<>();
         block.put("machines", "all");
         block.put("holder", facts.node());
--- a/src/main/java/io/kitepath/core/serve/CheckInDesk.java
+++ b/src/main/java/io/kitepath/core/serve/CheckInDesk.java
@@ -51,8 +51,11 @@
     private long received;
     private long relayed;
 
-    /** A check-in that waits for a leader: while nobody was known to lead ({@code asked} null), or for one's answer. */
-    private record Parked(Report report, String asked, Consumer<CheckIn> answer) {}
+    /**
+     * A check-in that waits for a leader: while nobody was known to lead ({@code asked} null), or for one's answer.
+     * {@code token}: the highest that was known then.
+     */
+    private record Parked(Report report, String asked, long token, Consumer<CheckIn> answer) {}
 
     /** A check-in whose answer waits a moment, so that work placed meanwhile starts at once. */
     private record Held(Consumer<CheckIn> answer, List<Order> orders, long token) {}
@@ -165,7 +168,7 @@
             answer.accept(CheckIn.elsewhere(null));
             return null;
         }
-        Parked p = new Parked(report, asked, answer);
+        Parked p = new Parked(report, asked, leadership.highest(), answer);
         Parked older = parked.put(report.machine(), p);
         if (older != null) {
             older.answer.accept(CheckIn.elsewhere(null));
@@ -182,11 +185,14 @@
         }
     }
 
-    /** Another leader is known: what waits for one, or for the answer of the last one, goes to it. */
+    /**
+     * Another leader is known: what waits for one, or for the answer of the last one, goes to it. The last one may have
+     * had the same name: a process that ended and is back has forgotten what it was asked.
+     */
     public void leaderKnown() {
         String leader = leadership.leader();
         for (Parked p : new ArrayList<>(parked.values())) {
-            if (p.asked == null || !p.asked.equals(leader)) {
+            if (p.asked == null || !p.asked.equals(leader) || p.token < leadership.highest()) {
                 parked.remove(p.report.machine(), p);
                 checkIn(p.report, p.answer);
             }
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -51,11 +51,14 @@
     private final String node;
     private final Map<String, InetSocketAddress> addresses;
     private final Map<String, Channel> channels = new HashMap<>();
-    private final Map<Long, Consumer<CheckIn>> asks = new LinkedHashMap<>();
-    private final Map<Long, Consumer<List<Progress>>> progressAsks = new LinkedHashMap<>();
+    private final Map<Long, Asked<CheckIn>> asks = new LinkedHashMap<>();
+    private final Map<Long, Asked<List<Progress>>> progressAsks = new LinkedHashMap<>();
     private Controller controller;
     private long asked;
 
+    /** A question that was sent on that connection, and what it is answered with when there is no answer. */
+    private record Asked<T>(Channel channel, Consumer<T> answer, T none) {}
+
     /** {@code cells}: whether nodes of other cells may ask something. */
     public Peers(EventLoopGroup loop, String node, Map<String, InetSocketAddress> addresses, boolean cells) {
         this.messages = new Messages(cells);
@@ -91,6 +94,8 @@
                 channels.put(sibling, connecting.channel());
                 connecting.channel().closeFuture().addListener(x -> {
                     channels.remove(sibling);
+                    lost(connecting.channel(), asks);
+                    lost(connecting.channel(), progressAsks);
                     reconnect(sibling, 0);
                 });
             } else {
@@ -99,6 +104,15 @@
         });
     }
 
+    /**
+     * Guards against questions that wait their whole time for a process that is gone, while the one that took its place
+     * a fraction of a second later, under its name, has never heard of them.
+     */
+    private static <T> void lost(Channel ch, Map<Long, Asked<T>> asked) {
+        asked.entrySet().stream().filter(e -> e.getValue().channel == ch).map(Map.Entry::getKey).toList()
+                .forEach(n -> settle(asked, n, asked.get(n).none));
+    }
+
     private void reconnect(String sibling, int failures) {
         long ms = Math.min(3000, 250L << Math.min(4, failures)) + Math.floorMod(System.nanoTime() / 1000, 200);
         loop.schedule(() -> connect(sibling, failures), ms, TimeUnit.MILLISECONDS);
@@ -131,17 +145,17 @@
             return false;
         }
         long number = ++asked;
-        asks.put(number, answer);
+        asks.put(number, new Asked<>(ch, answer, new CheckIn(0, List.of(), null)));
         send(ch, new Messages.Ask(number, report, passOn));
         loop.schedule(() -> settle(asks, number, new CheckIn(0, List.of(), null)), RELAY_MS, TimeUnit.MILLISECONDS);
         return true;
     }
 
     /** Answers what waits under that number, unless it has been answered or given up already. */
-    private static <T> void settle(Map<Long, Consumer<T>> asked, long number, T with) {
-        Consumer<T> answer = asked.remove(number);
-        if (answer != null) {
-            answer.accept(with);
+    private static <T> void settle(Map<Long, Asked<T>> asked, long number, T with) {
+        Asked<T> a = asked.remove(number);
+        if (a != null) {
+            a.answer.accept(with);
         }
     }
 
@@ -153,7 +167,7 @@
             return;
         }
         long number = ++asked;
-        progressAsks.put(number, answer);
+        progressAsks.put(number, new Asked<>(ch, answer, List.of()));
         send(ch, new Messages.AskProgress(number, jobs));
         loop.schedule(() -> settle(progressAsks, number, List.of()), PROGRESS_MS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/io/kitepath/standin/Node.java
+++ b/src/main/java/io/kitepath/standin/Node.java
@@ -27,12 +27,16 @@
     public final Set<String> cutFrom = new HashSet<>();
     /** What it asked of the store, watches apart. */
     public int requests;
+    /** The process ends once it has sent that many; what it sent arrives all the same. */
+    public int endsAfter = Integer.MAX_VALUE;
+    /** Told when it ends that way. */
+    public Runnable ended = () -> { };
 
     public Node(World w, String name) {
         this.w = w;
         this.name = name;
         this.controller = new Controller(w.facts(name), new StoreLink(w, this), new CloudLink(w, this), this::direct, this,
-                this, new Random(7 + name.hashCode()), w.directory, w.around == null ? null : this::askCell);
+                this, new Random(7 + name.hashCode() + 31L * (w.started.merge(name, 1, Integer::sum) - 1)), w.directory, w.around == null ? null : this::askCell);
     }
 
     private void direct(String address, long token, long session, List<Order> orders, Consumer<Report> answer) {
@@ -60,6 +64,14 @@
         alive = false;
     }
 
+    /** It sends a request to the store. */
+    void asks() {
+        if (alive && ++requests >= endsAfter) {
+            crash();
+            ended.run();
+        }
+    }
+
     @Override
     public double now() {
         return w.clock.now;
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -40,6 +40,8 @@
     public final MemoryStore store = new MemoryStore(this);
     public final MemoryCloud cloud = new MemoryCloud();
     public final Map<String, Node> nodes = new LinkedHashMap<>();
+    /** How many processes have been started under each node's name. */
+    final Map<String, Integer> started = new HashMap<>();
     public final Map<String, Worker> workers = new TreeMap<>();
     /** Jobs that fail on every machine. */
     public final Set<String> mistaken = new HashSet<>();
@@ -167,16 +169,4 @@
         return workers.values().stream().filter(w -> w.up).flatMap(w -> w.tasks.values().stream())
                 .filter(t -> t.job.equals(job) && t.state != State.ENDED).count();
     }
-
-    // ---- controllers ----------------------------------------------------------------------------
-
-
-    // ---- the store ------------------------------------------------------------------------------
-
-
-    // ---- the cloud ------------------------------------------------------------------------------
-
-
-    // ---- workers --------------------------------------------------------------------------------
-
 }
