Who falls behind is known before it is missed, over takeovers, and claims guarantees first

A class or team counted as behind only by jobs past all that was expected of them: for a class that has minutes, when hundreds were late for certain. Jobs that still wait after half of the time in which they may count now as endangered; of classes that are behind the one that gets the most goes without first; their jobs claim what is left of a guarantee before the small ones. Counts are in a record twice a lease, so that a takeover does not reset them, and in the log each minute and when a holder ends.

--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -49,6 +49,8 @@
 public final class Controller {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final double TICK_S = 0.25;
+    /** A minute. */
+    private static final int SUMMARY_TICKS = 240;
 
     final Facts facts;
     private final Timers timers;
@@ -220,6 +222,7 @@
 
         @Override
         public void lost(String why) {
+            LOG.info(block.served().summary());
             keeper.stop();
             block.yield();
             desk.releaseAll();
@@ -317,7 +320,11 @@
         double began = timers.now();
         rentals.tend(keeper.loaded() && leadership.inTouch());
         spent.on(On.PLANNING, began);
-        if (LOG.isDebugEnabled() && ++ticks % 20 == 0) {
+        ticks++;
+        if (ticks % SUMMARY_TICKS == 0) {
+            LOG.info(block.served().summary());
+        }
+        if (LOG.isDebugEnabled() && ticks % 20 == 0) {
             LOG.debug("{} rounds={} writes={} checkins={} busy={}", Figures.summary(block, checkIns, placer),
                     keeper.rounds(), keeper.written(), desk.received(), String.format("%.1f", roundS) + spent);
         }
--- a/src/main/java/io/kitepath/core/block/Block.java
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -187,13 +187,6 @@
     }
 
     public void addJob(Job job) {
-        add(job);
-        if (!job.guest) {
-            served.came(job);
-        }
-    }
-
-    private void add(Job job) {
         jobs.put(job.spec.id(), job);
         LOG.debug("job {} of {}: {} tasks of {} CPUs, image {}", job.spec.id(), job.spec.jobClass(), job.spec.tasks(),
                 job.spec.cpus(), job.spec.image());
@@ -204,7 +197,7 @@
     /** A job that is over and has records of its tasks left: something of it may still be on machines. */
     public void addOver(Job job) {
         job.over = true;
-        add(job);
+        addJob(job);
     }
 
     /**
--- a/src/main/java/io/kitepath/core/block/Served.java
+++ b/src/main/java/io/kitepath/core/block/Served.java
@@ -2,20 +2,29 @@
 
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Tree;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * How much of what each class and each team asked for was served, as far as this holder has seen: done within the most
- * generous time that is expected of it. Guards against an overload in which the number of jobs in time is as large as
- * can be, and all that go without are of one class or one team: a class of which less than half is served counts as an
- * outage to its users, however well the others do.
+ * How much of what each class and each team asked for was served: done within the most generous time that is expected
+ * of it. Guards against an overload in which the number of jobs in time is as large as can be, and all that go without
+ * are of one class or one team: a class of which less than half is served counts as an outage to its users, however
+ * well the others do.
+ *
+ * <p>What is decided already says too little, too late: of a class whose jobs have minutes, the first misses are counted
+ * when hundreds of jobs can't be in time any more. So jobs that have used half of the time in which they may wait, and
+ * still do, count as if they had been missed; see {@link Group#share}.
  */
 public final class Served {
     private static final Logger LOG = LoggerFactory.getLogger(Served.class);
@@ -29,11 +38,16 @@
     private static final double ENOUGH = 4;
     /** Users name the classes, so there may be any number of them. */
     private static final int MOST = 1000;
+    /** Of the time that a job may wait and still be in time, the part after which it counts as endangered. */
+    private static final double ENDANGERED = 0.5;
+    /** What one group takes in the record, in bytes of its JSON form, besides its name. */
+    private static final int GROUP_BYTES = 64;
 
     /** One class or team. Counts are of jobs. */
     public static final class Group {
         private final String name;
-        private long submitted;
+        private long undecided;
+        private long endangered;
         private long inTime;
         private long done;
         private long missed;
@@ -45,8 +59,14 @@
             this.name = name;
         }
 
+        /** Decided, or open now. */
         public long submitted() {
-            return submitted;
+            return inTime + missed + undecided;
+        }
+
+        /** Open, and not likely to be in time any more unless others go without for them. */
+        public long endangered() {
+            return endangered;
         }
 
         /** Done within what is expected. */
@@ -64,9 +84,9 @@
             return missed;
         }
 
-        /** Of the jobs decided lately, what was served; 1 while none is. */
+        /** Of the jobs decided lately and those endangered now, what was served; 1 while there are none. */
         public double share() {
-            return decided == 0 ? 1 : served / decided;
+            return decided + endangered == 0 ? 1 : served / (decided + endangered);
         }
 
         private void decide(boolean intoTime) {
@@ -74,18 +94,27 @@
             decided = decided * FADES + 1;
             inTime += intoTime ? 1 : 0;
             missed += intoTime ? 0 : 1;
-            boolean now = decided >= ENOUGH && share() < (behind ? CAUGHT_UP : FLOOR);
+        }
+
+        private void weigh() {
+            boolean now = decided + endangered >= ENOUGH && share() < (behind ? CAUGHT_UP : FLOOR);
             if (now != behind) {
                 behind = now;
-                LOG.warn("{} {}: {} of {} jobs decided were served in time, {} submitted", name,
-                        now ? "is behind" : "has caught up", inTime, inTime + missed, submitted);
+                LOG.warn("{} {}: {} of {} jobs decided were served in time, {} endangered of {} open", name,
+                        now ? "is behind" : "has caught up", inTime, inTime + missed, endangered, undecided);
             }
         }
+
+        private double standing() {
+            return behind ? share() : 1;
+        }
     }
 
     private final Facts facts;
     private final Map<String, Group> classes = new LinkedHashMap<>();
     private final Map<String, Group> teams = new LinkedHashMap<>();
+    /** What was missed up to then, by the time of day, has been counted by an earlier holder. */
+    private double countedUntilMs;
 
     Served(Facts facts) {
         this.facts = facts;
@@ -94,6 +123,7 @@
     void clear() {
         classes.clear();
         teams.clear();
+        countedUntilMs = 0;
     }
 
     private static Group group(Map<String, Group> in, String kind, String name) {
@@ -116,34 +146,140 @@
         }
     }
 
-    void came(Job job) {
-        each(job.spec, g -> g.submitted++);
+    /**
+     * Looks at all jobs there are. Those that are past all that was expected of them are decided now, whenever they will
+     * be done.
+     *
+     * @param leadS how long jobs of a kind take from placing to running
+     */
+    public void look(Collection<Job> jobs, ToDoubleFunction<JobSpec> leadS, double wallMs) {
+        all().forEach(g -> {
+            g.undecided = 0;
+            g.endangered = 0;
+        });
+        for (Job j : jobs) {
+            if (j.over || j.guest) {
+                continue;
+            }
+            double withinS = facts.servedWithinS(j.spec);
+            miss(j, withinS, wallMs);
+            if (!j.missed) {
+                double mayWaitS = withinS - j.spec.estimateS() - leadS.applyAsDouble(j.spec);
+                boolean endangered = j.waiting() > 0 && wallMs > j.submittedMs + 1000 * ENDANGERED * mayWaitS;
+                each(j.spec, g -> {
+                    g.undecided++;
+                    g.endangered += endangered ? 1 : 0;
+                });
+            }
+        }
+        all().forEach(Group::weigh);
     }
 
-    /** Jobs that are past all that was expected of them are decided now, whenever they will be done. */
-    public void look(Collection<Job> jobs, double wallMs) {
-        for (Job j : jobs) {
-            if (!j.over && !j.guest && !j.missed && wallMs > j.submittedMs + 1000 * facts.servedWithinS(j.spec)) {
-                j.missed = true;
+    private void miss(Job j, double withinS, double wallMs) {
+        double until = j.submittedMs + 1000 * withinS;
+        if (!j.missed && wallMs > until) {
+            j.missed = true;
+            if (until > countedUntilMs) {
                 each(j.spec, g -> g.decide(false));
             }
         }
     }
 
+    private List<Group> all() {
+        List<Group> all = new ArrayList<>(classes.values());
+        all.addAll(teams.values());
+        return all;
+    }
+
     /** The store has it that the job is done. */
     public void done(Job job, double wallMs) {
-        look(List.of(job), wallMs);
+        miss(job, facts.servedWithinS(job.spec), wallMs);
         each(job.spec, g -> g.done++);
         if (!job.missed) {
             each(job.spec, g -> g.decide(true));
         }
     }
 
-    /** Whether the job's class or team is served so little that others of its rank go without before it. */
-    public boolean behind(JobSpec s) {
+    /**
+     * 1, or the share that the job's class or team gets, the lower one, if that is so little that others of its rank go
+     * without before it.
+     */
+    public double standing(JobSpec s) {
         Group c = classes.get(s.jobClass());
         Group t = teams.get(s.team());
-        return c != null && c.behind || t != null && t.behind;
+        return Math.min(c == null ? 1 : c.standing(), t == null ? 1 : t.standing());
+    }
+
+    // ---- for the next holder ---------------------------------------------------------------------
+
+    /**
+     * What the next holder has to know. Guards against counts that begin anew with each holder: on a day with many ends
+     * nobody would ever be behind. Those with the most jobs decided, as many as a value may hold.
+     */
+    public Map<String, Object> record(double wallMs) {
+        Map<String, Object> out = new LinkedHashMap<>();
+        out.put("untilMs", wallMs);
+        double left = facts.store().valueKb() * 1024 * 0.45;
+        out.put("classes", records(classes, left));
+        out.put("teams", records(teams, left));
+        return out;
+    }
+
+    private static Map<String, Object> records(Map<String, Group> of, double bytes) {
+        Map<String, Object> out = new LinkedHashMap<>();
+        double left = bytes;
+        for (Map.Entry<String, Group> e : of.entrySet().stream().sorted(Comparator.comparingLong(
+                (Map.Entry<String, Group> e) -> -e.getValue().inTime - e.getValue().missed)).toList()) {
+            Group g = e.getValue();
+            left -= GROUP_BYTES + e.getKey().length();
+            if (left < 0 || g.inTime + g.missed == 0) {
+                break;
+            }
+            out.put(e.getKey(), List.of(g.inTime, g.done, g.missed, Math.round(1000 * g.served),
+                    Math.round(1000 * g.decided)));
+        }
+        return out;
+    }
+
+    /**
+     * Goes on from what an earlier holder counted.
+     *
+     * @throws io.kitepath.core.model.Malformed if that is not a record of it
+     */
+    public void restore(Object record) {
+        Tree t = Tree.of(record);
+        countedUntilMs = t.number("untilMs", 0);
+        restore(t, "classes", "class", classes);
+        restore(t, "teams", "team", teams);
+    }
+
+    private static void restore(Tree record, String field, String kind, Map<String, Group> into) {
+        if (!(record.raw(field) instanceof Map<?, ?> groups)) {
+            return;
+        }
+        groups.forEach((name, counts) -> {
+            if (name instanceof String n && counts instanceof List<?> l && l.size() == 5
+                    && l.stream().allMatch(Number.class::isInstance)) {
+                Group g = group(into, kind, n);
+                if (g != null) {
+                    g.inTime = ((Number) l.get(0)).longValue();
+                    g.done = ((Number) l.get(1)).longValue();
+                    g.missed = ((Number) l.get(2)).longValue();
+                    g.served = ((Number) l.get(3)).doubleValue() / 1000;
+                    g.decided = ((Number) l.get(4)).doubleValue() / 1000;
+                }
+            }
+        });
+    }
+
+    /** For the log: by class and team, what was in time of what was decided, and what is open and endangered. */
+    public String summary() {
+        StringBuilder b = new StringBuilder("served in time:");
+        for (Group g : all()) {
+            b.append(String.format(Locale.ROOT, " %s %d of %d, %d open, %d endangered;", g.name, g.inTime,
+                    g.inTime + g.missed, g.undecided, g.endangered));
+        }
+        return b.toString();
     }
 
     /** By name, for operators. */
@@ -157,13 +293,6 @@
 
     /** The lowest share of all classes and teams. */
     public double leastShare() {
-        double least = 1;
-        for (Group g : classes.values()) {
-            least = Math.min(least, g.share());
-        }
-        for (Group g : teams.values()) {
-            least = Math.min(least, g.share());
-        }
-        return least;
+        return all().stream().mapToDouble(Group::share).min().orElse(1);
     }
 }
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -13,6 +13,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -51,7 +52,7 @@
     /** Unfinished jobs with work to place, in the order in which they are served. */
     public List<Job> queue(double now, double wallMs) {
         double began = spent.now();
-        block.served().look(block.jobs().values(), wallMs);
+        block.served().look(block.jobs().values(), s -> block.leads().mostS(s.jobClass()), wallMs);
         markGuaranteed();
         Map<MachineKind, Integer> open = new HashMap<>();
         for (Machine m : block.machines().values()) {
@@ -66,7 +67,7 @@
             (block.failures().mistaken(j, now) ? mistaken : good).add(j);
         }
         List<Job> order = new ServiceOrder(s -> capacity(s, open), s -> block.leads().mostS(s.jobClass()),
-                block.served()::behind, now, wallMs).of(good);
+                block.served()::standing, now, wallMs).of(good);
         mistaken.removeIf(j -> j.waiting() == 0);
         order.addAll(mistaken);
         spent.on(On.ORDERING, began);
@@ -97,8 +98,13 @@
         }
         // Guards against an overload in which a team's guarantee goes to its oldest jobs, all of which become late one
         // behind the other: what fitted when it came has its word; then those with the least work left come first, as
-        // most of them can be in time; what is past all that is expected of it takes what the others leave.
+        // most of them can be in time; what is past all that is expected of it takes what the others leave. Where a
+        // class or team gets too little, its jobs come before other unpromised ones, the least served first: else the
+        // class with the largest jobs would never have its turn.
+        Map<Job, Double> standing = new IdentityHashMap<>();
+        jobs.forEach(j -> standing.put(j, block.served().standing(j.spec)));
         jobs.sort(Comparator.comparingInt((Job j) -> j.missed() ? 2 : j.fittedWhenItCame() ? 0 : 1)
+                .thenComparingDouble(j -> j.missed() || j.fittedWhenItCame() ? 0 : standing.get(j))
                 .thenComparingDouble(j -> j.missed() || j.fittedWhenItCame() ? j.submittedMs
                         : j.left() * j.spec.cpus() * j.spec.estimateS()));
         claimed.clear();
--- a/src/main/java/io/kitepath/core/place/ServiceOrder.java
+++ b/src/main/java/io/kitepath/core/place/ServiceOrder.java
@@ -10,19 +10,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 /**
  * The order in which jobs are served: work within its team's guarantee, then by priority; within that so that as many
  * jobs as possible meet what is expected of them. That is the rule of Moore and Hodgson: by the time at which a job
  * has to start, and where the work up to some job is more than the machines get done until then, the largest one so
- * far goes without; the largest of those whose class and team are not behind, as long as there is one. Guards against
- * an overload in which, by due times alone, each job gets its turn just too late.
+ * far goes without; the largest of those whose class and team are not behind, as long as there is one, then of those
+ * that get the most. Guards against an overload in which, by due times alone, each job gets its turn just too late.
  */
 public final class ServiceOrder {
     /** A job, which of its goals is tried for, and its work in CPU seconds. */
-    private record Entry(Job job, int goal, double work, double leadMs, boolean behind) {
+    private record Entry(Job job, int goal, double work, double leadMs, double standing) {
         /** By when it has to be placed, to run by the time that its goal says. */
         double startMs() {
             return job.goalMs(goal) - leadMs;
@@ -31,8 +30,8 @@
 
     private final ToDoubleFunction<JobSpec> capacity;
     private final ToDoubleFunction<JobSpec> lead;
-    /** Whether a job's class or team got so little lately that others go without before it. */
-    private final Predicate<JobSpec> behind;
+    /** 1, or below it if a job's class or team gets so little that others go without before it. */
+    private final ToDoubleFunction<JobSpec> standing;
     private final double now;
     private final double wallMs;
     /** CPU seconds of waiting work that goes before what is looked at. */
@@ -46,13 +45,14 @@
      *
      * @param capacity how many CPUs such jobs can use at once, were all machines theirs
      * @param lead how many seconds pass between placing and running
-     * @param behind whether the job's class or team got so little lately that others go without before it
+     * @param standing 1, or the share that the job's class or team gets if that is so little that others of a higher one
+     *     go without before it
      */
-    ServiceOrder(ToDoubleFunction<JobSpec> capacity, ToDoubleFunction<JobSpec> lead, Predicate<JobSpec> behind,
+    ServiceOrder(ToDoubleFunction<JobSpec> capacity, ToDoubleFunction<JobSpec> lead, ToDoubleFunction<JobSpec> standing,
             double now, double wallMs) {
         this.capacity = capacity;
         this.lead = lead;
-        this.behind = behind;
+        this.standing = standing;
         this.now = now;
         this.wallMs = wallMs;
     }
@@ -97,13 +97,13 @@
         for (Job j : jobs) {
             if (!j.over() && j.waiting() > 0) {
                 aim(new Entry(j, -1, j.spec.cpus() * j.spec.estimateS() * j.waiting(),
-                        1000 * lead.applyAsDouble(j.spec), behind.test(j.spec)), tried, last);
+                        1000 * lead.applyAsDouble(j.spec), standing.applyAsDouble(j.spec)), tried, last);
             }
         }
         while (!tried.isEmpty()) {
             tried.sort(Comparator.comparingDouble(Entry::startMs).thenComparingDouble(e -> e.job.submittedMs)
                     .thenComparing(e -> e.job.spec.id()));
-            PriorityQueue<Entry> largest = new PriorityQueue<>(Comparator.comparing(Entry::behind)
+            PriorityQueue<Entry> largest = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.standing)
                     .thenComparingDouble(e -> -e.work).thenComparing(e -> e.job.spec.id()));
             List<Entry> without = new ArrayList<>();
             for (Entry e : tried) {
@@ -111,7 +111,7 @@
                 ahead += e.work;
                 double doneMs = e.startMs() + e.job.spec.estimateS() * 1000;
                 double room = room(e.job.spec, (doneMs - wallMs) / 1000);
-                if (e.behind && e.work > room) {
+                if (e.standing < 1 && e.work > room) {
                     // Nobody goes without for what can't be in time in any case.
                     largest.remove(e);
                     ahead -= e.work;
@@ -144,7 +144,7 @@
             goal++;
         }
         if (goal < e.job.goals()) {
-            tried.add(new Entry(e.job, goal, e.work, e.leadMs, e.behind));
+            tried.add(new Entry(e.job, goal, e.work, e.leadMs, e.standing));
         } else {
             last.add(e.job);
         }
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -54,6 +54,9 @@
     private boolean loaded;
     private double loadingSince;
     private Round round;
+    /** What an earlier holder counted as served, if that was read in time; the record that was written last. */
+    private Object servedBefore;
+    private double servedAt;
     private long rounds;
     private long written;
 
@@ -168,6 +171,12 @@
         loaded = false;
         round = null;
         riders.clear();
+        servedBefore = null;
+        store.get(Keys.SERVED, (outcome, entry) -> {
+            if (e == epoch && outcome == Outcome.OK) {
+                servedBefore = entry.value();
+            }
+        });
         new Reading(store, timers, elsewhere != null, () -> e != epoch).read(found -> {
             if (found != null && adopt(found)) {
                 readImages(e);
@@ -196,6 +205,13 @@
     private boolean adopt(Reading.Found found) {
         double now = timers.now();
         block.forgetJobs();
+        if (servedBefore != null) {
+            try {
+                block.served().restore(servedBefore);
+            } catch (Malformed bad) {
+                LOG.error("record {} is unreadable: {}", Keys.SERVED, bad.getMessage());
+            }
+        }
         found.open().forEach(this::opened);
         if (elsewhere != null) {
             elsewhere.adopt(found);
@@ -309,6 +325,9 @@
             Store.Write due = images.due(block.machines().values(), now);
             if (due != null) {
                 r.transaction.put(due.key(), due.value());
+            } else if (now - servedAt > facts.workers().leaseS() / 2) {
+                servedAt = now;
+                r.transaction.put(Keys.SERVED, block.served().record(timers.wallMs()));
             }
         }
         if (r.transaction.writes().isEmpty()) {
--- a/src/main/java/io/kitepath/core/state/Keys.java
+++ b/src/main/java/io/kitepath/core/state/Keys.java
@@ -11,6 +11,8 @@
     public static final String TYPES = "kitepath/types";
     /** Which machines have which images, in a few records. */
     public static final String IMAGES = "kitepath/images/";
+    /** What was served in time, by class and team, for the next holder. */
+    public static final String SERVED = "kitepath/served";
     /** Jobs that are accepted and neither done nor cancelled. */
     public static final String OPEN = "jobs/open/";
     /** Jobs that are over, kept for ever. */
