--- a/src/main/java/io/kitepath/core/block/Served.java
+++ b/src/main/java/io/kitepath/core/block/Served.java
@@ -35,7 +35,7 @@
     /** How much an older job counts for each one decided after it: what counts is about the last 256. */
     private static final double FADES = 1 - 1.0 / 256;
     /** Decided jobs from which on a share says something. */
-    private static final double ENOUGH = 4;
+    private static final double ENOUGH = 8;
     /** Users name the classes, so there may be any number of them. */
     private static final int MOST = 1000;
     /** Of the time that a job may wait and still be in time, the part after which it counts as endangered. */
@@ -48,6 +48,8 @@
         private final String name;
         private long undecided;
         private long endangered;
+        /** Open, in time so far, and all placed. */
+        private long underWay;
         private long inTime;
         private long done;
         private long missed;
@@ -84,9 +86,16 @@
             return missed;
         }
 
-        /** Of the jobs decided lately and those endangered now, what was served; 1 while there are none. */
+        /**
+         * Of the jobs decided lately, those that are all placed and those endangered now, what was served or probably
+         * will be; 1 while there are none.
+         */
         public double share() {
-            return decided + endangered == 0 ? 1 : served / (decided + endangered);
+            return weight() == 0 ? 1 : (served + underWay) / weight();
+        }
+
+        private double weight() {
+            return decided + underWay + endangered;
         }
 
         private void decide(boolean intoTime) {
@@ -97,7 +106,7 @@
         }
 
         private void weigh() {
-            boolean now = decided + endangered >= ENOUGH && share() < (behind ? CAUGHT_UP : FLOOR);
+            boolean now = weight() >= ENOUGH && share() < (behind ? CAUGHT_UP : FLOOR);
             if (now != behind) {
                 behind = now;
                 LOG.warn("{} {}: {} of {} jobs decided were served in time, {} endangered of {} open", name,
@@ -156,6 +165,7 @@
         all().forEach(g -> {
             g.undecided = 0;
             g.endangered = 0;
+            g.underWay = 0;
         });
         for (Job j : jobs) {
             if (j.over || j.guest) {
@@ -165,10 +175,12 @@
             miss(j, withinS, wallMs);
             if (!j.missed) {
                 double mayWaitS = withinS - j.spec.estimateS() - leadS.applyAsDouble(j.spec);
-                boolean endangered = j.waiting() > 0 && wallMs > j.submittedMs + 1000 * ENDANGERED * mayWaitS;
+                boolean waits = j.waiting() > 0;
+                boolean endangered = waits && wallMs > j.submittedMs + 1000 * ENDANGERED * mayWaitS;
                 each(j.spec, g -> {
                     g.undecided++;
                     g.endangered += endangered ? 1 : 0;
+                    g.underWay += waits ? 0 : 1;
                 });
             }
         }
