--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -336,6 +336,7 @@
         ticks++;
         if (ticks % SUMMARY_TICKS == 0) {
             LOG.info(block.served().summary());
+            LOG.info(Figures.summary(block, checkIns, placer));
         }
         if (LOG.isDebugEnabled() && ticks % 20 == 0) {
             LOG.debug("{} rounds={} writes={} checkins={} busy={}", Figures.summary(block, checkIns, placer),
--- a/src/main/java/io/kitepath/core/block/Served.java
+++ b/src/main/java/io/kitepath/core/block/Served.java
@@ -23,15 +23,18 @@
  * well the others do.
  *
  * <p>What is decided already says too little, too late: of a class whose jobs have minutes, the first misses are counted
- * when hundreds of jobs can't be in time any more. So jobs that have used half of the time in which they may wait, and
+ * when hundreds of jobs can't be in time any more. So jobs that have used most of the time in which they may wait, and
  * still do, count as if they had been missed; see {@link Group#share}.
  */
 public final class Served {
     private static final Logger LOG = LoggerFactory.getLogger(Served.class);
-    /** The share below which a class or team is behind, well above the half that it must never fall under. */
-    public static final double FLOOR = 0.65;
+    /**
+     * The share below which a class or team is behind, above the half that it must never fall under. What is endangered
+     * may still be served, so the share that comes of it is higher.
+     */
+    public static final double FLOOR = 0.55;
     /** Above which it is not any more. */
-    private static final double CAUGHT_UP = 0.75;
+    private static final double CAUGHT_UP = 0.6;
     /** How much an older job counts for each one decided after it: what counts is about the last 256. */
     private static final double FADES = 1 - 1.0 / 256;
     /** Decided jobs from which on a share says something. */
@@ -39,7 +42,7 @@
     /** Users name the classes, so there may be any number of them. */
     private static final int MOST = 1000;
     /** Of the time that a job may wait and still be in time, the part after which it counts as endangered. */
-    private static final double ENDANGERED = 0.5;
+    private static final double ENDANGERED = 0.6;
     /** What one group takes in the record, in bytes of its JSON form, besides its name. */
     private static final int GROUP_BYTES = 64;
 
