Duties are held under leases; whoever has the duty asks the cloud for what the holder put down

Each duty has a key on its node's lease and a stored token that rises; nodes prefer different ones, the first in a duty's order takes it, one that the cloud does not answer gives it away. Asking the cloud is the first (Carrier): it goes by the records, proves by its own clock that the duty is its own right before each call, and puts down what came of it; the block's holder takes that in and strikes it off.

--- a/src/main/java/io/kitepath/cli/Node.java
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -29,6 +29,9 @@
     private static final int MAX_BODY = 160 * 1024;
     private static final int MAX_ANSWER = 2 * 1024 * 1024;
 
+    /** The leader's key, duties, open jobs, acts twice where holder and duty are one node, and wishes to leave. */
+    private static final int WATCHES = 6;
+
     private final Settings settings;
     /** Null without other cells. */
     private final CellsFile cells;
@@ -48,7 +51,7 @@
         long timeoutMs = Math.round(Math.min(1000, facts.workers().reportS() * 500));
         HttpStore store = new HttpStore(new HttpClient(loop, settings.state(), 8, MAX_ANSWER),
                 new HttpClient(loop, settings.state(), 2, MAX_ANSWER),
-                new HttpClient(loop, settings.state(), 3, MAX_ANSWER), timeoutMs);
+                new HttpClient(loop, settings.state(), WATCHES, MAX_ANSWER), timeoutMs);
         HttpCloud cloud = new HttpCloud(new HttpClient(loop, settings.cloud(), 3, MAX_ANSWER), 3000);
         Peers peers = new Peers(group, facts.node(), settings.siblings(), cells != null);
         // The seed only spreads probes and retries of different nodes and runs.
--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -4,9 +4,12 @@
 import io.kitepath.core.block.CheckIns;
 import io.kitepath.core.block.Job;
 import io.kitepath.core.cell.CellDesk;
+import io.kitepath.core.duty.Carrier;
+import io.kitepath.core.duty.Duties;
 import io.kitepath.core.duty.Intents;
 import io.kitepath.core.fleet.Fleet;
 import io.kitepath.core.fleet.Rentals;
+import io.kitepath.core.lead.Incarnation;
 import io.kitepath.core.lead.Leadership;
 import io.kitepath.core.lead.Views;
 import io.kitepath.core.model.CheckIn;
@@ -68,6 +71,8 @@
     private final Takeover takeover;
     private final Rentals rentals;
     final Intents intents;
+    private final Carrier carrier;
+    private final Duties duties;
     private final Registry registry;
     /** Null without other cells. */
     private final CellDesk cells;
@@ -109,13 +114,17 @@
         this.takeover = new Takeover(block);
         this.placer = new Placer(block, random, spent);
         this.views = new Views(facts, timers);
-        this.leadership = new Leadership(facts, store, timers, random, new Leading());
+        Incarnation incarnation = new Incarnation(facts.node(), timers.wallMs(), random);
+        this.leadership = new Leadership(facts, store, timers, random, incarnation, new Leading());
         this.registry = new Registry(facts, store, timers, this::served, new Holder(), directory != null);
         this.cells = directory == null ? null : new InCells().desk(store, others, random);
         this.keeper = new Keeper(store, timers, block, images, new Keeping(), cells);
         this.intents = new Intents(block, timers, this::ride);
         this.rentals = new Rentals(block, new Fleet(block, placer), intents, store, cloud, timers, leadership::leading,
                 this::soon);
+        this.carrier = new Carrier(facts, store, cloud, timers, random, leadership.lifeS());
+        this.duties = new Duties(facts, store, timers, random, incarnation, leadership.lifeS(), List.of(carrier));
+        carrier.heldBy(duties);
         this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, siblings, timers, spent, this::soon);
         this.retries = new RetryPace(facts, timers);
         registry.onCancelled(job -> {
@@ -127,6 +136,7 @@
     public void start() {
         leadership.start();
         rentals.learnTypes();
+        duties.start();
         if (cells != null) {
             cells.start();
         }
@@ -194,6 +204,17 @@
         all.put("intents.taken.over", Figure.total("and those that it took over from earlier holders",
                 intents::takenOver));
         all.put("intents.backlog", Figure.now("rentals and returns that the cloud has not settled", intents::backlog));
+        all.put("duty.cloud.calls", Figure.total("rentals and returns asked of the cloud by this node",
+                carrier::called));
+        all.put("duty.cloud.failed", Figure.total("of those, refused or not answered", carrier::failed));
+        all.put("duty.fenced", Figure.total("times that nothing was done since the lease of duties was not certain",
+                duties::fenced));
+        for (Duties.Seat d : duties.seats()) {
+            all.put("duty." + d.name() + ".here", Figure.now("whether this node has the duty", () -> d.mine() ? 1 : 0));
+            all.put("duty." + d.name() + ".token", Figure.now("the token of whoever has it", d::token));
+            all.put("duty." + d.name() + ".hand.overs", Figure.total("times that it was seen to change hands",
+                    d::handOvers));
+        }
         all.put("takeover.read", Figure.now("seconds from winning the lease until the jobs were read",
                 takeover::readS));
         all.put("takeover.reported", Figure.now("seconds from winning the lease until nearly all machines had reported",
@@ -254,8 +275,13 @@
         }
 
         @Override
-        public void intended(List<Entry> rents, List<Entry> goings) {
-            intents.adopt(rents, goings);
+        public void intended(List<Entry> acts) {
+            intents.adopt(acts);
+        }
+
+        @Override
+        public void acted(Entry act) {
+            intents.changed(act);
         }
 
         /** Reads everything again, under the same token. */
--- /dev/null
+++ b/src/main/java/io/kitepath/core/duty/Carrier.java
@@ -0,0 +1,235 @@
+package io.kitepath.core.duty;
+
+import io.kitepath.core.model.Bucket;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.port.Cloud;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Store.Transaction;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.state.Keys;
+import io.kitepath.core.state.Pages;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Carries out at the cloud what the block's holder has put down, and puts down what came of it. It decides nothing: what
+ * is on record is asked for, again and again until the cloud has said yes or no, under the name that is on record.
+ */
+public final class Carrier implements Duties.Work {
+    private static final Logger LOG = LoggerFactory.getLogger(Carrier.class);
+    /** Of the cloud's call rate; lists, types and the other nodes take the rest. */
+    private static final double RATE_SHARE = 0.6;
+
+    private final Store store;
+    private final Cloud cloud;
+    private final Timers timers;
+    private final Random random;
+    private final Bucket calls;
+    private final double lifeS;
+    private final Map<String, Act> acts = new LinkedHashMap<>();
+    private Duties duties;
+    private long epoch;
+    private String dutyKey;
+    private long dutyRevision;
+    private double failingSince = Double.NaN;
+    private long called;
+    private long failed;
+
+    /** One record that is not settled. */
+    private static final class Act {
+        private final Intent intent;
+        private boolean asking;
+        private int failures;
+        private double notBefore;
+
+        Act(Intent intent) {
+            this.intent = intent;
+        }
+    }
+
+    /** {@code lifeS}: of the duty's lease. */
+    public Carrier(Facts facts, Store store, Cloud cloud, Timers timers, Random random, double lifeS) {
+        this.store = store;
+        this.cloud = cloud;
+        this.timers = timers;
+        this.random = random;
+        this.lifeS = lifeS;
+        this.calls = new Bucket(facts.cloud().rps() * RATE_SHARE);
+    }
+
+    /** Who says whether the duty is held. */
+    public void heldBy(Duties d) {
+        duties = d;
+    }
+
+    @Override
+    public String name() {
+        return "cloud";
+    }
+
+    @Override
+    public void begin(String key, long revision, long token) {
+        dutyKey = key;
+        dutyRevision = revision;
+        failingSince = Double.NaN;
+        read(++epoch);
+    }
+
+    @Override
+    public void end() {
+        epoch++;
+        acts.clear();
+    }
+
+    /** Calls made, and those that were refused or not answered. */
+    public long called() {
+        return called;
+    }
+
+    public long failed() {
+        return failed;
+    }
+
+    /** What is on record here and not settled. */
+    public int backlog() {
+        return acts.size();
+    }
+
+    // ---- what is on record ----------------------------------------------------------------------
+
+    private void read(long e) {
+        Pages.read(store, timers, Keys.ACT, 3, l -> {
+            if (e != epoch) {
+                return;
+            }
+            if (l.outcome() != Outcome.OK) {
+                timers.after(0.3, () -> read(e));
+                return;
+            }
+            acts.clear();
+            l.entries().forEach(this::found);
+            follow(e, l.revision());
+        });
+    }
+
+    private void follow(long e, long from) {
+        if (e != epoch) {
+            return;
+        }
+        store.follow(Keys.ACT, from, (long) (lifeS * 2000), c -> {
+            if (e != epoch) {
+                return;
+            }
+            if (c.outcome() == Outcome.OK) {
+                c.events().forEach(this::found);
+                tick(timers.now());
+                follow(e, Math.max(from, c.revision()));
+            } else if (c.outcome() == Outcome.NO) {
+                read(e);
+            } else {
+                timers.after(0.3, () -> follow(e, from));
+            }
+        });
+    }
+
+    private void found(Entry x) {
+        if (x.value() == null) {
+            acts.remove(x.key());
+            return;
+        }
+        try {
+            Intent i = Intent.read(x);
+            Act a = acts.get(x.key());
+            if (i.settled()) {
+                acts.remove(x.key());
+            } else if (a == null || a.intent.revision() < x.revision()) {
+                acts.put(x.key(), new Act(i));
+            }
+        } catch (Malformed | ClassCastException bad) {
+            LOG.error("record {} is unreadable: {}", x.key(), bad.getMessage());
+        }
+    }
+
+    // ---- asking ---------------------------------------------------------------------------------
+
+    @Override
+    public void tick(double now) {
+        for (Act a : new ArrayList<>(acts.values())) {
+            // Last of all, right before the call: whether the duty is still ours.
+            if (!a.asking && now >= a.notBefore && calls.available(now) >= 1 && duties.holds(this)) {
+                calls.take(1, now);
+                ask(a);
+            }
+        }
+    }
+
+    @Override
+    public boolean fit(double now) {
+        return Double.isNaN(failingSince) || now - failingSince < 2 * lifeS || acts.isEmpty();
+    }
+
+    private void ask(Act a) {
+        a.asking = true;
+        called++;
+        long e = epoch;
+        if (a.intent instanceof Rental r) {
+            cloud.rent(r.name, r.kind, r.count, (outcome, machines) ->
+                    answered(e, a, outcome, i -> ((Rental) i).settle(outcome == Outcome.OK ? machines : List.of())));
+        } else {
+            Going g = (Going) a.intent;
+            // A refusal of a release proves nothing; only the cloud's yes does.
+            cloud.release(g.machines, outcome ->
+                    answered(e, a, outcome == Outcome.NO ? Outcome.REFUSED : outcome, i -> ((Going) i).settle()));
+        }
+    }
+
+    private void answered(long e, Act a, Outcome outcome, Consumer<Intent> settle) {
+        a.asking = false;
+        if (e != epoch || acts.get(a.intent.key) != a) {
+            return; // Whoever has the duty now asks again, under the same name.
+        }
+        double now = timers.now();
+        if (outcome != Outcome.OK && outcome != Outcome.NO) {
+            failed++;
+            failingSince = Double.isNaN(failingSince) ? now : failingSince;
+            a.notBefore = now + Math.min(2, 0.1 * (1 << Math.min(5, a.failures++))) * (0.5 + random.nextDouble());
+            return;
+        }
+        failingSince = Double.NaN;
+        settle.accept(a.intent);
+        a.asking = true; // Until what came of it is on record.
+        write(e, a);
+    }
+
+    private void write(long e, Act a) {
+        if (e != epoch) {
+            return;
+        }
+        Transaction t = new Transaction().when(dutyKey, dutyRevision).when(a.intent.key, a.intent.revision());
+        if (a.intent instanceof Rental r && r.machines().isEmpty()) {
+            t.remove(r.key); // Nothing came of it: the holder sees it gone, and need not write any more.
+        } else {
+            t.put(a.intent.key, a.intent.record());
+        }
+        store.commit(t, c -> {
+            if (e != epoch) {
+                return;
+            }
+            switch (c.outcome()) {
+                // Struck off or settled already, also by a try of ours whose answer was lost: the records tell.
+                case NO -> read(++epoch);
+                case OK -> acts.remove(a.intent.key, a);
+                default -> timers.after(0.1 + 0.1 * random.nextDouble(), () -> write(e, a));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/duty/Duties.java
@@ -0,0 +1,399 @@
+package io.kitepath.core.duty;
+
+import io.kitepath.core.lead.Incarnation;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Tree;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Store.Transaction;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.state.Keys;
+import io.kitepath.core.state.Pages;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which node has which duty. A node has one lease in the store, on which the keys of all its duties hang; each time that
+ * one is taken, the duty's stored token rises. Nodes prefer different duties, so that they are spread; the first in a
+ * duty's order takes it at once, the others ever later, and whoever has it keeps it: nothing moves for the order's sake.
+ *
+ * <p>Holding is proven by this node's own clock ({@link #holds}), from the moment at which the last renewal was asked
+ * for: a process that stood still finds out before it acts. What it sent before still arrives; that is harmless, since
+ * its writes depend on the revision of a key that is gone, and what it asked of the cloud is on record for its successor.
+ */
+public final class Duties {
+    private static final Logger LOG = LoggerFactory.getLogger(Duties.class);
+    /** Steady clocks of two machines drift apart by up to half of that. */
+    private static final double DRIFT = 0.001;
+    private static final double TICK_S = 0.25;
+
+    /** What a duty does while it is held here. */
+    public interface Work {
+        /** The duty's name, which is part of its key. */
+        String name();
+
+        /** It is held from now on; writes depend on the key's revision. */
+        void begin(String key, long revision, long token);
+
+        /** It is held no more, or not for certain. */
+        void end();
+
+        /** Called again and again while it is held for certain. */
+        void tick(double now);
+
+        /** Whether this node can do it. One that can't gives it away, and leaves it to others for a while. */
+        boolean fit(double now);
+    }
+
+    /** One duty, as this node sees it. */
+    public static final class Seat {
+        private final Work work;
+        private final String key;
+        private String holder;
+        private long token;
+        private long revision;
+        private double since;
+        private boolean mine;
+        private boolean claiming;
+        /** Until when it is left to others. */
+        private double unfitUntil;
+        private int givenAway;
+        private long handOvers;
+
+        private Seat(Work work) {
+            this.work = work;
+            this.key = Keys.DUTY + work.name();
+        }
+
+        public String name() {
+            return work.name();
+        }
+
+        /** The node that has it, or null. */
+        public String holder() {
+            return holder;
+        }
+
+        public long token() {
+            return token;
+        }
+
+        public boolean mine() {
+            return mine;
+        }
+
+        /** How often it changed hands since this node started, as far as it saw. */
+        public long handOvers() {
+            return handOvers;
+        }
+    }
+
+    private final Facts facts;
+    private final Store store;
+    private final Timers timers;
+    private final Random random;
+    private final Incarnation incarnation;
+    private final double lifeS;
+    private final Map<String, Seat> seats = new LinkedHashMap<>();
+    private final List<String> nodes = new ArrayList<>();
+    private long lease;
+    private boolean granting;
+    private double renewedAt = Double.NEGATIVE_INFINITY;
+    private boolean retired;
+    private long fenced;
+
+    /** {@code lifeS}: of the lease, in seconds. */
+    public Duties(Facts facts, Store store, Timers timers, Random random, Incarnation incarnation, double lifeS,
+            List<Work> works) {
+        this.facts = facts;
+        this.store = store;
+        this.timers = timers;
+        this.random = random;
+        this.incarnation = incarnation;
+        this.lifeS = lifeS;
+        works.forEach(w -> seats.put(Keys.DUTY + w.name(), new Seat(w)));
+        nodes.add(facts.node());
+        facts.siblings().stream().filter(s -> !s.equals(facts.node())).forEach(nodes::add);
+        nodes.sort(null);
+    }
+
+    public void start() {
+        look();
+        tick();
+    }
+
+    /** Gives all duties back at once, and takes none any more: the node is being stopped. */
+    public void retire() {
+        retired = true;
+        lose("the node is being stopped");
+        if (lease != 0) {
+            store.revoke(lease);
+            lease = 0;
+        }
+    }
+
+    public List<Seat> seats() {
+        return List.copyOf(seats.values());
+    }
+
+    /** How often something was not done because the lease could not be proven any more. */
+    public long fenced() {
+        return fenced;
+    }
+
+    /** Whether the duty is held here for certain, to be asked right before each act. */
+    public boolean holds(Work work) {
+        Seat s = seats.get(Keys.DUTY + work.name());
+        boolean certain = s.mine && timers.now() - renewedAt < lifeS * (1 - DRIFT);
+        fenced += s.mine && !certain ? 1 : 0;
+        return certain;
+    }
+
+    // ---- who has what ---------------------------------------------------------------------------
+
+    private void look() {
+        if (retired) {
+            return;
+        }
+        Pages.read(store, timers, Keys.DUTY, 3, l -> {
+            if (l.outcome() != Outcome.OK) {
+                timers.after(lifeS / 4 + random.nextDouble() * 0.3, this::look);
+                return;
+            }
+            Map<String, Entry> there = new LinkedHashMap<>();
+            l.entries().forEach(e -> there.put(e.key(), e));
+            seats.values().forEach(s -> heard(s, there.get(s.key)));
+            follow(l.revision());
+        });
+    }
+
+    private void follow(long from) {
+        if (retired) {
+            return;
+        }
+        store.follow(Keys.DUTY, from, (long) (lifeS * 2000), c -> {
+            if (c.outcome() != Outcome.OK) {
+                timers.after(c.outcome() == Outcome.NO ? 0.01 : lifeS / 4 + random.nextDouble() * 0.3, this::look);
+                return;
+            }
+            for (Entry e : c.events()) {
+                Seat s = seats.get(e.key());
+                if (s != null) {
+                    heard(s, e.value() == null ? null : e);
+                }
+            }
+            if (c.events().isEmpty()) {
+                // Nothing said for long: what is not heard of may have been missed in an outage.
+                look();
+            } else {
+                follow(Math.max(from, c.revision()));
+            }
+        });
+    }
+
+    private void heard(Seat s, Entry e) {
+        if (e == null) {
+            if (s.mine) {
+                lose(s, "its key is gone");
+            }
+            s.holder = null;
+            claimLater(s);
+            return;
+        }
+        if (e.revision() <= s.revision) {
+            return; // Known, or older than that.
+        }
+        Tree t;
+        try {
+            t = Tree.of(e.value());
+            String node = t.text("node");
+            long token = t.count("token");
+            if (t.textOr("life", "").equals(incarnation.life()) && t.count("lease") == lease) {
+                // Ours, though we heard no answer when we took it.
+                won(s, e.revision(), token);
+                return;
+            }
+            if (s.mine) {
+                lose(s, node + " has it with token " + token);
+            }
+            if (incarnation.judge(node, t.numberOr("since", 0, 0), t.textOr("life", ""))
+                    == Incarnation.Holder.ENDED) {
+                store.revoke(t.count("lease"));
+            }
+            took(s, node, token);
+            s.revision = e.revision();
+        } catch (Malformed bad) {
+            LOG.error("record {} is unreadable: {}", e.key(), bad.getMessage());
+        }
+    }
+
+    private void took(Seat s, String node, long token) {
+        if (!node.equals(s.holder) || token != s.token) {
+            s.handOvers++;
+            s.since = timers.now();
+        }
+        s.holder = node;
+        s.token = token;
+    }
+
+    // ---- taking and losing ----------------------------------------------------------------------
+
+    /** This node's place in the duty's order: each duty begins with another node. */
+    private int place(Seat s) {
+        int ordinal = new ArrayList<>(seats.keySet()).indexOf(s.key);
+        return Math.floorMod(nodes.indexOf(facts.node()) - ordinal - 1, nodes.size());
+    }
+
+    private void claimLater(Seat s) {
+        if (s.claiming || retired) {
+            return;
+        }
+        s.claiming = true;
+        double unfit = Math.max(0, s.unfitUntil - timers.now());
+        timers.after(place(s) * lifeS / 4 + unfit + random.nextDouble() * 0.05, () -> {
+            if (s.holder != null || s.mine || retired) {
+                s.claiming = false;
+                return;
+            }
+            withLease(() -> claim(s), () -> s.claiming = false);
+        });
+    }
+
+    private void withLease(Runnable then, Runnable orElse) {
+        if (lease != 0) {
+            then.run();
+            return;
+        }
+        if (granting) {
+            timers.after(0.05, () -> withLease(then, orElse));
+            return;
+        }
+        granting = true;
+        double asked = timers.now();
+        store.grant((long) (lifeS * 1000), (outcome, id) -> {
+            granting = false;
+            if (outcome == Outcome.OK) {
+                lease = id;
+                renewedAt = asked;
+                renewLater(id);
+                then.run();
+            } else {
+                orElse.run();
+                timers.after(lifeS / 4 + random.nextDouble() * 0.3, this::look);
+            }
+        });
+    }
+
+    private void claim(Seat s) {
+        String tokenKey = Keys.DUTY_TOKEN + s.name();
+        store.get(tokenKey, (got, entry) -> {
+            if (got != Outcome.OK && got != Outcome.NO || s.holder != null || lease == 0) {
+                s.claiming = false;
+                timers.after(lifeS / 4 + random.nextDouble() * 0.3, this::look);
+                return;
+            }
+            long next = Math.max(s.token, got == Outcome.OK ? Tree.of(entry.value()).count("token") : 0) + 1;
+            Map<String, Object> key = new LinkedHashMap<>();
+            key.put("node", facts.node());
+            key.put("token", next);
+            key.put("lease", lease);
+            key.put("since", incarnation.sinceMs());
+            key.put("life", incarnation.life());
+            store.commit(new Transaction().when(s.key, 0).when(tokenKey, got == Outcome.OK ? entry.revision() : 0)
+                    .put(s.key, key, lease).put(tokenKey, Map.of("token", next)), c -> {
+                s.claiming = false;
+                if (c.outcome() == Outcome.OK && lease != 0) {
+                    won(s, c.revision(), next);
+                } else if (c.outcome() != Outcome.OK) {
+                    // Whoever has it, this node too if the answer was lost, is heard of.
+                    timers.after(random.nextDouble() * 0.1, this::look);
+                }
+            });
+        });
+    }
+
+    private void won(Seat s, long revision, long token) {
+        if (s.mine && s.revision == revision) {
+            return;
+        }
+        s.mine = true;
+        s.revision = revision;
+        took(s, facts.node(), token);
+        LOG.info("duty {} is done here, with token {}", s.name(), token);
+        s.work.begin(s.key, revision, token);
+    }
+
+    private void lose(String why) {
+        seats.values().forEach(s -> lose(s, why));
+    }
+
+    private void lose(Seat s, String why) {
+        if (s.mine) {
+            s.mine = false;
+            s.holder = null;
+            LOG.info("duty {} is not done here any more, after {} s: {}", s.name(), Math.round(timers.now() - s.since),
+                    why);
+            s.work.end();
+        }
+    }
+
+    private void renewLater(long id) {
+        timers.after(lifeS / 5, () -> {
+            if (lease != id) {
+                return;
+            }
+            double asked = timers.now();
+            store.renew(id, outcome -> {
+                if (lease != id) {
+                    return;
+                }
+                if (outcome == Outcome.NO) {
+                    lease = 0;
+                    lose("the lease ended");
+                    look();
+                    return;
+                }
+                if (outcome == Outcome.OK) {
+                    renewedAt = asked;
+                }
+                renewLater(id);
+            });
+        });
+    }
+
+    // ---- doing ----------------------------------------------------------------------------------
+
+    private void tick() {
+        double now = timers.now();
+        for (Seat s : seats.values()) {
+            if (s.mine && holds(s.work)) {
+                if (s.work.fit(now)) {
+                    s.work.tick(now);
+                } else {
+                    giveAway(s, now);
+                }
+            }
+        }
+        if (!retired) {
+            timers.after(TICK_S, this::tick);
+        }
+    }
+
+    /**
+     * Guards against a duty that nobody does because its holder is the one node that the cloud does not answer. Each time
+     * that it proves unfit it leaves the duty to others for longer, so that it does not go round in an outage of all.
+     */
+    private void giveAway(Seat s, double now) {
+        s.unfitUntil = now + lifeS * 5 * (1 << Math.min(5, s.givenAway++));
+        long at = s.revision;
+        lose(s, "it can't be done from here");
+        store.commit(new Transaction().when(s.key, at).remove(s.key), c -> { });
+    }
+}
--- a/src/main/java/io/kitepath/core/duty/Going.java
+++ b/src/main/java/io/kitepath/core/duty/Going.java
@@ -15,6 +15,8 @@
 public final class Going extends Intent {
     public final List<String> machines;
     private final long token;
+    /** The cloud has confirmed that they are gone. */
+    private boolean gone;
 
     Going(String name, List<String> machines, long token) {
         super(Keys.GOING + name);
@@ -30,6 +32,7 @@
         }
         Going g = new Going(e.key().substring(Keys.GOING.length()), l.stream().map(String.class::cast).toList(),
                 t.count("token"));
+        g.gone = t.has("gone");
         g.recorded(e.revision());
         return g;
     }
@@ -39,6 +42,18 @@
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("machines", machines);
         m.put("token", token);
+        if (gone) {
+            m.put("gone", true);
+        }
         return m;
     }
+
+    @Override
+    public boolean settled() {
+        return gone;
+    }
+
+    void settle() {
+        gone = true;
+    }
 }
--- a/src/main/java/io/kitepath/core/duty/Intent.java
+++ b/src/main/java/io/kitepath/core/duty/Intent.java
@@ -1,22 +1,37 @@
 package io.kitepath.core.duty;
 
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.state.Keys;
 import java.util.Map;
 
-/** An act outside the store that is on record before it is done. */
+/** An act outside the store that is on record before it is done, and until whoever wanted it knows what came of it. */
 public abstract class Intent {
     final String key;
     /** Of its record; 0 while there is none. */
     private long revision;
-    private boolean asking;
 
     Intent(String key) {
         this.key = key;
     }
 
+    /** Reads a record; throws {@link Malformed} if it is none. */
+    static Intent read(Entry e) {
+        if (e.key().startsWith(Keys.RENT)) {
+            return Rental.read(e);
+        }
+        if (e.key().startsWith(Keys.GOING)) {
+            return Going.read(e);
+        }
+        throw new Malformed("is not an act that this version knows");
+    }
+
     abstract Map<String, Object> record();
 
-    /** Whether it is on record, so that it may be asked for. */
-    public boolean recorded() {
+    /** Whether the cloud has said what came of it. */
+    public abstract boolean settled();
+
+    boolean recorded() {
         return revision > 0;
     }
 
@@ -27,13 +42,4 @@
     void recorded(long at) {
         revision = at;
     }
-
-    /** Whether the cloud has been asked and has not answered. */
-    public boolean asking() {
-        return asking;
-    }
-
-    public void asking(boolean underWay) {
-        asking = underWay;
-    }
 }
--- a/src/main/java/io/kitepath/core/duty/Intents.java
+++ b/src/main/java/io/kitepath/core/duty/Intents.java
@@ -21,12 +21,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What the holder has asked, or is about to ask, of the cloud. The cloud knows no tokens: a request of a holder that
- * was replaced may run minutes after its successor acted. So every request is on record first, under the block's
- * revision, and whoever holds the block next goes by the records:
+ * What the block's holder wants of the cloud. The cloud knows no tokens: a request of a node that was replaced may run
+ * minutes after its successor acted. So every wish is on record first, under the block's revision; whoever has the duty
+ * ({@link Carrier}) asks for what is on record and puts down what came of it; and the holder, this one or the next,
+ * strikes it off when it need not be known any more:
  * <ul>
  *   <li>a rental whose outcome is not known is asked for again under the very same name, for which the cloud rents
- *   nothing twice, before anything else is rented;
+ *   nothing twice, and nothing else is rented before it is settled;
  *   <li>a rental whose machines may not be on the cloud's list yet says which they are, so that nothing is rented again
  *   for a need that they meet;
  *   <li>a machine that goes takes no work from anybody, until the cloud has confirmed that it is gone.
@@ -42,6 +43,8 @@
     private final Facts facts;
     private final Timers timers;
     private final Consumer<Keeper.Rider> ride;
+    private Consumer<Rental> rented = r -> { };
+    private Consumer<List<String>> gone = m -> { };
     private final Map<String, Rental> rentals = new LinkedHashMap<>();
     private final Map<String, Going> goings = new LinkedHashMap<>();
     /** Machines of the goings. */
@@ -72,39 +75,77 @@
         going.clear();
     }
 
+    /** Who is told what came of rentals, and which machines are gone for certain. */
+    public void listeners(Consumer<Rental> whenRented, Consumer<List<String>> whenGone) {
+        rented = whenRented;
+        gone = whenGone;
+    }
+
     /** Takes over what earlier holders put down, or this one before it read everything again. */
-    public void adopt(List<Entry> rents, List<Entry> returns) {
+    public void adopt(List<Entry> records) {
         forget();
-        double now = timers.now();
-        double wallMs = timers.wallMs();
-        for (Entry e : returns) {
-            read(e, () -> {
-                Going g = Going.read(e);
+        for (Entry e : records) {
+            Intent i = read(e);
+            if (i instanceof Going g) {
                 goings.put(g.key, g);
                 going.addAll(g.machines);
                 g.machines.forEach(block::goes);
-            });
-        }
-        for (Entry e : rents) {
-            read(e, () -> {
-                Rental r = Rental.read(e);
+            } else if (i instanceof Rental r) {
                 rentals.put(r.key, r);
-                double since = now - Math.max(0, wallMs - r.askedMs()) / 1000;
-                r.machines().forEach(m -> block.rented(m, r.kind, now, since));
-            });
+                known(r);
+            }
         }
         takenOver += rentals.size() + goings.size();
         if (!rentals.isEmpty() || !goings.isEmpty()) {
             LOG.info("takes over {} rentals, {} of them not settled, and {} returns of {} machines", rentals.size(),
                     unsettled().size(), goings.size(), going.size());
         }
+        goings().stream().filter(Going::settled).forEach(this::confirmed);
     }
 
-    private static void read(Entry e, Runnable reading) {
+    private static Intent read(Entry e) {
         try {
-            reading.run();
+            return Intent.read(e);
         } catch (Malformed | ClassCastException bad) {
             LOG.error("record {} is unreadable: {}", e.key(), bad.getMessage());
+            return null;
+        }
+    }
+
+    private void known(Rental r) {
+        double now = timers.now();
+        double since = now - Math.max(0, timers.wallMs() - r.askedMs()) / 1000;
+        r.machines().forEach(m -> block.rented(m, r.kind, now, since));
+    }
+
+    /**
+     * A record has changed: what this node wrote itself says nothing new, what came of it does. That may be heard of
+     * before the answer to the write that put it down, or when that write was done once more after nobody had heard its
+     * answer; so it is taken in whatever the books say.
+     */
+    public void changed(Entry e) {
+        if (e.value() == null) {
+            Rental asked = rentals.get(e.key());
+            if (asked != null && !asked.settled()) {
+                rentals.remove(e.key());
+                asked.settle(List.of());
+                rented.accept(asked);
+            }
+            return;
+        }
+        Intent i = read(e);
+        if (i == null || !i.settled()) {
+            return;
+        }
+        if (i instanceof Rental r) {
+            Rental asked = rentals.put(r.key, r);
+            if (asked == null || !asked.settled()) {
+                known(r);
+                rented.accept(r);
+            }
+        } else if (i instanceof Going g) {
+            goings.put(g.key, g);
+            confirmed(g);
         }
     }
 
@@ -124,34 +165,19 @@
         return rentals.values().stream().filter(r -> !r.settled()).toList();
     }
 
-    /** The rental of that key, or null if it is not on the books any more. */
-    public Rental rental(Rental r) {
-        return rentals.get(r.key);
-    }
-
-    /** The cloud's answer: these machines, perhaps none. */
-    public void settled(Rental r, List<String> machines) {
-        r.settle(machines);
-        if (machines.isEmpty()) {
-            drop(r, rentals);
-        } else {
-            write(r, rentals);
-        }
-    }
-
     /** A list of the cloud has been read: rentals whose machines are all known by other ways need no record. */
     public void listed() {
         double wallMs = timers.wallMs();
         for (Rental r : new ArrayList<>(rentals.values())) {
             // Guards against a record kept for ever because a machine went before any list showed it.
             boolean old = wallMs - r.askedMs() > 8000 * facts.cloud().listLagS();
-            if (r.settled() && r.recorded() && (old || r.machines().stream().allMatch(this::known))) {
+            if (r.settled() && r.recorded() && (old || r.machines().stream().allMatch(this::seen))) {
                 drop(r, rentals);
             }
         }
     }
 
-    private boolean known(String machine) {
+    private boolean seen(String machine) {
         Machine m = block.machines().get(machine);
         return m == null || m.listed() || m.reported();
     }
@@ -191,9 +217,10 @@
     }
 
     /** The cloud has confirmed it: the machines and all on them are gone. */
-    public void confirmed(Going g) {
+    private void confirmed(Going g) {
         going.removeAll(g.machines);
         drop(g, goings);
+        gone.accept(g.machines);
     }
 
     // ---- writing --------------------------------------------------------------------------------
@@ -212,7 +239,8 @@
 
             @Override
             public void written(long revision) {
-                intent.recorded(revision);
+                // Unless what came of it has been heard of already.
+                intent.recorded(Math.max(intent.revision(), revision));
             }
         });
     }
--- a/src/main/java/io/kitepath/core/duty/Rental.java
+++ b/src/main/java/io/kitepath/core/duty/Rental.java
@@ -57,7 +57,7 @@
         return m;
     }
 
-    /** Whether the cloud has said what came of it. */
+    @Override
     public boolean settled() {
         return machines != null;
     }
--- a/src/main/java/io/kitepath/core/duty/package-info.java
+++ b/src/main/java/io/kitepath/core/duty/package-info.java
@@ -1,7 +1,8 @@
 /**
- * What is done outside the store, where nobody checks tokens: renting machines and giving them back. Each act is on
- * record before it is asked for, and stays there until its outcome is known and can be seen by whoever comes next.
- * It knows the block and the store's keys, and nothing of plans or calls. It promises that no name of a rental is ever
- * used for two things, and that a machine that was put down as going takes no work from anybody any more.
+ * Duties: what only one controller may do, each held under a lease with a token that only rises, and what is asked of the
+ * cloud, where nobody checks tokens: on record before it is asked for, until its outcome is known to whoever wanted it.
+ * It knows the block and the store's keys, and nothing of plans. It promises that no name of a rental is ever used for
+ * two things, that a machine that was put down as going takes no work from anybody any more, and that nothing is begun
+ * by a node that can't prove by its own clock that the duty is its own.
  */
 package io.kitepath.core.duty;
--- a/src/main/java/io/kitepath/core/fleet/Rentals.java
+++ b/src/main/java/io/kitepath/core/fleet/Rentals.java
@@ -1,7 +1,6 @@
 package io.kitepath.core.fleet;
 
 import io.kitepath.core.block.Block;
-import io.kitepath.core.duty.Going;
 import io.kitepath.core.duty.Intents;
 import io.kitepath.core.duty.Rental;
 import io.kitepath.core.model.Bucket;
@@ -22,9 +21,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The calls to the cloud, within its rate: machine types for every node; the list, rentals and returns for the one that
- * holds the machines. Nothing is rented or given back that is not on record before ({@link Intents}); only the cloud's
- * word that a machine was released proves it gone.
+ * What is asked of the cloud: machine types by every node; the list by the one that holds the machines, which also puts
+ * down what is to be rented and given back ({@link Intents}), at the pace at which the cloud can be asked for it. Only
+ * the cloud's word that a machine was released proves it gone.
  */
 public final class Rentals {
     private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
@@ -42,6 +41,8 @@
     private final BooleanSupplier leading;
     private final Runnable changed;
     private final Bucket calls;
+    /** What is put down; no more than can be asked for. */
+    private final Bucket wishes;
     private final Intents intents;
     private double leadingSince;
     private boolean typesStored;
@@ -67,6 +68,8 @@
         this.leading = leading;
         this.changed = changed;
         this.calls = new Bucket(facts.cloud().rps() * RATE_SHARE);
+        this.wishes = new Bucket(facts.cloud().rps() * RATE_SHARE);
+        intents.listeners(this::rented, this::gone);
     }
 
     /** This node holds the machines now, on a lease whose id the store never gives out again. */
@@ -140,44 +143,44 @@
         if (!mayPlan) {
             return;
         }
-        // What is on record comes first: what an earlier holder asked for is settled before anything new is.
-        ask(now);
         if (block.types().isEmpty() || listedAt < leadingSince) {
             return;
         }
-        if (calls.available(now) < 1 || now - plannedAt < facts.workers().reportS() / 8) {
+        if (wishes.available(now) < 1 || now - plannedAt < facts.workers().reportS() / 8) {
             return; // Nothing could be done about a plan now, or hardly anything has changed since the last.
         }
         plannedAt = now;
-        intend(fleet.plan(now, timers.wallMs(), leadingSince));
+        intend(fleet.plan(now, timers.wallMs(), leadingSince), now);
     }
 
     /** Has put down what the plan says and nothing says yet. */
-    private void intend(Fleet.Plan plan) {
+    private void intend(Fleet.Plan plan, double now) {
         List<String> release = plan.release().stream().filter(m -> !intents.goes(m)).toList();
-        if (!release.isEmpty() && intents.goings().size() < AT_ONCE) {
+        if (!release.isEmpty() && intents.goings().size() < AT_ONCE && wishes.take(1, now)) {
             intents.giveBack(release);
         }
         // One plan's rentals at a time: the next plan has to know what came of them.
         if (intents.unsettled().isEmpty()) {
-            plan.rent().entrySet().stream().limit(AT_ONCE).forEach(e -> intents.rent(e.getKey(), e.getValue()));
+            plan.rent().entrySet().stream().limit(AT_ONCE).filter(e -> wishes.take(1, now))
+                    .forEach(e -> intents.rent(e.getKey(), e.getValue()));
         }
     }
 
-    /** Asks the cloud for what is on record, as its rate allows. */
-    private void ask(double now) {
-        for (Going g : intents.goings()) {
-            if (g.recorded() && !g.asking() && calls.take(1, now)) {
-                release(g);
-            }
-        }
-        for (Rental r : intents.unsettled()) {
-            if (r.recorded() && !r.asking() && calls.take(1, now)) {
-                rent(r);
-            }
+    private void rented(Rental r) {
+        int n = r.machines().size();
+        LOG.info("rented {} of {} {} in {}{}", n, r.count, r.kind.type(), r.kind.zone(), r.kind.spot() ? ", spot" : "");
+        if (n < r.count) {
+            fleet.refused(r.kind, timers.now());
+        } else {
+            fleet.granted(r.kind);
         }
     }
 
+    private void gone(List<String> machines) {
+        machines.forEach(m -> block.machineGone(m, timers.now()));
+        changed.run();
+    }
+
     private boolean holds(long token) {
         return leading.getAsBoolean() && block.token() == token;
     }
@@ -194,47 +197,4 @@
             }
         });
     }
-
-    private void release(Going g) {
-        g.asking(true);
-        long mine = block.token();
-        cloud.release(g.machines, outcome -> {
-            g.asking(false);
-            if (outcome == Outcome.OK && holds(mine)) {
-                intents.confirmed(g);
-                g.machines.forEach(m -> block.machineGone(m, timers.now()));
-                changed.run();
-            }
-        });
-    }
-
-    private void rent(Rental r) {
-        r.asking(true);
-        long mine = block.token();
-        MachineKind k = r.kind;
-        cloud.rent(r.name, k, r.count, (outcome, machines) -> {
-            r.asking(false);
-            if (!holds(mine) || intents.rental(r) != r) {
-                return; // Whoever holds the machines now asks again under the same name.
-            }
-            switch (outcome) {
-                case OK -> {
-                    LOG.info("rented {} of {} {} in {}{}", machines.size(), r.count, k.type(), k.zone(),
-                            k.spot() ? ", spot" : "");
-                    machines.forEach(m -> block.rented(m, k, timers.now(), timers.now()));
-                    intents.settled(r, machines);
-                    if (machines.size() < r.count) {
-                        fleet.refused(k, timers.now());
-                    } else {
-                        fleet.granted(k);
-                    }
-                }
-                case NO -> {
-                    intents.settled(r, List.of());
-                    fleet.refused(k, timers.now());
-                }
-                default -> LOG.debug("rental {} is not settled: {}", r.name, outcome);
-            }
-        });
-    }
 }
--- a/src/main/java/io/kitepath/core/lead/Leadership.java
+++ b/src/main/java/io/kitepath/core/lead/Leadership.java
@@ -57,7 +57,8 @@
     /** A process that was started later leads under our name. */
     private boolean twin;
 
-    public Leadership(Facts facts, Store store, Timers timers, Random random, Listener listener) {
+    public Leadership(Facts facts, Store store, Timers timers, Random random, Incarnation incarnation,
+            Listener listener) {
         this.facts = facts;
         this.store = store;
         this.timers = timers;
@@ -66,7 +67,7 @@
         // Short against the workers' lease, so that a new leader is there well before their work is given up.
         this.lifeS = Math.max(2, facts.workers().reportS());
         this.servedAt = timers.now();
-        this.incarnation = new Incarnation(facts.node(), timers.wallMs(), random);
+        this.incarnation = incarnation;
     }
 
     public void start() {
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -68,7 +68,10 @@
         void done(JobState job);
 
         /** What earlier holders, or this one, put down to ask of the cloud. */
-        void intended(List<Entry> rents, List<Entry> goings);
+        void intended(List<Entry> acts);
+
+        /** One of these records has changed. */
+        void acted(Entry act);
 
         /** The memory and the store may differ. */
         void outOfStep(String why);
@@ -184,6 +187,7 @@
             if (found != null && adopt(found)) {
                 readImages(e);
                 follow(e, Keys.OPEN, found.revision(), ready, this::jobChanged);
+                follow(e, Keys.ACT, found.acts().revision(), ready, listener::acted);
                 if (elsewhere != null) {
                     follow(e, Keys.LEAVE, found.revision(), ready, elsewhere::leaving);
                 }
@@ -216,7 +220,7 @@
             }
         }
         // Before the jobs' parts: a machine that goes is one from the first time that it is heard of.
-        listener.intended(found.rents(), found.goings());
+        listener.intended(found.acts().entries());
         found.open().forEach(this::opened);
         if (elsewhere != null) {
             elsewhere.adopt(found);
--- a/src/main/java/io/kitepath/core/state/Keys.java
+++ b/src/main/java/io/kitepath/core/state/Keys.java
@@ -11,10 +11,16 @@
     public static final String TYPES = "kitepath/types";
     /** Which machines have which images, in a few records. */
     public static final String IMAGES = "kitepath/images/";
+    /** What is asked of the cloud, and what came of it until the block's holder has taken it in. */
+    public static final String ACT = "kitepath/act/";
     /** Machines that are to be rented, by the request's name, and which they are until all can see them. */
-    public static final String RENT = "kitepath/rent/";
+    public static final String RENT = ACT + "rent/";
     /** Machines that are given back, by request: nothing is placed on them any more. */
-    public static final String GOING = "kitepath/going/";
+    public static final String GOING = ACT + "going/";
+    /** Who has which duty; on that node's lease. */
+    public static final String DUTY = "kitepath/duty/";
+    /** The highest token ever given out for each duty; never removed. */
+    public static final String DUTY_TOKEN = "kitepath/duty-token/";
     /** What was served in time, by class and team, for the next holder. */
     public static final String SERVED = "kitepath/served";
     /** Jobs that are accepted and neither done nor cancelled. */
--- a/src/main/java/io/kitepath/core/state/Reading.java
+++ b/src/main/java/io/kitepath/core/state/Reading.java
@@ -33,12 +33,11 @@
      * @param shares of the teams' limits, what came to this cell and what went
      * @param voids which of their numbers can't be taken any more
      * @param leaving open jobs whose users asked to cancel them
-     * @param rents machines that were to be rented, or were lately
-     * @param goings machines that go
+     * @param acts what was asked of the cloud, read at its own revision
      */
     public record Found(long revision, List<Entry> open, List<Entry> parts, Map<String, Entry> over,
             List<Entry> lent, List<Entry> guests, List<Entry> leaving, List<Entry> voids, List<Entry> shares,
-            List<Entry> rents, List<Entry> goings) {}
+            Listing acts) {}
 
     /** Takes what the records say about other cells. */
     public interface Elsewhere {
@@ -61,8 +60,7 @@
     private List<Entry> leaving = List.of();
     private List<Entry> voids = List.of();
     private List<Entry> shares = List.of();
-    private List<Entry> rents;
-    private List<Entry> goings;
+    private Listing acts;
     /** What is called once all is there, except for what else is still being read. */
     private Runnable jobsRead;
     private final Deque<String> closed = new ArrayDeque<>();
@@ -83,12 +81,8 @@
             then.accept(found);
         };
         // Beside the jobs, so that a takeover does not take longer for it.
-        pages(Keys.GOING, g -> {
-            goings = g.entries();
-            joined();
-        });
-        pages(Keys.RENT, r -> {
-            rents = r.entries();
+        pages(Keys.ACT, l -> {
+            acts = l;
             joined();
         });
         pages(Keys.OPEN, open -> {
@@ -101,7 +95,7 @@
     }
 
     private void joined() {
-        if (jobsRead != null && rents != null && goings != null) {
+        if (jobsRead != null && acts != null) {
             jobsRead.run();
         }
     }
@@ -150,7 +144,7 @@
         missing = closed.size();
         Runnable done = () -> {
             jobsRead = () -> answer.accept(new Found(open.revision(), open.entries(), parts.entries(), over,
-                    lent, guests, leaving, voids, shares, rents, goings));
+                    lent, guests, leaving, voids, shares, acts));
             joined();
         };
         if (missing == 0) {
