--- a/src/main/java/io/kitepath/cli/Node.java
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -32,6 +32,8 @@
     /** The leader's key, duties, open jobs, acts twice where holder and duty are one node, and wishes to leave. */
     private static final int WATCHES = 6;
 
+    private static final long HAND_OVER_MS = 200;
+
     private final Settings settings;
     /** Null without other cells. */
     private final CellsFile cells;
@@ -70,6 +72,17 @@
         server.listen(group, settings.listen()).sync();
         loop.submit(controller::start).sync();
         LOG.info("{} listens on {}", facts.node(), settings.listen());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> handOver(loop, controller)));
+    }
+
+    /** Stopped on purpose: the others need not wait for leases to run out. A little time for it to go out. */
+    private static void handOver(EventLoop loop, Controller controller) {
+        try {
+            loop.submit(controller::stop).await(HAND_OVER_MS);
+            loop.terminationFuture().await(HAND_OVER_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void route(Controller controller, UsersApi users, WorkersApi workers, Request r, Responder out) {
--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -143,6 +143,22 @@
         gossip();
     }
 
+    /** Hands over what it leads and holds: the node is being stopped on purpose. */
+    public void stop() {
+        leadership.retire();
+        duties.retire();
+    }
+
+    /** The duties, and who has them as far as this node knows. */
+    public List<Duties.Seat> duties() {
+        return duties.seats();
+    }
+
+    /** Whether this node may do that duty now, by its own clock. */
+    boolean entitled(String duty) {
+        return duties.holds(duty);
+    }
+
     /** What users ask. */
     public Jobs registry() {
         return cells == null ? registry : cells.jobs();
--- a/src/main/java/io/kitepath/core/duty/Duties.java
+++ b/src/main/java/io/kitepath/core/duty/Duties.java
@@ -150,7 +150,12 @@
 
     /** Whether the duty is held here for certain, to be asked right before each act. */
     public boolean holds(Work work) {
-        Seat s = seats.get(Keys.DUTY + work.name());
+        return holds(work.name());
+    }
+
+    /** The same, by the duty's name. */
+    public boolean holds(String name) {
+        Seat s = seats.get(Keys.DUTY + name);
         boolean certain = s.mine && timers.now() - renewedAt < lifeS * (1 - DRIFT);
         fenced += s.mine && !certain ? 1 : 0;
         return certain;
@@ -257,7 +262,7 @@
         }
         s.claiming = true;
         double unfit = Math.max(0, s.unfitUntil - timers.now());
-        timers.after(place(s) * lifeS / 4 + unfit + random.nextDouble() * 0.05, () -> {
+        timers.after(place(s) * lifeS / 16 + unfit + random.nextDouble() * 0.05, () -> {
             if (s.holder != null || s.mine || retired) {
                 s.claiming = false;
                 return;
--- a/src/main/java/io/kitepath/core/lead/Leadership.java
+++ b/src/main/java/io/kitepath/core/lead/Leadership.java
@@ -56,6 +56,7 @@
     private double servedAt;
     /** A process that was started later leads under our name. */
     private boolean twin;
+    private boolean retired;
 
     public Leadership(Facts facts, Store store, Timers timers, Random random, Incarnation incarnation,
             Listener listener) {
@@ -74,6 +75,12 @@
         look();
     }
 
+    /** Leads no more, and never again: the node is being stopped. Its successor need not wait for a lease to run out. */
+    public void retire() {
+        retired = true;
+        stepDown("the node is being stopped");
+    }
+
     public boolean leading() {
         return leading;
     }
@@ -229,7 +236,7 @@
     // ---- taking and keeping the lease -----------------------------------------------------------
 
     private void campaign() {
-        if (leading || campaigning) {
+        if (leading || campaigning || retired) {
             return;
         }
         campaigning = true;
--- a/src/main/java/io/kitepath/standin/MemoryStore.java
+++ b/src/main/java/io/kitepath/standin/MemoryStore.java
@@ -40,6 +40,8 @@
     public final List<Store.Transaction> heldBack = new ArrayList<>();
     /** Transactions that get no answer and are kept, as by a network that delivers them some other time. */
     public Predicate<Store.Transaction> withheld = t -> false;
+    /** Transactions that are executed, but nobody hears of it. */
+    public Predicate<Store.Transaction> unheard = t -> false;
     /** Sees every transaction that was executed and changed something, and by whom. */
     public BiConsumer<Node, Store.Transaction> written = (n, t) -> { };
     public long changes;
--- a/src/main/java/io/kitepath/standin/StoreLink.java
+++ b/src/main/java/io/kitepath/standin/StoreLink.java
@@ -71,8 +71,8 @@
                 store.changes += t.writes().size();
                 store.written.accept(node, t);
             }
-            if (job && store.swallow > 0) {
-                store.swallow--;
+            if (job && store.swallow > 0 || store.unheard.test(t)) {
+                store.swallow -= job && store.swallow > 0 ? 1 : 0;
                 node.after(0.5, () -> answer.accept(new Committed(Outcome.UNKNOWN, 0, List.of(), false)));
                 return;
             }
