Clean-up of the state is a duty: parts of no job go, what should not be is said

A look through the records costs a request a page and one or two comparisons for each hundred jobs, however much history there is; removals depend on the duty, the revision and on what made it rubbish. A part of no job made a new holder read for ever; it is passed over after five readings. The minute's summary says where the event loop's time goes.

--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -7,6 +7,7 @@
 import io.kitepath.core.duty.Carrier;
 import io.kitepath.core.duty.Duties;
 import io.kitepath.core.duty.Intents;
+import io.kitepath.core.duty.Sweep;
 import io.kitepath.core.fleet.Fleet;
 import io.kitepath.core.fleet.Rentals;
 import io.kitepath.core.lead.Incarnation;
@@ -72,6 +73,7 @@
     private final Rentals rentals;
     final Intents intents;
     private final Carrier carrier;
+    final Sweep sweep;
     private final Duties duties;
     private final Registry registry;
     /** Null without other cells. */
@@ -123,8 +125,11 @@
         this.rentals = new Rentals(block, new Fleet(block, placer), intents, store, cloud, timers, leadership::leading,
                 this::soon);
         this.carrier = new Carrier(facts, store, cloud, timers, random, leadership.lifeS());
-        this.duties = new Duties(facts, store, timers, random, incarnation, leadership.lifeS(), List.of(carrier));
+        this.sweep = new Sweep(facts, store, timers);
+        this.duties = new Duties(facts, store, timers, random, incarnation, leadership.lifeS(),
+                List.of(carrier, sweep));
         carrier.heldBy(duties);
+        sweep.heldBy(duties);
         this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, siblings, timers, spent, this::soon);
         this.retries = new RetryPace(facts, timers);
         registry.onCancelled(job -> {
@@ -225,6 +230,9 @@
         all.put("duty.cloud.failed", Figure.total("of those, refused or not answered", carrier::failed));
         all.put("duty.fenced", Figure.total("times that nothing was done since the lease of duties was not certain",
                 duties::fenced));
+        all.put("cleanup.looks", Figure.total("times that this node looked through the state service", sweep::looks));
+        all.put("cleanup.removed", Figure.total("records that it removed there", sweep::removed));
+        all.put("cleanup.strange", Figure.now("records that should not be, by its last look", sweep::strange));
         for (Duties.Seat d : duties.seats()) {
             all.put("duty." + d.name() + ".here", Figure.now("whether this node has the duty", () -> d.mine() ? 1 : 0));
             all.put("duty." + d.name() + ".token", Figure.now("the token of whoever has it", d::token));
@@ -378,10 +386,9 @@
         ticks++;
         if (ticks % SUMMARY_TICKS == 0) {
             LOG.info(block.served().summary());
-            LOG.info(Figures.summary(block, checkIns, placer));
         }
-        if (LOG.isDebugEnabled() && ticks % 20 == 0) {
-            LOG.debug("{} rounds={} writes={} checkins={} busy={}", Figures.summary(block, checkIns, placer),
+        if (ticks % SUMMARY_TICKS == 0 || LOG.isDebugEnabled() && ticks % 20 == 0) {
+            LOG.info("{} rounds={} writes={} checkins={} busy={}", Figures.summary(block, checkIns, placer),
                     keeper.rounds(), keeper.written(), desk.received(), String.format("%.1f", roundS) + spent);
         }
         timers.after(TICK_S, this::tick);
--- /dev/null
+++ b/src/main/java/io/kitepath/core/duty/Sweep.java
@@ -0,0 +1,153 @@
+package io.kitepath.core.duty;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Store.Transaction;
+import io.kitepath.core.port.Timers;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The duty to clean up the state: looks through the records now and then, removes what nothing refers to any more, and
+ * says what should not be. Each removal depends on the duty, on the record's revision and on what made it rubbish, so
+ * that a job which is just being accepted keeps its parts, and a sweep that ends anywhere has done no harm.
+ */
+public final class Sweep implements Duties.Work {
+    private static final Logger LOG = LoggerFactory.getLogger(Sweep.class);
+    /** Between two looks, in workers' leases. */
+    private static final double PAUSE_LEASES = 10;
+    /** Of the store's request and change rates. */
+    private static final double RATE_SHARE = 0.01;
+    /** What waits to be removed; what is found beyond that is found again by the next look. */
+    private static final int MOST = 1000;
+
+    private final Facts facts;
+    private final Store store;
+    private final Timers timers;
+    private Duties duties;
+    private final Deque<Audit.Finding> rubbish = new ArrayDeque<>();
+    private Audit audit;
+    private String dutyKey;
+    private long dutyRevision;
+    private long epoch;
+    private boolean busy;
+    private double nextAt;
+    private long looks;
+    private long removed;
+    private long strange;
+    private long strangeNow;
+
+    public Sweep(Facts facts, Store store, Timers timers) {
+        this.facts = facts;
+        this.store = store;
+        this.timers = timers;
+    }
+
+    /** Who says whether the duty is held. */
+    public void heldBy(Duties d) {
+        duties = d;
+    }
+
+    @Override
+    public String name() {
+        return "cleanup";
+    }
+
+    @Override
+    public void begin(String key, long revision, long token) {
+        dutyKey = key;
+        dutyRevision = revision;
+        // Not at once: whoever ends again and again would do nothing but look.
+        nextAt = timers.now() + facts.workers().leaseS();
+    }
+
+    @Override
+    public void end() {
+        epoch++;
+        busy = false;
+        audit = null;
+        rubbish.clear();
+    }
+
+    @Override
+    public boolean fit(double now) {
+        return true; // Whoever holds a lease of the store reaches all that it takes.
+    }
+
+    /** Looks that were finished; records removed; findings of the last look that a person has to look at. */
+    public long looks() {
+        return looks;
+    }
+
+    public long removed() {
+        return removed;
+    }
+
+    public long strange() {
+        return strange;
+    }
+
+    @Override
+    public void tick(double now) {
+        if (busy || now < nextAt || !duties.holds(this)) {
+            return;
+        }
+        // One request a step, paced so that the sweep is not felt.
+        nextAt = now + 1 / (facts.store().rps() * RATE_SHARE);
+        if (!rubbish.isEmpty()) {
+            remove(rubbish.poll());
+            return;
+        }
+        if (audit == null) {
+            strangeNow = 0;
+            audit = new Audit(store, 4 * facts.store().txnOps(), this::found);
+        }
+        busy = true;
+        long e = epoch;
+        audit.step(() -> {
+            if (e != epoch) {
+                return;
+            }
+            busy = false;
+            if (audit.done()) {
+                strange = strangeNow;
+                looks++;
+                LOG.debug("cleanup: looked at {} records, {} are rubbish, {} should not be", audit.seen(),
+                        rubbish.size(), strange);
+                audit = null;
+                nextAt = timers.now() + PAUSE_LEASES * facts.workers().leaseS();
+            }
+        });
+    }
+
+    private void found(Audit.Finding f) {
+        if (!f.rubbish()) {
+            strangeNow++;
+            LOG.warn("record {} should not be: {}", f.key(), f.why());
+        } else if (rubbish.size() < MOST) {
+            rubbish.add(f);
+        }
+    }
+
+    private void remove(Audit.Finding f) {
+        busy = true;
+        long e = epoch;
+        Transaction t = new Transaction().when(dutyKey, dutyRevision);
+        f.conditions().forEach(c -> t.when(c.key(), c.revision()));
+        store.commit(t.remove(f.key()), c -> {
+            if (e != epoch) {
+                return;
+            }
+            busy = false;
+            if (c.outcome() == Outcome.OK) {
+                removed++;
+                LOG.info("removed {}: {}", f.key(), f.why());
+            } else if (c.outcome() != Outcome.NO) {
+                rubbish.addFirst(f); // The same removal once more: its conditions let only one of the two through.
+            }
+        });
+    }
+}
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -37,6 +37,9 @@
     /** Of the 64 KiB that a transaction may hold, by an estimate of its JSON form. */
     private static final int MAX_BYTES = 48 * 1024;
 
+    /** How often everything is read again before a part of no job is passed over. */
+    private static final int MISFITS = 5;
+
     private final Facts facts;
     private final Store store;
     private final Timers timers;
@@ -54,6 +57,8 @@
     private boolean loaded;
     private double loadingSince;
     private Round round;
+    /** How often in a row what was read did not fit together. */
+    private int misfits;
     /** What an earlier holder counted as served, if that was read in time; the record that was written last. */
     private Object servedBefore;
     private double servedAt;
@@ -235,14 +240,21 @@
         for (Entry x : found.parts()) {
             Job job = block.jobs().get(Keys.jobOfPart(x.key()));
             if (job == null) {
-                // Created after the list of open jobs was read, or just moved: read everything once more.
-                return false;
+                if (misfits++ < MISFITS) {
+                    // Created after the list of open jobs was read, or just moved: read everything once more.
+                    return false;
+                }
+                // Guards against a holder that reads for ever because of a record that nothing refers to. A job that is
+                // neither open nor over was never accepted, so nothing of it is ever placed; the cleanup says so.
+                LOG.error("record {} is of no job", x.key());
+                continue;
             }
             int part = Keys.indexOfPart(x.key());
             if (part < job.parts()) {
                 block.adopt(job, part, x.value(), x.revision(), now);
             }
         }
+        misfits = 0;
         loaded = true;
         LOG.info("loaded {} jobs, {} parts", block.jobs().size(), found.parts().size());
         return true;
--- a/src/main/java/io/kitepath/core/state/Keys.java
+++ b/src/main/java/io/kitepath/core/state/Keys.java
@@ -53,6 +53,11 @@
         return PART + job + "/" + part;
     }
 
+    /** The job whose part that is the key of, or null if it is none. */
+    public static String jobOf(String partKey) {
+        return partKey.matches(PART + "[^/]+/[0-9]{1,9}") ? jobOfPart(partKey) : null;
+    }
+
     static String jobOfPart(String partKey) {
         return partKey.substring(PART.length(), partKey.lastIndexOf('/'));
     }
--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -185,7 +185,7 @@
         }
         // The range of all keys under that prefix.
         if (w.store.keys.subMap(Keys.GOING, Keys.GOING + "~").values().stream()
-                .anyMatch(e -> ((List<?>) ((Map<?, ?>) e.value()).get("machines")).contains(id))) {
+                .anyMatch(e -> ((Map<?, ?>) e.value()).get("machines") instanceof List<?> l && l.contains(id))) {
             w.broken.add("started on a machine that goes: " + key + " on " + id);
         }
         started++;
--- a/src/test/java/io/kitepath/core/DutiesTest.java
+++ b/src/test/java/io/kitepath/core/DutiesTest.java
@@ -88,6 +88,7 @@
         w.node(second);
         long now = token("cloud");
         assertTrue(until(5, () -> token("cloud") > now && holder("cloud") != null) < 0.5);
+        w.run(0.2);
         assertEquals(1, entitled("cloud"));
     }
 
--- /dev/null
+++ b/src/test/java/io/kitepath/core/SweepTest.java
@@ -0,0 +1,143 @@
+package io.kitepath.core;
+
+import static io.kitepath.standin.World.job;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.state.Keys;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.World;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What nothing refers to any more is removed, whatever ends meanwhile; what should not be is said and left. */
+class SweepTest {
+    private final World w = new World();
+
+    private static void settle(World w) {
+        w.leaseS = 5;
+        w.reportS = 1;
+        List.of("k0", "k1", "k2").forEach(w.siblings::add);
+        w.siblings.forEach(w::node);
+        w.worker("i-000000", "a");
+        w.run(4);
+    }
+
+    @AfterEach
+    void rules() {
+        assertEquals(List.of(), w.broken);
+    }
+
+    private static void put(World w, String key, Map<String, Object> value) {
+        w.store.put(key, value, 0, ++w.store.revision);
+    }
+
+    private static Map<String, Object> part(Map<String, Object> live) {
+        return Map.of("next", 2L, "done", "", "live", live);
+    }
+
+    /** Parts of jobs that nobody knows, acts of a holder that is gone, one that is unreadable, and good records. */
+    private static void litter(World w) {
+        w.submit(w.leader(), job("j-1", Shape.ARRAY, 4, 1));
+        w.submit(w.leader(), job("j-2", Shape.ARRAY, 400, 1));
+        for (int i = 0; i < 30; i++) {
+            put(w, Keys.part("j-9" + i, 0), part(Map.of()));
+        }
+        put(w, Keys.part("j-800", 0), part(Map.of("i-000777", List.of(0L, 1L))));
+        put(w, Keys.ACT + "rent/r-old", Map.of("type", "m4", "zone", "a", "spot", false, "count", 1L, "token", 1L,
+                "askedMs", 1.0, "machines", List.of("i-000555")));
+        put(w, Keys.ACT + "going/old", Map.of("machines", List.of("i-000556"), "token", 1L, "gone", true));
+        put(w, Keys.ACT + "going/odd", Map.of("machines", 7L));
+    }
+
+    private static boolean there(World w, String key) {
+        return w.store.keys.containsKey(key);
+    }
+
+    private Node sweeper(World x) {
+        return x.nodes.values().stream().filter(n -> n.alive && n.controller.entitled("cleanup")).findFirst()
+                .orElseThrow();
+    }
+
+    @Test
+    void rubbishIsRemovedAndTheRestIsLeft() {
+        settle(w);
+        litter(w);
+        w.run(200);
+        for (int i = 0; i < 30; i++) {
+            assertFalse(there(w, Keys.part("j-9" + i, 0)));
+        }
+        assertFalse(there(w, Keys.ACT + "rent/r-old"));
+        assertFalse(there(w, Keys.ACT + "going/old"));
+        assertTrue(there(w, Keys.part("j-800", 0)), "it says that something is on a machine");
+        assertTrue(there(w, Keys.ACT + "going/odd"));
+        assertEquals(2, sweeper(w).controller.sweep.strange());
+        assertEquals(30, sweeper(w).controller.sweep.removed());
+        assertEquals("done", w.status(w.leader(), "j-1"));
+        assertTrue(there(w, Keys.part("j-2", 0)));
+    }
+
+    @Test
+    void aJobThatIsJustBeingAcceptedKeepsItsParts() {
+        settle(w);
+        put(w, Keys.part("j-5", 0), part(Map.of()));
+        // In the moment of the removal, the job is there.
+        boolean[] once = {true};
+        w.store.withheld = t -> {
+            if (once[0] && t.writes().stream().anyMatch(x -> x.key().equals(Keys.part("j-5", 0)) && x.value() == null)) {
+                once[0] = false;
+                put(w, Keys.OPEN + "j-5", Map.of("unreadable", true));
+            }
+            return false;
+        };
+        w.run(60);
+        assertFalse(once[0]);
+        assertTrue(there(w, Keys.part("j-5", 0)));
+    }
+
+    @Test
+    void aHolderBeginsThoughAPartHasNoJob() {
+        settle(w);
+        put(w, Keys.part("j-9", 0), part(Map.of()));
+        w.nodes.values().forEach(Node::crash);
+        w.run(0.3);
+        w.siblings.forEach(w::node);
+        w.run(6);
+        assertTrue(w.leader().controller.holds());
+    }
+
+    @Test
+    void everyRequestOfASweepMayBeTheLastOfItsNode() {
+        int points = 0;
+        TreeSet<String> clean = new TreeSet<>();
+        for (int n = 0; n < 45; n += n < 10 ? 1 : 5) {
+            World x = new World();
+            settle(x);
+            litter(x);
+            int[] ends = new int[1];
+            if (n > 0) {
+                Node s = sweeper(x);
+                s.endAfter(n, () -> {
+                    ends[0]++;
+                    x.after(0.3, () -> x.node(s.name));
+                });
+            }
+            x.run(280);
+            points += ends[0];
+            TreeSet<String> left = new TreeSet<>(x.store.keys.keySet());
+            left.removeIf(k -> k.startsWith("kitepath/") && !k.startsWith(Keys.ACT));
+            if (n == 0) {
+                clean = left;
+            }
+            assertEquals(clean, left, "after request " + n);
+            assertEquals(List.of(), x.broken);
+        }
+        System.out.println("cleanup: " + points + " nodes ended at one of their requests");
+        assertTrue(points >= 15, "points: " + points);
+    }
+}
