--- a/src/main/java/io/kitepath/cli/CommandLineEntry.java
+++ b/src/main/java/io/kitepath/cli/CommandLineEntry.java
@@ -24,7 +24,8 @@
 @Command(name = "kitepath", mixinStandardHelpOptions = true, versionProvider = CommandLineEntry.Version.class,
         description = "A cluster scheduler.",
         subcommands = {CommandLineEntry.Serve.class, CommandLineEntry.Submit.class, CommandLineEntry.Status.class,
-            CommandLineEntry.Cancel.class, CommandLineEntry.Check.class, Rehearse.class})
+            CommandLineEntry.Cancel.class, CommandLineEntry.Check.class, CommandLineEntry.Duties.class,
+            StateCommand.class, Rehearse.class})
 final class CommandLineEntry implements Callable<Integer> {
     @Option(names = "--config", paramLabel = "FILE", description = "Without a command: serve with these settings.")
     Path config;
@@ -168,6 +169,18 @@
         }
     }
 
+    @Command(name = "duties", mixinStandardHelpOptions = true,
+            description = "Shows which node has which duty, as far as the asked one knows.")
+    static final class Duties implements Callable<Integer> {
+        @Mixin
+        Target target;
+
+        @Override
+        public Integer call() throws Exception {
+            return target.call("GET", "/duties", null);
+        }
+    }
+
     @Command(name = "cancel", mixinStandardHelpOptions = true, description = "Cancels a job.")
     static final class Cancel implements Callable<Integer> {
         @Mixin
--- a/src/main/java/io/kitepath/cli/Node.java
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -2,6 +2,7 @@
 
 import io.kitepath.cloud.HttpCloud;
 import io.kitepath.core.Controller;
+import io.kitepath.core.duty.Duties;
 import io.kitepath.core.model.Facts;
 import io.kitepath.net.HttpClient;
 import io.kitepath.net.HttpServer;
@@ -15,6 +16,7 @@
 import io.kitepath.store.HttpStore;
 import io.kitepath.users.UsersApi;
 import io.kitepath.workers.HttpDirectCommands;
+import io.kitepath.wire.Pack;
 import io.kitepath.workers.WorkersApi;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -91,11 +93,13 @@
             workers.handle(r, out);
         } else if (path.equals(UsersApi.JOBS) || path.startsWith(UsersApi.JOBS + "/")) {
             users.handle(r, out);
-        } else if (path.equals("/healthz") || path.equals("/metrics")) {
+        } else if (path.equals("/healthz") || path.equals("/metrics") || path.equals("/duties")) {
             if (!r.method().equals("GET")) {
                 out.reply(405, null);
             } else if (path.equals("/healthz")) {
                 out.reply(controller.healthy() ? 200 : 503, null);
+            } else if (path.equals("/duties")) {
+                out.reply(200, Pack.bytes(controller.duties().stream().map(Duties.Seat::shown).toList()));
             } else {
                 if (metrics == null) {
                     metrics = new Metrics(controller);
--- a/src/main/java/io/kitepath/core/duty/Duties.java
+++ b/src/main/java/io/kitepath/core/duty/Duties.java
@@ -89,6 +89,16 @@
             return mine;
         }
 
+        /** For people: the duty, who has it, with which token, and how often it was seen to change hands. */
+        public Map<String, Object> shown() {
+            Map<String, Object> m = new LinkedHashMap<>();
+            m.put("duty", name());
+            m.put("node", holder);
+            m.put("token", token);
+            m.put("handOvers", handOvers);
+            return m;
+        }
+
         /** How often it changed hands since this node started, as far as it saw. */
         public long handOvers() {
             return handOvers;
