On a full fleet hundreds of waiting jobs cost the holder less of its time

A search begins with whether anything has room; what runs is added up once; the plan goes by the order of the last half second; rooms are left when a job has all it wants. The order itself is the same.

--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -277,6 +277,7 @@
         public void lost(String why) {
             LOG.info(block.served().summary());
             keeper.stop();
+            placer.forget();
             block.yield();
             desk.releaseAll();
             tell();
--- a/src/main/java/io/kitepath/core/fleet/Fleet.java
+++ b/src/main/java/io/kitepath/core/fleet/Fleet.java
@@ -64,7 +64,7 @@
         survey(now);
         Map<MachineKind, Integer> rent = new LinkedHashMap<>();
         List<Room> rooms = rooms(now, null);
-        List<Job> queue = placer.queue(now, wallMs);
+        List<Job> queue = placer.queue(now, wallMs, facts.workers().reportS() / 8);
         for (Job job : queue) {
             want(job, rooms, rent, now, wallMs);
         }
@@ -243,7 +243,10 @@
         // to meet its deadline: such work needs the room that is free now, or more of it.
         boolean atOnce = s.deadlineS() != null;
         for (Room r : rooms) {
-            if (waiting > 0 && Market.allowed(r.kind, s, zone) && (r.kind.spot() || !spotOnly)) {
+            if (waiting == 0) {
+                break;
+            }
+            if (r.holds(s, atOnce) && Market.allowed(r.kind, s, zone) && (r.kind.spot() || !spotOnly)) {
                 waiting -= r.take(s, waiting, atOnce);
             }
         }
--- a/src/main/java/io/kitepath/core/fleet/Room.java
+++ b/src/main/java/io/kitepath/core/fleet/Room.java
@@ -23,6 +23,11 @@
         this.now = new Space(type);
     }
 
+    /** Whether it has CPUs for one task; cheap, for a look at hundreds of rooms for each of hundreds of jobs. */
+    boolean holds(JobSpec s, boolean atOnce) {
+        return then.cpus + 1e-6 >= s.cpus() && (!atOnce || now.cpus + 1e-6 >= s.cpus());
+    }
+
     /** Takes in as many of the tasks as fit, at once or by then; returns how many. */
     int take(JobSpec s, int tasks, boolean atOnce) {
         int n = Math.min(tasks, then.slots(s));
--- a/src/main/java/io/kitepath/core/place/Placement.java
+++ b/src/main/java/io/kitepath/core/place/Placement.java
@@ -71,7 +71,7 @@
                 && (s.spot() || !spot);
     }
 
-    private boolean room(Machine m, JobSpec s) {
+    boolean room(Machine m, JobSpec s) {
         return m.fits(s, types.get(m.type()));
     }
 
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -31,6 +31,8 @@
     private final Hopeless hopeless = new Hopeless();
     /** Whether the last search left out machines only because its image is elsewhere. */
     private boolean heldOut;
+    private List<Job> queued;
+    private double queuedAt;
 
     /** {@code random} chooses the machines that are probed. */
     public Placer(Block block, Random random, Spent spent) {
@@ -49,6 +51,22 @@
         return givingWay;
     }
 
+    /**
+     * The order as it was not longer than that ago, or as it is now. For whoever looks at all that waits, and not at
+     * which of it comes first by a moment: to work the order out takes as long as a whole round of placing.
+     */
+    public List<Job> queue(double now, double wallMs, double agoS) {
+        if (queued == null || now - queuedAt > agoS) {
+            return queue(now, wallMs);
+        }
+        return queued.stream().filter(j -> j.waiting() > 0).toList();
+    }
+
+    /** The holder's jobs are others from now on. */
+    public void forget() {
+        queued = null;
+    }
+
     /** Unfinished jobs with work to place, in the order in which they are served. */
     public List<Job> queue(double now, double wallMs) {
         double began = spent.now();
@@ -70,6 +88,8 @@
                 block.served()::standing, now, wallMs).of(good);
         mistaken.removeIf(j -> j.waiting() == 0);
         order.addAll(mistaken);
+        queued = List.copyOf(order);
+        queuedAt = now;
         spent.on(On.ORDERING, began);
         return order;
     }
@@ -212,6 +232,11 @@
             n = Math.min(n, job.live().isEmpty() ? 1 : 0);
         }
         int placed = 0;
+        // Guards against a holder that is busy for seconds with where images are when nothing has room for a task: that
+        // is so for all of hundreds of jobs on a full fleet, whatever image they need.
+        if (open.stream().noneMatch(m -> placement.allowed(m, s) && placement.room(m, s))) {
+            return 0;
+        }
         Map<String, Integer> perZone = new HashMap<>();
         Placement.Search search = placement.search(s, candidates(job, open, now));
         heldOut = search.holdsOut();
--- a/src/main/java/io/kitepath/core/place/ServiceOrder.java
+++ b/src/main/java/io/kitepath/core/place/ServiceOrder.java
@@ -4,12 +4,16 @@
 import io.kitepath.core.block.Job;
 import io.kitepath.core.model.JobSpec;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -38,6 +42,10 @@
     private double ahead;
     /** CPUs of what runs and does not give way, by job, and for how long they will probably be taken. */
     private final List<double[]> running = new ArrayList<>();
+    /** The same, those that end soonest first; and added up to each, what they take in all, and their CPUs. */
+    private double[] ends = new double[0];
+    private double[] taken = new double[1];
+    private double[] held = new double[1];
 
     /**
      * Guards against an overload of work for ordinary machines that nobody sees because spot machines, which it may
@@ -67,6 +75,9 @@
         for (int rank = 0; rank < least; rank++) {
             List<Job> in = ranks.getOrDefault(rank, List.of());
             in.forEach(this::runs);
+            if (running.size() > ends.length) {
+                addUp();
+            }
             order(in, out);
         }
         return out;
@@ -82,13 +93,29 @@
         }
     }
 
-    /** CPU seconds that there are for such waiting work in that time; what runs takes only its part of it. */
-    private double room(JobSpec s, double seconds) {
-        double room = Math.max(1, capacity.applyAsDouble(s)) * seconds;
-        for (double[] r : running) {
-            room -= r[0] * Math.min(r[1], seconds);
+    private void addUp() {
+        running.sort(Comparator.comparingDouble(r -> r[1]));
+        int n = running.size();
+        ends = new double[n];
+        taken = new double[n + 1];
+        held = new double[n + 1];
+        for (int i = 0; i < n; i++) {
+            double[] r = running.get(i);
+            ends[i] = r[1];
+            taken[i + 1] = taken[i] + r[0] * r[1];
+            held[i + 1] = held[i] + r[0];
         }
-        return room;
+    }
+
+    /**
+     * CPU seconds that there are for such waiting work in that time; what runs takes only its part of it. Asked for each
+     * job that waits, so what runs is added up once and not for each of them.
+     */
+    private double room(JobSpec s, double seconds) {
+        int at = Arrays.binarySearch(ends, seconds);
+        int over = at >= 0 ? at : -at - 1;
+        double running = taken[over] + (held[ends.length] - held[over]) * seconds;
+        return Math.max(1, capacity.applyAsDouble(s)) * seconds - running;
     }
 
     private void order(List<Job> jobs, List<Job> out) {
@@ -105,7 +132,7 @@
                     .thenComparing(e -> e.job.spec.id()));
             PriorityQueue<Entry> largest = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.standing)
                     .thenComparingDouble(e -> -e.work).thenComparing(e -> e.job.spec.id()));
-            List<Entry> without = new ArrayList<>();
+            Set<Entry> without = Collections.newSetFromMap(new IdentityHashMap<>());
             for (Entry e : tried) {
                 largest.add(e);
                 ahead += e.work;
@@ -126,12 +153,16 @@
                     without.add(gone);
                 }
             }
-            tried.removeAll(without);
-            tried.forEach(e -> out.add(e.job));
-            tried.clear();
-            for (Entry e : without) {
-                aim(e, tried, last);
+            List<Entry> again = new ArrayList<>();
+            for (Entry e : tried) {
+                if (without.contains(e)) {
+                    again.add(e);
+                } else {
+                    out.add(e.job);
+                }
             }
+            tried.clear();
+            again.forEach(e -> aim(e, tried, last));
         }
         last.sort(Comparator.comparingDouble((Job j) -> j.submittedMs).thenComparing(j -> j.spec.id()));
         out.addAll(last);
