--- a/src/main/java/io/kitepath/core/place/GivingWay.java
+++ b/src/main/java/io/kitepath/core/place/GivingWay.java
@@ -33,6 +33,7 @@
     private long forGangs;
     /** By zone, or "" for jobs that may be in any: for how many jobs machines are kept in this round. */
     private final Map<String, Integer> keepers = new HashMap<>();
+    private final Map<Claim, Giving> givings = new HashMap<>();
     /**
      * Whether this round looked for room for small tasks. Guards against rounds of which two thirds go into looking at
      * every attempt of a full fleet for one small job after the other, when the next round comes in a moment.
@@ -64,6 +65,19 @@
      */
     private record Offer(Machine machine, int now, int stopping, double loss) {}
 
+    /** What decides whose work gives way to a job. */
+    private record Claim(JobSpec.Priority priority, boolean guaranteed, String team) {}
+
+    /**
+     * What gives way to jobs of one claim: whose work, and by machine its CPUs, GPUs, memory and what stopping it loses.
+     * Worked out once a round. Guards against a holder that looks at every attempt of a full fleet for each of the sizes
+     * in which gangs wait; what is placed meanwhile is not counted, and machines where something is stopped are reserved.
+     */
+    private static final class Giving {
+        private final Set<Job> yielding = Collections.newSetFromMap(new IdentityHashMap<>());
+        private final Map<Machine, double[]> sums = new IdentityHashMap<>();
+    }
+
     /** Room for so many tasks of a job that comes free on a machine, after so many seconds. */
     private record Gap(Machine machine, double inS, int tasks) {}
 
@@ -78,13 +92,8 @@
             return false;
         }
         searchedForSmall |= small;
-        Set<Job> yielding = Collections.newSetFromMap(new IdentityHashMap<>());
-        for (Job j : block.jobs().values()) {
-            if (!j.live().isEmpty() && (j.over() || j.stopping() || yields(j, job))) {
-                yielding.add(j);
-            }
-        }
-        if (small && yielding.isEmpty()) {
+        Giving giving = giving(job);
+        if (small && giving.yielding.isEmpty()) {
             return false;
         }
         int need = s.gang() ? job.waiting() : Math.min(job.waiting(), block.teamUse().left(s));
@@ -92,7 +101,7 @@
         for (Machine m : open) {
             if ((m.reservedFor() == null || m.reservedFor() == job) && placement.allowed(m, s)) {
                 byZone.computeIfAbsent(s.oneZone() ? m.zone() : "", k -> new ArrayList<>())
-                        .add(offer(job, m, yielding, now));
+                        .add(offer(job, m, giving, now));
             }
         }
         List<Offer> best = null;
@@ -196,6 +205,7 @@
     /** A new round: who keeps room is decided anew. */
     void beginRound() {
         keepers.clear();
+        givings.clear();
         searchedForSmall = false;
     }
 
@@ -227,22 +237,40 @@
         return left <= 0 ? take : null;
     }
 
-    private Offer offer(Job job, Machine m, Set<Job> yielding, double now) {
-        double cpus = 0;
-        double gpus = 0;
-        double memory = 0;
-        double loss = 0;
+    private Giving giving(Job job) {
+        Claim claim = new Claim(job.spec.priority(), job.guaranteed(), job.spec.team());
+        Giving known = givings.get(claim);
+        if (known != null) {
+            return known;
+        }
+        Giving g = new Giving();
+        for (Job j : block.jobs().values()) {
+            if (!j.live().isEmpty() && (j.over() || j.stopping() || yields(j, job))) {
+                g.yielding.add(j);
+            }
+        }
+        givings.put(claim, g);
+        return g;
+    }
+
+    /** CPUs, GPUs and memory of what gives way to the job on the machine, and the CPU seconds that stopping it loses. */
+    private double[] sums(Job job, Machine m, Giving giving, double now) {
+        double[] sum = new double[4];
         for (Attempt a : m.attempts()) {
-            if (yielding.contains(a.job) && mayEvict(job, a)) {
+            if (giving.yielding.contains(a.job) && mayEvict(job, a)) {
                 JobSpec v = a.job.spec;
-                cpus += v.cpus();
-                gpus += v.gpus();
-                memory += v.memoryGb();
-                loss += a.stopping() ? 0 : v.cpus() * (a.unsavedS(now) + block.facts().workers().reportS());
+                less(sum, a);
+                sum[3] += a.stopping() ? 0 : v.cpus() * (a.unsavedS(now) + block.facts().workers().reportS());
             }
         }
+        return sum;
+    }
+
+    private Offer offer(Job job, Machine m, Giving giving, double now) {
+        double[] sum = giving.sums.computeIfAbsent(m, k -> sums(job, m, giving, now));
+        double loss = sum[3];
         MachineType type = block.types().get(m.type());
-        int stopping = placement.freeSlots(m, job.spec, cpus, gpus, memory);
+        int stopping = placement.freeSlots(m, job.spec, sum[0], sum[1], sum[2]);
         if (!m.has(job.spec.image()) && type.fetchGbPerS() > 0) {
             loss += stopping * job.spec.cpus() * job.spec.imageGb() / type.fetchGbPerS();
         }
