--- a/src/main/java/io/kitepath/core/duty/Duties.java
+++ b/src/main/java/io/kitepath/core/duty/Duties.java
@@ -117,6 +117,7 @@
     private boolean granting;
     private double renewedAt = Double.NEGATIVE_INFINITY;
     private boolean retired;
+    private long looks;
     private long fenced;
 
     /** {@code lifeS}: of the lease, in seconds. */
@@ -173,68 +174,96 @@
 
     // ---- who has what ---------------------------------------------------------------------------
 
+    /**
+     * Reads all keys and follows them from there. Only the last look counts: one that was asked for earlier and comes
+     * later tells what was, and each would follow on, until no connection is left for other watches.
+     */
     private void look() {
+        long mine = ++looks;
         if (retired) {
             return;
         }
         Pages.read(store, timers, Keys.DUTY, 3, l -> {
+            if (mine != looks) {
+                return;
+            }
             if (l.outcome() != Outcome.OK) {
-                timers.after(lifeS / 4 + random.nextDouble() * 0.3, this::look);
+                lookLater();
                 return;
             }
             Map<String, Entry> there = new LinkedHashMap<>();
             l.entries().forEach(e -> there.put(e.key(), e));
-            seats.values().forEach(s -> heard(s, there.get(s.key)));
-            follow(l.revision());
+            seats.values().forEach(s -> {
+                Entry e = there.get(s.key);
+                if (e == null) {
+                    absent(s, l.revision());
+                } else {
+                    heard(s, e);
+                }
+            });
+            follow(mine, l.revision());
         });
     }
 
-    private void follow(long from) {
-        if (retired) {
-            return;
-        }
+    private void lookLater() {
+        timers.after(lifeS / 4 + random.nextDouble() * 0.3, this::look);
+    }
+
+    private void follow(long mine, long from) {
         store.follow(Keys.DUTY, from, (long) (lifeS * 2000), c -> {
+            if (mine != looks || retired) {
+                return;
+            }
             if (c.outcome() != Outcome.OK) {
-                timers.after(c.outcome() == Outcome.NO ? 0.01 : lifeS / 4 + random.nextDouble() * 0.3, this::look);
+                lookLater();
                 return;
             }
             for (Entry e : c.events()) {
                 Seat s = seats.get(e.key());
-                if (s != null) {
-                    heard(s, e.value() == null ? null : e);
+                if (s != null && e.value() == null) {
+                    absent(s, e.revision());
+                } else if (s != null) {
+                    heard(s, e);
                 }
             }
             if (c.events().isEmpty()) {
                 // Nothing said for long: what is not heard of may have been missed in an outage.
                 look();
             } else {
-                follow(Math.max(from, c.revision()));
+                follow(mine, Math.max(from, c.revision()));
             }
         });
     }
 
-    private void heard(Seat s, Entry e) {
-        if (e == null) {
-            if (s.mine) {
-                lose(s, "its key is gone");
-            }
-            s.holder = null;
-            claimLater(s);
-            return;
+    /** The key was not there at that revision. */
+    private void absent(Seat s, long at) {
+        if (at < s.revision) {
+            return; // It has been taken since.
         }
-        if (e.revision() <= s.revision) {
-            return; // Known, or older than that.
+        s.revision = at;
+        if (s.mine) {
+            lose(s, "its key is gone");
+        }
+        s.holder = null;
+        claimLater(s);
+    }
+
+    private void heard(Seat s, Entry e) {
+        if (e.revision() < s.revision) {
+            return; // Older than what is known.
         }
-        Tree t;
         try {
-            t = Tree.of(e.value());
+            Tree t = Tree.of(e.value());
             String node = t.text("node");
             long token = t.count("token");
-            if (t.textOr("life", "").equals(incarnation.life()) && t.count("lease") == lease) {
+            if (lease != 0 && t.textOr("life", "").equals(incarnation.life()) && t.count("lease") == lease) {
                 // Ours, though we heard no answer when we took it.
                 won(s, e.revision(), token);
                 return;
             }
+            if (e.revision() == s.revision) {
+                return;
+            }
             if (s.mine) {
                 lose(s, node + " has it with token " + token);
             }
@@ -301,7 +330,7 @@
                 then.run();
             } else {
                 orElse.run();
-                timers.after(lifeS / 4 + random.nextDouble() * 0.3, this::look);
+                lookLater();
             }
         });
     }
@@ -311,9 +340,10 @@
         store.get(tokenKey, (got, entry) -> {
             if (got != Outcome.OK && got != Outcome.NO || s.holder != null || lease == 0) {
                 s.claiming = false;
-                timers.after(lifeS / 4 + random.nextDouble() * 0.3, this::look);
+                lookLater();
                 return;
             }
+            long on = lease;
             long next = Math.max(s.token, got == Outcome.OK ? Tree.of(entry.value()).count("token") : 0) + 1;
             Map<String, Object> key = new LinkedHashMap<>();
             key.put("node", facts.node());
@@ -322,11 +352,11 @@
             key.put("since", incarnation.sinceMs());
             key.put("life", incarnation.life());
             store.commit(new Transaction().when(s.key, 0).when(tokenKey, got == Outcome.OK ? entry.revision() : 0)
-                    .put(s.key, key, lease).put(tokenKey, Map.of("token", next)), c -> {
+                    .put(s.key, key, on).put(tokenKey, Map.of("token", next)), c -> {
                 s.claiming = false;
-                if (c.outcome() == Outcome.OK && lease != 0) {
+                if (c.outcome() == Outcome.OK && lease == on && c.revision() >= s.revision) {
                     won(s, c.revision(), next);
-                } else if (c.outcome() != Outcome.OK) {
+                } else {
                     // Whoever has it, this node too if the answer was lost, is heard of.
                     timers.after(random.nextDouble() * 0.1, this::look);
                 }
--- a/src/main/java/io/kitepath/core/duty/Intents.java
+++ b/src/main/java/io/kitepath/core/duty/Intents.java
@@ -165,13 +165,19 @@
         return rentals.values().stream().filter(r -> !r.settled()).toList();
     }
 
-    /** A list of the cloud has been read: rentals whose machines are all known by other ways need no record. */
+    /**
+     * A list of the cloud has been read: rentals whose machines every list shows need no record. That they have reported
+     * here does not do: their workers told this holder, and its successor would know of them neither from a report nor
+     * from a list, and rent again. Lists lag by up to twice what the settings say, and may be older than the one before.
+     */
     public void listed() {
         double wallMs = timers.wallMs();
+        double lagMs = 1000 * facts.cloud().listLagS();
         for (Rental r : new ArrayList<>(rentals.values())) {
+            double age = wallMs - r.askedMs();
             // Guards against a record kept for ever because a machine went before any list showed it.
-            boolean old = wallMs - r.askedMs() > 8000 * facts.cloud().listLagS();
-            if (r.settled() && r.recorded() && (old || r.machines().stream().allMatch(this::seen))) {
+            boolean old = age > 8 * lagMs;
+            if (r.settled() && r.recorded() && age > 2.5 * lagMs && (old || r.machines().stream().allMatch(this::seen))) {
                 drop(r, rentals);
             }
         }
@@ -179,7 +185,7 @@
 
     private boolean seen(String machine) {
         Machine m = block.machines().get(machine);
-        return m == null || m.listed() || m.reported();
+        return m == null || m.listed();
     }
 
     // ---- giving back ----------------------------------------------------------------------------
--- a/src/main/java/io/kitepath/standin/CloudLink.java
+++ b/src/main/java/io/kitepath/standin/CloudLink.java
@@ -36,17 +36,17 @@
             node.after(0.5, () -> failed.accept(Store.Outcome.UNKNOWN));
             return;
         }
-        w.after(0.05, () -> {
+        w.after(w.takes(0.05), () -> {
             if (c.out) {
-                node.after(0.05, () -> failed.accept(Store.Outcome.REFUSED));
+                node.after(w.takes(0.05), () -> failed.accept(Store.Outcome.REFUSED));
                 return;
             }
             Runnable answer = act.run();
-            if (c.swallow > 0) {
-                c.swallow--;
+            if (c.swallow > 0 || w.losesAnswer.getAsBoolean()) {
+                c.swallow -= c.swallow > 0 ? 1 : 0;
                 node.after(0.5, () -> failed.accept(Store.Outcome.UNKNOWN));
             } else {
-                node.after(0.05, answer);
+                node.after(w.takes(0.05), answer);
             }
         });
     }
--- a/src/main/java/io/kitepath/standin/MemoryStore.java
+++ b/src/main/java/io/kitepath/standin/MemoryStore.java
@@ -159,6 +159,9 @@
 
     public Store.Committed execute(Store.Transaction t) {
         expire();
+        if (t.writes().stream().anyMatch(x -> x.lease() != 0 && !leases.containsKey(x.lease()))) {
+            return new Store.Committed(Store.Outcome.NO, 0, List.of(), true);
+        }
         List<String> failed = new ArrayList<>();
         for (Store.Condition c : t.conditions()) {
             Store.Entry e = keys.get(c.key());
--- a/src/main/java/io/kitepath/standin/StoreLink.java
+++ b/src/main/java/io/kitepath/standin/StoreLink.java
@@ -21,7 +21,7 @@
     private void exchange(Runnable served, Runnable refused) {
         node.requests++;
         node.sends();
-        w.after(0.002, () -> {
+        w.after(w.takes(0.002), () -> {
             store.expire();
             boolean no = store.out || node.cutFromStore;
             (no ? refused : served).run();
@@ -29,7 +29,7 @@
     }
 
     private void back(Runnable r) {
-        node.after(0.002, r);
+        node.after(w.takes(0.002), r);
     }
 
     @Override
@@ -71,7 +71,7 @@
                 store.changes += t.writes().size();
                 store.written.accept(node, t);
             }
-            if (job && store.swallow > 0 || store.unheard.test(t)) {
+            if (job && store.swallow > 0 || store.unheard.test(t) || w.losesAnswer.getAsBoolean()) {
                 store.swallow -= job && store.swallow > 0 ? 1 : 0;
                 node.after(0.5, () -> answer.accept(new Committed(Outcome.UNKNOWN, 0, List.of(), false)));
                 return;
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -15,6 +15,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -45,6 +47,10 @@
     public final Map<String, Worker> workers = new TreeMap<>();
     /** Jobs that fail on every machine. */
     public final Set<String> mistaken = new HashSet<>();
+    /** How long a request to the store or the cloud takes to get there, and its answer back; fixed unless it is set. */
+    public DoubleSupplier latencyS;
+    /** Whether the next answer of store or cloud is lost, which its node takes for an unknown outcome. */
+    public BooleanSupplier losesAnswer = () -> false;
     /** Workers get no direct commands. */
     public boolean refuseDirect;
     /** How late they come. */
@@ -83,6 +89,11 @@
         clock.after(s, r);
     }
 
+    /** What a message takes that usually takes so long. */
+    double takes(double usualS) {
+        return latencyS == null ? usualS : latencyS.getAsDouble();
+    }
+
     public void run(double seconds) {
         clock.run(seconds);
     }
@@ -90,7 +101,7 @@
     public Facts facts(String node) {
         return new Facts(node, "a", siblings, zones, teams, objectives,
                 new Facts.Workers(reportS, leaseS, 30, 5, 30), new Facts.StoreLimits(1000, writeRps, 8, 40),
-                new Facts.CloudLimits(10, 2), new Facts.Limits(1, 200, 1000), 5);
+                new Facts.CloudLimits(10, Math.max(2, cloud.listLagS)), new Facts.Limits(1, 200, 1000), 5);
     }
 
     public Node node(String name) {
