Searches on a full fleet pass over stages where nothing has room; ticks keep the rounds' pace

Of a search most went into asking every candidate for the job's image, stage by stage, with room on none; what holds the image is counted only until it is enough. Ticks ran a round four times a second whatever the last one took.

--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -373,7 +373,9 @@
             ticking = false;
             return;
         }
-        round();
+        if (timers.now() >= roundEnded + 4 * roundTook) {
+            round();
+        }
         if (keeper.loaded()) {
             takeover.read(timers.now());
             takeover.look(timers.now(), checkIns.launches() - launchesBefore);
--- a/src/main/java/io/kitepath/core/place/Placement.java
+++ b/src/main/java/io/kitepath/core/place/Placement.java
@@ -91,7 +91,11 @@
         /** Which of the candidates come first, those that are left after them, and so on. */
         private final List<Predicate<Machine>> stages = new ArrayList<>();
         private int stage;
+        /** Whether the stages for machines without the image have still to be worked out. */
+        private boolean elsewhereToo;
         private Boolean enough;
+        /** The candidates with room for a task, as of when the search began: room only shrinks while it lasts. */
+        private List<Machine> roomy;
         /** Null before a stage begins. Room only shrinks while a search lasts, so a stage that found none is over. */
         private Walk walk;
 
@@ -107,11 +111,17 @@
             }
             // Work that may use spot machines leaves the others to work that may not; but with a deadline there is no
             // time to fetch an image on the one while the other has it.
-            boolean hurried = spec.deadlineS() != null;
             stages.add(m -> m.spot() && holds(m));
-            if (hurried) {
+            if (spec.deadlineS() != null) {
                 stages.add(this::holds);
             }
+            elsewhereToo = true;
+        }
+
+        /** Once those that have the image are full. */
+        private void goElsewhere() {
+            elsewhereToo = false;
+            boolean hurried = spec.deadlineS() != null;
             if (!enoughHold()) {
                 elsewhere(Machine::spot);
             }
@@ -154,6 +164,9 @@
                         MachineType t = types.get(m.type());
                         slots += most(spec, Integer.MAX_VALUE, t.cpus() - m.boundCpus(), t.gpus(), t.memoryGb());
                     }
+                    if (slots >= ENOUGH * spec.tasks()) {
+                        break;
+                    }
                 }
                 enough = slots >= ENOUGH * spec.tasks();
             }
@@ -177,9 +190,22 @@
 
         /** Null if there is none now; the caller puts the task there before it asks for the next. */
         Machine next() {
-            while (walk != null || stage < stages.size()) {
+            if (roomy == null) {
+                roomy = candidates.stream().filter(m -> room(m, spec)).toList();
+            }
+            while (walk != null || stage < stages.size() || elsewhereToo) {
+                if (walk == null && stage == stages.size()) {
+                    goElsewhere();
+                    continue;
+                }
                 if (walk == null) {
-                    walk = new Walk(spec, candidates.stream().filter(stages.get(stage++)).toList());
+                    Predicate<Machine> in = stages.get(stage++);
+                    // Where none has room, probes would miss and a scan find nothing: on a full fleet that is nearly
+                    // every stage of nearly every search, and to ask hundreds of machines for an image takes its time.
+                    if (roomy.stream().noneMatch(in)) {
+                        continue;
+                    }
+                    walk = new Walk(spec, candidates.stream().filter(in).toList());
                 }
                 Machine m = walk.next();
                 if (m != null) {
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -210,6 +210,7 @@
         JobSpec s = job.spec;
         List<Machine> out = new ArrayList<>();
         List<Machine> failed = new ArrayList<>();
+        boolean anew = job.failedOn().isEmpty();
         String onlyZone = s.oneZone() && !job.live().isEmpty()
                 ? job.live().get(job.live().firstKey()).machine.zone() : null;
         for (Machine m : open) {
@@ -218,7 +219,7 @@
                     && placement.allowed(m, s)
                     && (onlyZone == null || onlyZone.equals(m.zone())) && !(m.draining() && s.spot())
                     && !standby.keepsFrom(m, job)) {
-                (job.failedOn().contains(m.id) ? failed : out).add(m);
+                (!anew && job.failedOn().contains(m.id) ? failed : out).add(m);
             }
         }
         // Guards against retries that land where they failed: such machines come only when there is no other.
