--- a/src/main/java/io/kitepath/core/duty/Carrier.java
+++ b/src/main/java/io/kitepath/core/duty/Carrier.java
@@ -186,9 +186,9 @@
                     answered(e, a, outcome, i -> ((Rental) i).settle(outcome == Outcome.OK ? machines : List.of())));
         } else {
             Going g = (Going) a.intent;
-            // A refusal of a release proves nothing; only the cloud's yes does.
+            // Nothing but the cloud's yes proves that they are gone.
             cloud.release(g.machines, outcome ->
-                    answered(e, a, outcome == Outcome.NO ? Outcome.REFUSED : outcome, i -> ((Going) i).settle()));
+                    answered(e, a, outcome == Outcome.OK ? outcome : Outcome.REFUSED, i -> ((Going) i).settle()));
         }
     }
 
--- a/src/test/java/io/kitepath/core/IntentsTest.java
+++ b/src/test/java/io/kitepath/core/IntentsTest.java
@@ -127,6 +127,22 @@
         assertEquals(0, records(w, Keys.GOING));
     }
 
+    @Test
+    void aReturnThatTheCloudRefusedIsAskedForUntilItSaysYes() {
+        w.worker("i-000000", "a");
+        until(w, 200, () -> {
+            w.cloud.out |= records(w, Keys.GOING) > 0;
+            return w.cloud.out;
+        });
+        w.run(20);
+        assertEquals(List.of(), w.cloud.released);
+        assertEquals(1, records(w, Keys.GOING));
+        w.cloud.out = false;
+        w.run(40);
+        assertEquals(List.of("i-000000"), w.cloud.released);
+        assertEquals(0, records(w, Keys.GOING));
+    }
+
     @Test
     void whoeverStandsStillBetweenDecisionAndRequestDoesNoHarm() {
         for (boolean holder : new boolean[] {true, false}) {
