--- a/src/main/java/io/kitepath/cli/CommandLineEntry.java
+++ b/src/main/java/io/kitepath/cli/CommandLineEntry.java
@@ -25,7 +25,7 @@
         description = "A cluster scheduler.",
         subcommands = {CommandLineEntry.Serve.class, CommandLineEntry.Submit.class, CommandLineEntry.Status.class,
             CommandLineEntry.Cancel.class, CommandLineEntry.Check.class, CommandLineEntry.Duties.class,
-            StateCommand.class, Rehearse.class})
+            StateCommand.class, Local.class, Rehearse.class})
 final class CommandLineEntry implements Callable<Integer> {
     @Option(names = "--config", paramLabel = "FILE", description = "Without a command: serve with these settings.")
     Path config;
--- a/src/main/java/io/kitepath/settings/Settings.java
+++ b/src/main/java/io/kitepath/settings/Settings.java
@@ -1,12 +1,14 @@
 package io.kitepath.settings;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Tree;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -102,6 +104,47 @@
         throw t.complaint(field, "must be an address such as 10.0.0.1:8080, not \"" + s + "\"");
     }
 
+    /** Plain maps, lists, text, numbers, booleans and null as a JSON document; what {@link #document} reads. */
+    public static byte[] json(Object value) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (JsonGenerator g = new JsonFactory().createGenerator(out)) {
+            g.useDefaultPrettyPrinter();
+            write(g, value);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return out.toByteArray();
+    }
+
+    private static void write(JsonGenerator g, Object value) throws IOException {
+        if (value instanceof Map<?, ?> m) {
+            g.writeStartObject();
+            for (Map.Entry<?, ?> e : m.entrySet()) {
+                g.writeFieldName((String) e.getKey());
+                write(g, e.getValue());
+            }
+            g.writeEndObject();
+        } else if (value instanceof List<?> l) {
+            g.writeStartArray();
+            for (Object x : l) {
+                write(g, x);
+            }
+            g.writeEndArray();
+        } else if (value instanceof Integer i) {
+            g.writeNumber(i);
+        } else if (value instanceof Long n) {
+            g.writeNumber(n);
+        } else if (value instanceof Double d) {
+            g.writeNumber(d);
+        } else if (value instanceof Boolean b) {
+            g.writeBoolean(b);
+        } else if (value == null) {
+            g.writeNull();
+        } else {
+            g.writeString(value.toString());
+        }
+    }
+
     /** A JSON document as plain maps, lists, text, numbers, booleans and null. */
     public static Object document(byte[] bytes) {
         try (JsonParser p = new JsonFactory().createParser(bytes)) {
--- a/src/main/java/io/kitepath/standin/Cellular.java
+++ b/src/main/java/io/kitepath/standin/Cellular.java
@@ -355,10 +355,10 @@
     /** Sees every transaction that changes something about loans, with the cell and the node that wrote it. */
     public void onLoanWrites(LoanWrites seen) {
         worlds.forEach((c, w) -> w.store.written = (n, t) -> {
-            if (t.writes().stream().map(Store.Write::key).anyMatch(k -> k.startsWith("jobs/lent/")
+            if (n instanceof Node by && t.writes().stream().map(Store.Write::key).anyMatch(k -> k.startsWith("jobs/lent/")
                     || k.startsWith("jobs/guest/") || k.startsWith("kitepath/share/") || k.startsWith("jobs/leave/")
                     || k.startsWith("kitepath/void/"))) {
-                seen.written(c, n, t);
+                seen.written(c, by, t);
             }
         });
     }
--- a/src/main/java/io/kitepath/standin/CloudLink.java
+++ b/src/main/java/io/kitepath/standin/CloudLink.java
@@ -11,9 +11,9 @@
 
 final class CloudLink implements Cloud {
     private final World w;
-    private final Node node;
+    private final Caller node;
 
-    CloudLink(World w, Node node) {
+    CloudLink(World w, Caller node) {
         this.w = w;
         this.node = node;
     }
--- /dev/null
+++ b/src/main/java/io/kitepath/standin/Loopback.java
@@ -0,0 +1,233 @@
+package io.kitepath.standin;
+
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.MachineKind;
+import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.port.Cloud;
+import io.kitepath.core.port.Store.Committed;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.net.HttpClient;
+import io.kitepath.net.HttpServer;
+import io.kitepath.net.HttpServer.Request;
+import io.kitepath.net.HttpServer.Responder;
+import io.kitepath.wire.Outside;
+import io.kitepath.wire.Pack;
+import io.kitepath.wire.Wire;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.ServerSocketChannel;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * The stand-ins of state service, cloud and workers behind real sockets on loopback, for nodes that are real processes.
+ * What they do is the {@link World}'s, as in tests and rehearsals; only its clock follows the real one. All of it lives on
+ * one event loop.
+ */
+public final class Loopback {
+    private static final int MAX_BODY = 1 << 20;
+    private static final long TIMEOUT_MS = 4000;
+
+    public final World world;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    /** Whoever is behind a socket. */
+    private final Caller caller;
+    private final StoreLink store;
+    private final CloudLink cloud;
+    private final Map<String, HttpClient> nodes = new HashMap<>();
+    private final double offset;
+
+    /** {@code nodes}: where workers reach each node, by its label. */
+    public Loopback(EventLoopGroup group, World world, Map<String, InetSocketAddress> nodes) {
+        this.group = group;
+        this.loop = group.next();
+        this.world = world;
+        this.offset = world.clock.now - System.nanoTime() / 1e9;
+        this.caller = world::after;
+        this.store = new StoreLink(world, caller);
+        this.cloud = new CloudLink(world, caller);
+        nodes.forEach((label, at) -> this.nodes.put(label, new HttpClient(loop, at, 64, MAX_BODY)));
+        List<String> labels = List.copyOf(nodes.keySet());
+        world.reach = new World.Reach() {
+            @Override
+            public List<String> up() {
+                return labels; // Which of them are up, a worker finds out by trying.
+            }
+
+            @Override
+            public void checkIn(String node, Report report, Consumer<CheckIn> answer) {
+                Loopback.this.nodes.get(node).call("POST", "/checkin", Outside.report(report), TIMEOUT_MS,
+                        (status, body) -> {
+                            CheckIn c = Outside.checkIn(status, body);
+                            answer.accept(c == null ? CheckIn.elsewhere(null) : c);
+                        });
+            }
+        };
+        world.born = this::born;
+    }
+
+    /** Runs that on the loop that owns the stand-ins. */
+    public void run(Runnable what) {
+        loop.submit(what).syncUninterruptibly();
+    }
+
+    /** Begins to listen and lets time pass; where the state service and the cloud are. */
+    public List<InetSocketAddress> start() {
+        List<InetSocketAddress> at = List.of(listen(this::state), listen(this::cloud));
+        loop.scheduleAtFixedRate(() -> world.run(Math.max(0, System.nanoTime() / 1e9 + offset - world.clock.now)), 0, 5,
+                TimeUnit.MILLISECONDS);
+        return at;
+    }
+
+    private InetSocketAddress listen(HttpServer.Handler handler) {
+        HttpServer server = new HttpServer((request, out) -> {
+            try {
+                handler.handle(request, out);
+            } catch (Malformed e) {
+                out.reply(400, Wire.error(e.getMessage()));
+            }
+        }, MAX_BODY, 10_000, 600);
+        ServerSocketChannel ch = (ServerSocketChannel) server.listen(loop, new InetSocketAddress("127.0.0.1", 0))
+                .syncUninterruptibly().channel();
+        return ch.localAddress();
+    }
+
+    // ---- workers --------------------------------------------------------------------------------
+
+    private void born(Worker w) {
+        // On the loop already: to wait for the socket here would wait for itself.
+        HttpServer server = new HttpServer((r, out) -> direct(w, r, out), MAX_BODY, 100, 60);
+        server.listen(loop, new InetSocketAddress("127.0.0.1", 0)).addListener(f -> {
+            if (f.isSuccess()) {
+                InetSocketAddress at = (InetSocketAddress) ((io.netty.channel.ChannelFuture) f).channel().localAddress();
+                w.address = "127.0.0.1:" + at.getPort();
+            }
+        });
+    }
+
+    private void direct(Worker w, Request r, Responder out) {
+        try {
+            Outside.Direct d = Outside.direct(Pack.value(r.body()));
+            Report report = w.up ? w.directly(d.token(), d.session(), d.orders()) : null;
+            out.reply(report == null ? 409 : 200, Outside.report(report == null ? w.message() : report));
+        } catch (Malformed e) {
+            out.reply(400, Wire.error(e.getMessage()));
+        }
+    }
+
+    // ---- state service --------------------------------------------------------------------------
+
+    private static void failed(Outcome o, Responder out) {
+        // Without an answer a caller has to find out by itself; the stand-in says so with a status that tells nothing.
+        out.reply(o == Outcome.REFUSED ? 503 : 500, null);
+    }
+
+    private void state(Request r, Responder out) {
+        String path = r.path();
+        if (path.startsWith("/keys/")) {
+            store.get(path.substring("/keys/".length()), (o, e) -> {
+                if (o == Outcome.OK) {
+                    out.reply(200, Outside.entry(e));
+                } else if (o == Outcome.NO) {
+                    out.reply(404, Pack.bytes(Map.of("epoch", world.store.revision)));
+                } else {
+                    failed(o, out);
+                }
+            });
+        } else if (path.equals("/keys")) {
+            store.page(query(r, "prefix", ""), query(r, "from", ""), (int) number(r, "limit", 1000), l -> {
+                if (l.outcome() == Outcome.OK) {
+                    out.reply(200, Outside.listing(l));
+                } else {
+                    failed(l.outcome(), out);
+                }
+            });
+        } else if (path.equals("/multi")) {
+            store.commit(Outside.transaction(Pack.value(r.body())), c -> committed(c, out));
+        } else if (path.equals("/follow")) {
+            store.follow(query(r, "prefix", ""), number(r, "from", 0), number(r, "holdMs", 0), c ->
+                    out.reply(200, Outside.changes(c)));
+        } else if (path.equals("/holds")) {
+            store.grant(Outside.lifeMs(Pack.value(r.body())), (o, id) -> {
+                if (o == Outcome.OK) {
+                    out.reply(200, Outside.lease(id));
+                } else {
+                    failed(o, out);
+                }
+            });
+        } else if (path.matches("/holds/[0-9]{1,18}/renew")) {
+            store.renew(Long.parseLong(path.split("/")[2]), o -> {
+                if (o == Outcome.OK || o == Outcome.NO) {
+                    out.reply(o == Outcome.OK ? 200 : 404, null);
+                } else {
+                    failed(o, out);
+                }
+            });
+        } else if (path.matches("/holds/[0-9]{1,18}") && r.method().equals("DELETE")) {
+            store.revoke(Long.parseLong(path.split("/")[2]));
+            out.reply(200, null);
+        } else {
+            out.reply(400, Wire.error("no such call"));
+        }
+    }
+
+    private static void committed(Committed c, Responder out) {
+        switch (c.outcome()) {
+            case OK -> out.reply(200, Outside.committed(c));
+            case NO -> out.reply(c.leaseGone() ? 400 : 409, c.leaseGone() ? Wire.error("no such lease")
+                    : Outside.committed(c));
+            default -> failed(c.outcome(), out);
+        }
+    }
+
+    private static String query(Request r, String name, String absent) {
+        List<String> values = new QueryStringDecoder("/?" + r.query()).parameters().get(name);
+        return values == null ? absent : values.get(0);
+    }
+
+    private static long number(Request r, String name, long absent) {
+        String s = query(r, name, "" + absent);
+        if (!s.matches("[0-9]{1,18}")) {
+            throw new Malformed(name + ": must be a number");
+        }
+        return Long.parseLong(s);
+    }
+
+    // ---- cloud ----------------------------------------------------------------------------------
+
+    private void cloud(Request r, Responder out) {
+        if (r.path().equals("/machine_types")) {
+            cloud.types((o, types) -> out.reply(200, Outside.types(types)));
+        } else if (r.path().equals("/rentals/release")) {
+            cloud.release(Wire.machineNames(Pack.value(r.body())), o -> answer(o, Pack.bytes(Map.of()), out));
+        } else if (r.path().equals("/rentals") && r.method().equals("POST")) {
+            Outside.Rent q = Outside.rent(Pack.value(r.body()));
+            cloud.rent(q.name(), new MachineKind(q.type(), q.zone(), q.spot()), q.count(), (o, names) ->
+                    answer(o, Wire.machines(names), out));
+        } else if (r.path().equals("/rentals")) {
+            String from = query(r, "from", "");
+            int limit = (int) number(r, "limit", 500);
+            cloud.list((o, all) -> {
+                List<Cloud.Listed> rest = all.stream().filter(m -> m.machine().compareTo(from) > 0).toList();
+                answer(o, Outside.machines(rest.subList(0, Math.min(limit, rest.size())), rest.size() > limit), out);
+            });
+        } else {
+            out.reply(400, Wire.error("no such call"));
+        }
+    }
+
+    private static void answer(Outcome o, byte[] body, Responder out) {
+        switch (o) {
+            case OK -> out.reply(200, body);
+            case NO -> out.reply(503, Wire.error("no capacity"));
+            default -> out.reply(503, Wire.error("trouble"));
+        }
+    }
+}
--- a/src/main/java/io/kitepath/standin/MemoryCloud.java
+++ b/src/main/java/io/kitepath/standin/MemoryCloud.java
@@ -25,7 +25,7 @@
     /** It refuses everything. */
     public boolean out;
     /** Requests to rent or release, by the node that sent them, that a network keeps: they run when it lets them. */
-    public Predicate<Node> withheld = n -> false;
+    public Predicate<Caller> withheld = n -> false;
     public final List<Runnable> heldBack = new ArrayList<>();
     /** The next requests are executed, but nobody hears of it. */
     public int swallow;
--- a/src/main/java/io/kitepath/standin/MemoryStore.java
+++ b/src/main/java/io/kitepath/standin/MemoryStore.java
@@ -43,7 +43,7 @@
     /** Transactions that are executed, but nobody hears of it. */
     public Predicate<Store.Transaction> unheard = t -> false;
     /** Sees every transaction that was executed and changed something, and by whom. */
-    public BiConsumer<Node, Store.Transaction> written = (n, t) -> { };
+    public BiConsumer<Caller, Store.Transaction> written = (n, t) -> { };
     public long changes;
 
     public long token() {
@@ -95,13 +95,13 @@
 
     /** One that waits for changes under a prefix. */
     private final class Watch {
-        private final Node node;
+        private final Caller node;
         private final String prefix;
         private final long after;
         private final Consumer<Store.Changes> answer;
         private boolean touched;
 
-        Watch(Node node, String prefix, long after, Consumer<Store.Changes> answer) {
+        Watch(Caller node, String prefix, long after, Consumer<Store.Changes> answer) {
             this.node = node;
             this.prefix = prefix;
             this.after = after;
@@ -110,7 +110,7 @@
 
         /** Looks after some changes; while the store does not serve the node, nothing is seen. */
         private boolean served(boolean last) {
-            boolean no = out || node.cutFromStore;
+            boolean no = out || node.refused();
             List<Store.Entry> events = new ArrayList<>();
             if (!no && (touched || last)) {
                 for (int i = log.size() - 1; i >= 0 && log.get(i).revision() > after; i--) {
@@ -121,7 +121,7 @@
             }
             touched &= no;
             if (events.isEmpty() && !last) {
-                return !node.alive;
+                return !node.there();
             }
             long r = no ? after : revision;
             node.after(0.002, () -> answer.accept(new Store.Changes(Store.Outcome.OK, r, events)));
@@ -143,7 +143,7 @@
         }
     }
 
-    public void follow(Node node, String prefix, long after, double holdS, Consumer<Store.Changes> answer) {
+    public void follow(Caller node, String prefix, long after, double holdS, Consumer<Store.Changes> answer) {
         Watch x = new Watch(node, prefix, after, answer);
         x.touched = true;
         watches.add(x);
--- a/src/main/java/io/kitepath/standin/Node.java
+++ b/src/main/java/io/kitepath/standin/Node.java
@@ -15,7 +15,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-public final class Node implements Timers, Siblings {
+public final class Node implements Timers, Siblings, Caller {
     private final World w;
     public final String name;
     public final Controller controller;
@@ -48,12 +48,7 @@
             return;
         }
         w.after(w.directDelayS, () -> {
-            boolean takes = token >= x.token && session == x.session;
-            if (takes) {
-                x.token = token;
-                orders.forEach(x::execute);
-            }
-            Report r = takes ? x.message() : null;
+            Report r = x.directly(token, session, orders);
             after(0.002, () -> answer.accept(r));
         });
     }
@@ -72,8 +67,23 @@
         ended = then;
     }
 
-    /** It sends a request to the store, watches apart, or to the cloud, lists apart. */
-    void sends() {
+    @Override
+    public boolean there() {
+        return alive;
+    }
+
+    @Override
+    public boolean refused() {
+        return cutFromStore;
+    }
+
+    @Override
+    public void asks() {
+        requests++;
+    }
+
+    @Override
+    public void sends() {
         if (alive && ++sent >= endsAfter) {
             crash();
             ended.run();
--- a/src/main/java/io/kitepath/standin/StoreLink.java
+++ b/src/main/java/io/kitepath/standin/StoreLink.java
@@ -9,9 +9,9 @@
 final class StoreLink implements Store {
     private final World w;
     private final MemoryStore store;
-    private final Node node;
+    private final Caller node;
 
-    StoreLink(World w, Node node) {
+    StoreLink(World w, Caller node) {
         this.w = w;
         this.store = w.store;
         this.node = node;
@@ -19,11 +19,11 @@
 
     /** Runs on the store a moment later, and the answer on the node a moment after that. */
     private void exchange(Runnable served, Runnable refused) {
-        node.requests++;
+        node.asks();
         node.sends();
         w.after(w.takes(0.002), () -> {
             store.expire();
-            boolean no = store.out || node.cutFromStore;
+            boolean no = store.out || node.refused();
             (no ? refused : served).run();
         });
     }
--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -19,6 +19,8 @@
     private final World w;
     public final String id;
     public final String zone;
+    /** Where it takes direct commands. */
+    public String address;
     public final Map<String, Task> tasks = new LinkedHashMap<>();
     public final Set<String> images = new HashSet<>();
     public long session = 1;
@@ -42,6 +44,7 @@
         this.w = w;
         this.answered = w.clock.now;
         this.id = id;
+        this.address = id;
         this.zone = zone;
     }
 
@@ -51,17 +54,26 @@
     }
 
     public Report message() {
-        return new Report(id, id, w.type.name(), zone, spot, session, ++sequence, token, null, tasks.values().stream()
+        return new Report(id, address, w.type.name(), zone, spot, session, ++sequence, token, null, tasks.values().stream()
                 .map(t -> new TaskReport(t.job, t.number, t.attempt, t.state, t.cause)).toList());
     }
 
-    private Node target() {
-        Node n = node == null ? null : w.nodes.get(node);
-        if (n == null || !n.alive) {
-            List<String> alive = w.nodes.values().stream().filter(x -> x.alive).map(x -> x.name).toList();
-            node = alive.isEmpty() ? null : alive.get((int) (sequence % alive.size()));
+    /** Commands straight to it: its report after them, or null if they are not for it. */
+    public Report directly(long itsToken, long itsSession, List<Order> orders) {
+        if (itsToken < token || itsSession != session) {
+            return null;
         }
-        return node == null ? null : w.nodes.get(node);
+        token = itsToken;
+        orders.forEach(this::execute);
+        return message();
+    }
+
+    private String target() {
+        List<String> up = w.reach.up();
+        if (node == null || !up.contains(node)) {
+            node = up.isEmpty() ? null : up.get((int) (sequence % up.size()));
+        }
+        return node;
     }
 
     private void reportIn(double seconds) {
@@ -91,19 +103,16 @@
             session++;
             answered = w.clock.now;
         }
-        Node n = target();
+        String to = target();
         long mySession = session;
         double sent = w.clock.now;
         boolean[] heard = new boolean[1];
-        if (n != null && !cut) {
-            Report r = message();
-            w.after(0.002, () -> {
-                n.deliver(() -> n.controller.checkIn(r, c -> w.after(0.002, () -> {
-                    if (!heard[0] && up && session == mySession && !cut) {
-                        heard[0] = true;
-                        hear(c, sent);
-                    }
-                })));
+        if (to != null && !cut) {
+            w.reach.checkIn(to, message(), c -> {
+                if (!heard[0] && up && session == mySession && !cut) {
+                    heard[0] = true;
+                    hear(c, sent);
+                }
             });
         }
         w.after(4, () -> {
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -1,9 +1,11 @@
 package io.kitepath.standin;
 
+import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.Directory;
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.MachineType;
+import io.kitepath.core.model.Report;
 import io.kitepath.core.model.Report.State;
 import io.kitepath.core.port.Cloud;
 import io.kitepath.core.serve.Registry;
@@ -16,6 +18,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
 
@@ -51,6 +54,30 @@
     public DoubleSupplier latencyS;
     /** Whether the next answer of store or cloud is lost, which its node takes for an unknown outcome. */
     public BooleanSupplier losesAnswer = () -> false;
+    /** How workers reach nodes. */
+    public interface Reach {
+        /** The names of nodes that a worker may try. */
+        List<String> up();
+
+        /** Reports to a node; there may be no answer. */
+        void checkIn(String node, Report report, Consumer<CheckIn> answer);
+    }
+
+    /** To the nodes in memory, unless it is set to something else. */
+    public Reach reach = new Reach() {
+        @Override
+        public List<String> up() {
+            return nodes.values().stream().filter(n -> n.alive).map(n -> n.name).toList();
+        }
+
+        @Override
+        public void checkIn(String node, Report report, Consumer<CheckIn> answer) {
+            Node n = nodes.get(node);
+            after(0.002, () -> n.deliver(() -> n.controller.checkIn(report, c -> after(0.002, () -> answer.accept(c)))));
+        }
+    };
+    /** Is told of every worker that there is from now on. */
+    public Consumer<Worker> born = x -> { };
     /** Workers get no direct commands. */
     public boolean refuseDirect;
     /** How late they come. */
@@ -119,6 +146,7 @@
     public Worker worker(String id, String zone) {
         Worker w = new Worker(this, id, zone);
         workers.put(id, w);
+        born.accept(w);
         cloud.machines.put(id, new Cloud.Listed(id, type.name(), zone, false, "running", 60));
         after(0, w::report);
         return w;
