--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -128,8 +128,6 @@
         this.sweep = new Sweep(facts, store, timers);
         this.duties = new Duties(facts, store, timers, random, incarnation, leadership.lifeS(),
                 List.of(carrier, sweep));
-        carrier.heldBy(duties);
-        sweep.heldBy(duties);
         this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, siblings, timers, spent, this::soon);
         this.retries = new RetryPace(facts, timers);
         registry.onCancelled(job -> {
--- a/src/main/java/io/kitepath/core/duty/Carrier.java
+++ b/src/main/java/io/kitepath/core/duty/Carrier.java
@@ -36,10 +36,8 @@
     private final Bucket calls;
     private final double lifeS;
     private final Map<String, Act> acts = new LinkedHashMap<>();
-    private Duties duties;
     private long epoch;
-    private String dutyKey;
-    private long dutyRevision;
+    private Duties.Held held;
     private double failingSince = Double.NaN;
     private long called;
     private long failed;
@@ -66,20 +64,14 @@
         this.calls = new Bucket(facts.cloud().rps() * RATE_SHARE);
     }
 
-    /** Who says whether the duty is held. */
-    public void heldBy(Duties d) {
-        duties = d;
-    }
-
     @Override
     public String name() {
         return "cloud";
     }
 
     @Override
-    public void begin(String key, long revision, long token) {
-        dutyKey = key;
-        dutyRevision = revision;
+    public void begin(Duties.Held duty) {
+        held = duty;
         failingSince = Double.NaN;
         read(++epoch);
     }
@@ -99,11 +91,6 @@
         return failed;
     }
 
-    /** What is on record here and not settled. */
-    public int backlog() {
-        return acts.size();
-    }
-
     // ---- what is on record ----------------------------------------------------------------------
 
     private void read(long e) {
@@ -165,7 +152,7 @@
     public void tick(double now) {
         for (Act a : new ArrayList<>(acts.values())) {
             // Last of all, right before the call: whether the duty is still ours.
-            if (!a.asking && now >= a.notBefore && calls.available(now) >= 1 && duties.holds(this)) {
+            if (!a.asking && now >= a.notBefore && calls.available(now) >= 1 && held.certain().getAsBoolean()) {
                 calls.take(1, now);
                 ask(a);
             }
@@ -214,7 +201,7 @@
         if (e != epoch) {
             return;
         }
-        Transaction t = new Transaction().when(dutyKey, dutyRevision).when(a.intent.key, a.intent.revision());
+        Transaction t = new Transaction().when(held.key(), held.revision()).when(a.intent.key, a.intent.revision());
         if (a.intent instanceof Rental r && r.machines().isEmpty()) {
             t.remove(r.key); // Nothing came of it: the holder sees it gone, and need not write any more.
         } else {
--- a/src/main/java/io/kitepath/core/duty/Duties.java
+++ b/src/main/java/io/kitepath/core/duty/Duties.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,8 +40,8 @@
         /** The duty's name, which is part of its key. */
         String name();
 
-        /** It is held from now on; writes depend on the key's revision. */
-        void begin(String key, long revision, long token);
+        /** It is held from now on. */
+        void begin(Held held);
 
         /** It is held no more, or not for certain. */
         void end();
@@ -52,6 +53,14 @@
         boolean fit(double now);
     }
 
+    /**
+     * A duty that is held here.
+     *
+     * @param key on whose {@code revision} all that is written for the duty depends
+     * @param certain whether it is held for certain, to be asked right before each act
+     */
+    public record Held(String key, long revision, long token, BooleanSupplier certain) {}
+
     /** One duty, as this node sees it. */
     public static final class Seat {
         private final Work work;
@@ -159,12 +168,7 @@
         return fenced;
     }
 
-    /** Whether the duty is held here for certain, to be asked right before each act. */
-    public boolean holds(Work work) {
-        return holds(work.name());
-    }
-
-    /** The same, by the duty's name. */
+    /** Whether the duty of that name is held here for certain. */
     public boolean holds(String name) {
         Seat s = seats.get(Keys.DUTY + name);
         boolean certain = s.mine && timers.now() - renewedAt < lifeS * (1 - DRIFT);
@@ -372,7 +376,7 @@
         s.revision = revision;
         took(s, facts.node(), token);
         LOG.info("duty {} is done here, with token {}", s.name(), token);
-        s.work.begin(s.key, revision, token);
+        s.work.begin(new Held(s.key, revision, token, () -> holds(s.name())));
     }
 
     private void lose(String why) {
@@ -418,7 +422,7 @@
     private void tick() {
         double now = timers.now();
         for (Seat s : seats.values()) {
-            if (s.mine && holds(s.work)) {
+            if (s.mine && holds(s.name())) {
                 if (s.work.fit(now)) {
                     s.work.tick(now);
                 } else {
--- a/src/main/java/io/kitepath/core/duty/Sweep.java
+++ b/src/main/java/io/kitepath/core/duty/Sweep.java
@@ -27,11 +27,9 @@
     private final Facts facts;
     private final Store store;
     private final Timers timers;
-    private Duties duties;
     private final Deque<Audit.Finding> rubbish = new ArrayDeque<>();
     private Audit audit;
-    private String dutyKey;
-    private long dutyRevision;
+    private Duties.Held held;
     private long epoch;
     private boolean busy;
     private double nextAt;
@@ -46,20 +44,14 @@
         this.timers = timers;
     }
 
-    /** Who says whether the duty is held. */
-    public void heldBy(Duties d) {
-        duties = d;
-    }
-
     @Override
     public String name() {
         return "cleanup";
     }
 
     @Override
-    public void begin(String key, long revision, long token) {
-        dutyKey = key;
-        dutyRevision = revision;
+    public void begin(Duties.Held duty) {
+        held = duty;
         // Not at once: whoever ends again and again would do nothing but look.
         nextAt = timers.now() + facts.workers().leaseS();
     }
@@ -92,7 +84,7 @@
 
     @Override
     public void tick(double now) {
-        if (busy || now < nextAt || !duties.holds(this)) {
+        if (busy || now < nextAt || !held.certain().getAsBoolean()) {
             return;
         }
         // One request a step, paced so that the sweep is not felt.
@@ -135,7 +127,7 @@
     private void remove(Audit.Finding f) {
         busy = true;
         long e = epoch;
-        Transaction t = new Transaction().when(dutyKey, dutyRevision);
+        Transaction t = new Transaction().when(held.key(), held.revision());
         f.conditions().forEach(c -> t.when(c.key(), c.revision()));
         store.commit(t.remove(f.key()), c -> {
             if (e != epoch) {
--- a/src/main/java/io/kitepath/core/fleet/Rentals.java
+++ b/src/main/java/io/kitepath/core/fleet/Rentals.java
@@ -5,7 +5,6 @@
 import io.kitepath.core.duty.Rental;
 import io.kitepath.core.model.Bucket;
 import io.kitepath.core.model.Facts;
-import io.kitepath.core.model.MachineKind;
 import io.kitepath.core.model.MachineType;
 import io.kitepath.core.model.Tree;
 import io.kitepath.core.port.Cloud;
