--- a/src/main/java/io/kitepath/core/duty/Intents.java
+++ b/src/main/java/io/kitepath/core/duty/Intents.java
@@ -254,6 +254,11 @@
     private <T extends Intent> void drop(T intent, Map<String, T> books) {
         books.remove(intent.key, intent);
         ride.accept(new Keeper.Rider() {
+            @Override
+            public boolean urgent() {
+                return false;
+            }
+
             @Override
             public boolean wanted() {
                 return intent.recorded();
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -49,6 +49,7 @@
     private final Bucket writes;
     /** What waits to be written along, in order. */
     private final ArrayDeque<Rider> riders = new ArrayDeque<>();
+    private final ArrayDeque<Rider> patient = new ArrayDeque<>();
     /** Null without other cells. */
     private final Reading.Elsewhere elsewhere;
     private long epoch;
@@ -87,6 +88,11 @@
      * beside another write of its. Whoever hands one in again after {@link Listener#outOfStep} works it out anew.
      */
     public interface Rider {
+        /** Whether something waits for it. What can wait itself goes along when the rate has some to spare. */
+        default boolean urgent() {
+            return true;
+        }
+
         /** False if it is not wanted any more, as when its job is over by now. */
         boolean wanted();
 
@@ -154,12 +160,13 @@
         loaded = false;
         round = null;
         riders.clear();
+        patient.clear();
         images.forget();
     }
 
     /** Writes that along in one of the next rounds. */
     public void ride(Rider r) {
-        riders.add(r);
+        (r.urgent() ? riders : patient).add(r);
     }
 
     // ---- loading --------------------------------------------------------------------------------
@@ -182,6 +189,7 @@
         loaded = false;
         round = null;
         riders.clear();
+        patient.clear();
         servedBefore = null;
         store.get(Keys.SERVED, (outcome, entry) -> {
             if (e == epoch && outcome == Outcome.OK) {
@@ -325,7 +333,7 @@
         int budget = (int) Math.min(facts.store().txnOps(), available);
         Round r = new Round();
         r.transaction.when(blockKey, blockRevision);
-        board(r, budget);
+        board(r, riders, budget);
         // In turns: a swarm's ends, two writes each, would leave nothing to what is to start, and the other way round.
         boolean endsFirst = rounds % 2 == 0;
         if (endsFirst) {
@@ -342,6 +350,9 @@
         }
         double spare = available - facts.store().writeRps() * WRITE_SHARE / 2;
         take(r, block.unwritten().changes(), (int) Math.min(budget, spare));
+        // Guards against placings of a burst that wait for records which are only to be struck off; a backlog of those
+        // that would grow for ever goes along all the same.
+        board(r, patient, (int) Math.min(budget, patient.size() > budget ? budget : spare));
         if (r.transaction.writes().size() < budget && r.bytes < MAX_BYTES / 2) {
             Store.Write due = images.due(block.machines().values(), now);
             if (due != null) {
@@ -361,10 +372,10 @@
         send(epoch, done);
     }
 
-    private void board(Round r, int budget) {
+    private void board(Round r, ArrayDeque<Rider> waiting, int budget) {
         // Each takes a handful of writes at most; a quarter is left to everything else.
-        while (!riders.isEmpty() && r.transaction.writes().size() < budget * 3 / 4 && r.bytes < MAX_BYTES / 2) {
-            Rider rider = riders.poll();
+        while (!waiting.isEmpty() && r.transaction.writes().size() < budget * 3 / 4 && r.bytes < MAX_BYTES / 2) {
+            Rider rider = waiting.poll();
             if (rider.wanted()) {
                 rider.board(r.transaction);
                 r.riders.add(rider);
@@ -497,7 +508,8 @@
         round = null;
         r.parts.forEach(w -> block.unwritten().queue(w.part));
         for (int i = r.riders.size() - 1; i >= 0; i--) {
-            riders.addFirst(r.riders.get(i));
+            Rider rider = r.riders.get(i);
+            (rider.urgent() ? riders : patient).addFirst(rider);
         }
         if (c.failed().contains(blockKey)) {
             listener.blockLost();
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -110,7 +110,12 @@
      */
     private static <T> void lost(Channel ch, Map<Long, Asked<T>> asked) {
         asked.entrySet().stream().filter(e -> e.getValue().channel == ch).map(Map.Entry::getKey).toList()
-                .forEach(n -> settle(asked, n, asked.get(n).none));
+                .forEach(n -> {
+                    Asked<T> a = asked.get(n);
+                    if (a != null) {
+                        settle(asked, n, a.none);
+                    }
+                });
     }
 
     private void reconnect(String sibling, int failures) {
