--- a/src/test/java/io/kitepath/core/IntentsTest.java
+++ b/src/test/java/io/kitepath/core/IntentsTest.java
@@ -103,6 +103,25 @@
         assertEquals("done", w.status(w.leader(), "j-1"));
     }
 
+    @Test
+    void anOutcomeThatIsWrittenMinutesLateBringsNothingBack() {
+        Node first = carrier(w);
+        // What came of the first one's requests is on its way to the store when it ends.
+        w.store.withheld = t -> t.writes().stream().anyMatch(x -> x.key().startsWith(Keys.RENT)
+                && x.value() instanceof java.util.Map<?, ?> m && m.containsKey("machines"));
+        want(w);
+        until(w, 5, () -> !w.store.heldBack.isEmpty());
+        w.store.withheld = t -> false;
+        restart(w, first, 6);
+        w.run(60);
+        assertEquals("done", w.status(w.leader(), "j-1"));
+        assertEquals(0, records(w, Keys.RENT), "taken in and struck off");
+        for (io.kitepath.core.port.Store.Transaction t : w.store.heldBack) {
+            assertEquals(io.kitepath.core.port.Store.Outcome.NO, w.store.execute(t).outcome());
+        }
+        assertEquals(6, w.cloud.named);
+    }
+
     @Test
     void aReturnThatRunsMinutesLateHitsNobodysWork() {
         for (int i = 0; i < 4; i++) {
