--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -131,7 +131,9 @@
         this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, siblings, timers, spent, this::soon);
         this.retries = new RetryPace(facts, timers);
         registry.onCancelled(job -> {
+            block.pipelines().ended(job.id(), false, timers.wallMs());
             block.jobOver(job.id());
+            soon();
             siblings.over(job);
         });
     }
@@ -284,7 +286,7 @@
 
     private final class Keeping implements Keeper.Listener {
         @Override
-        public void done(JobState job) {
+        public void over(JobState job) {
             if (cells != null) {
                 cells.done(job.id());
             }
--- a/src/main/java/io/kitepath/core/Figures.java
+++ b/src/main/java/io/kitepath/core/Figures.java
@@ -58,6 +58,13 @@
                 () -> machines(m -> block.boots().late(m, timers.now()))));
         f.put("jobs.mistaken", Figure.now("jobs that fail on every machine", () -> block.jobs().values().stream()
                 .filter(j -> block.failures().mistaken(j, timers.now())).count()));
+        f.put("jobs.held", Figure.now("jobs that wait for others", () -> block.pipelines().held()));
+        f.put("jobs.cascade", Figure.now("jobs still to be cancelled for one that they need",
+                () -> block.pipelines().cascade()));
+        f.put("jobs.narrow", Figure.now("jobs laid out in narrower parts", () -> block.jobs().values().stream()
+                .filter(j -> j.record().partTasks() > 0).count()));
+        f.put("store.invalid", Figure.total("transactions that the state service refused for good", keeper::invalid));
+        f.put("store.oversize", Figure.total("times that a record was put off as too large", keeper::oversize));
         f.put("siblings.silent", Figure.now("siblings from which nothing is heard", views::silentOnes));
         f.put("machines.set.aside", Figure.now("machines set aside for failing", () -> machines(Machine::setAside)));
         f.put("checkins", Figure.total("check-ins received", desk::received));
--- a/src/main/java/io/kitepath/core/block/Block.java
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -1,6 +1,7 @@
 package io.kitepath.core.block;
 
 import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.MachineKind;
 import io.kitepath.core.model.MachineType;
@@ -13,6 +14,7 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -56,6 +58,11 @@
     private final Leads leads = new Leads();
     private final Unwritten unwritten = new Unwritten();
     private final Served served;
+    private final Pipelines pipelines;
+    /** Jobs whose parts are to be laid out anew. */
+    private final Set<Job> wide = new LinkedHashSet<>();
+    /** How many tasks one part of a job holds whose record does not say. */
+    private int partTasks;
     private long token;
     private long ends;
     private long lost;
@@ -70,6 +77,8 @@
         this.served = new Served(facts);
         this.failures = new Failures(facts, machines);
         this.boots = new Boots(types);
+        this.pipelines = new Pipelines(facts, jobs, s -> leads.mostS(s.jobClass()), this::change);
+        this.partTasks = facts.tasksPerPart();
     }
 
     public Facts facts() {
@@ -120,6 +129,21 @@
         return served;
     }
 
+    /** Which jobs wait for which. */
+    public Pipelines pipelines() {
+        return pipelines;
+    }
+
+    /** How many tasks one part of a job holds whose record does not say. */
+    public int partTasks() {
+        return partTasks;
+    }
+
+    /** What the deployment's records are laid out by, whatever the settings say by now. */
+    public void laidOutBy(int tasks) {
+        partTasks = tasks;
+    }
+
     public Unwritten unwritten() {
         return unwritten;
     }
@@ -185,6 +209,8 @@
         teamUse.clear();
         unwritten.clear();
         served.clear();
+        pipelines.clear();
+        wide.clear();
         for (Machine m : machines.values()) {
             m.forgetAttempts();
         }
@@ -196,6 +222,9 @@
                 job.spec.cpus(), job.spec.image());
         changed = true;
         lately.came(job);
+        if (!job.over) {
+            pipelines.opened(job);
+        }
     }
 
     /** A job that is over and has records of its tasks left: something of it may still be on machines. */
@@ -222,6 +251,7 @@
                 job.nextAttempt = Math.max(job.nextAttempt, a.number + 1);
             }
         }
+        pipelines.started(job);
         if (job.over) {
             unwritten.queue(job.touchPart(part));
         }
@@ -235,6 +265,7 @@
         }
         job.over = true;
         changed = true;
+        pipelines.closed(job);
         for (Attempt a : new ArrayList<>(job.live.values())) {
             if (!a.durable) {
                 withdraw(a);
@@ -249,12 +280,12 @@
         LOG.info("job {} over, {} attempts to end", id, job.live.size());
     }
 
-    /** How far those of the jobs are that are known here. */
+    /** How far those of the jobs are that are known here and not about to be cancelled for one before them. */
     public List<Progress> progress(List<String> ids, double now) {
         List<Progress> out = new ArrayList<>();
         for (String id : ids) {
             Job job = jobs.get(id);
-            if (job != null) {
+            if (job != null && !job.doomed) {
                 out.add(job.progress(now, facts.workers().reportS(), notes));
             }
         }
@@ -264,7 +295,7 @@
     // ---- attempts -------------------------------------------------------------------------------
 
     void attach(Attempt a) {
-        a.job.live.put(a.task, a);
+        a.job.liveAdd(a);
         a.machine.add(a);
         teamUse.count(a.job.spec, 1);
         a.job.stopping += a.stopping() ? 1 : 0;
@@ -276,7 +307,7 @@
      */
     private void withdraw(Attempt a) {
         teamUse.count(a.job.spec, -1);
-        a.job.live.remove(a.task, a);
+        a.job.liveRemove(a);
         unwritten.changed(a.job.touch(a.task));
         a.job.stopping -= a.stopping() ? 1 : 0;
         a.machine.remove(a);
@@ -292,7 +323,7 @@
         teamUse.count(job.spec, -1);
         a.ended = true;
         a.state = State.ENDED;
-        job.live.remove(a.task, a);
+        job.liveRemove(a);
         job.stopping -= a.stopping() ? 1 : 0;
         ends++;
         changed = true;
@@ -386,6 +417,31 @@
         a.stopGraceS = Math.min(a.stopGraceS, graceS);
     }
 
+    /** Whether the record of the task's part can take one more attempt; nothing may start that is not on record. */
+    public boolean recordable(Job job, int task) {
+        return job.recordable(task, facts.store().valueBytes());
+    }
+
+    /** Whether the records of its parts can take all its tasks at once, or can't be made to. */
+    public boolean recordable(Job job) {
+        return job.narrow(facts.tasksPerNarrowPart()) || job.recordableWhole(facts.store().valueBytes());
+    }
+
+    /** The job's parts can't be on record as they are laid out; nothing more of it is placed until they are anew. */
+    public void tooWide(Job job) {
+        wide.add(job);
+        changed = true;
+    }
+
+    public List<Job> wide() {
+        return List.copyOf(wide);
+    }
+
+    public void laidOut(Job job) {
+        wide.remove(job);
+        changed = true;
+    }
+
     /** A decision: this waiting task goes to that machine, once that is written. See {@link #placedTogether}. */
     public void place(Job job, int task, Machine m, double now) {
         Job.Part part = job.placing(task);
@@ -523,6 +579,21 @@
         });
     }
 
+    /** The job's records are laid out anew, as of that version of it, with these parts. */
+    public void relaid(Job job, JobRecord record, long revision, int version, Set<Integer> parts) {
+        job.laidOut(record, revision);
+        for (Job.Part p : job.allParts()) {
+            recorded(p, version, parts.contains(p.index) ? revision : 0);
+        }
+        laidOut(job);
+    }
+
+    /** All the job's parts may differ from their records. */
+    public void differs(Job job) {
+        job.touchAll();
+        job.allParts().forEach(unwritten::changed);
+    }
+
     /** A job that is over, with nothing of it left anywhere. */
     public void dropJob(Job job) {
         jobs.remove(job.spec.id());
--- a/src/main/java/io/kitepath/core/block/Job.java
+++ b/src/main/java/io/kitepath/core/block/Job.java
@@ -1,6 +1,9 @@
 package io.kitepath.core.block;
 
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.Json;
 import io.kitepath.core.model.Progress;
 import io.kitepath.core.model.Report;
 import io.kitepath.core.model.Tree;
@@ -8,19 +11,28 @@
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.stream.DoubleStream;
 
 /** A job in the holder's memory: its tasks' progress, and what of that the store knows already. */
 public final class Job {
+    /** What it needs of a record for all but attempts: its names, two numbers. */
+    private static final int PART_BYTES = 110;
+    /** An attempt on a machine of its own. */
+    private static final int MOST_PER_ATTEMPT = 32;
+    private static final double[] NOBODY = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
+
     /** A slice of the job's tasks, which is one record in the store; revision 0: not written yet. */
     public static final class Part {
         public final Job job;
@@ -30,6 +42,9 @@
         /** The version of the last placing in it. */
         private int placed;
         private int written;
+        /** What its attempts take of its record, in bytes, and how many of them are on each machine. */
+        private int liveBytes;
+        private final Map<String, Integer> on = new HashMap<>();
 
         Part(Job job, int index) {
             this.job = job;
@@ -60,6 +75,16 @@
             changed = job.version;
         }
 
+        /** An attempt of it is live (1), or no more (-1). */
+        private void count(Attempt a, int sign) {
+            int machines = on.merge(a.machine.id, sign, Integer::sum);
+            boolean first = sign > 0 ? machines == 1 : machines == 0;
+            if (machines == 0) {
+                on.remove(a.machine.id);
+            }
+            liveBytes += sign * (Json.digits(a.task) + Json.digits(a.number) + 4 + (first ? a.machine.id.length() + 8 : 0));
+        }
+
         /** Its record holds everything up to that version of the job. */
         void recorded(int version, long atRevision) {
             revision = atRevision;
@@ -72,11 +97,23 @@
     public final double submittedMs;
     /** The record on which every write about the job depends, and its revision. */
     public final String key;
-    public final long revision;
+    private long revision;
     /** Whether another cell is its home, which lent some of its tasks to this one. */
     public final boolean guest;
-    private final Part[] parts;
-    private final int partSize;
+    private Part[] parts;
+    private int partSize;
+    /** What its record says; null of a guest, whose record is its loan's. */
+    private JobRecord record;
+    /** Jobs that it needs and that are not known to be done. */
+    final Set<String> unmet = new LinkedHashSet<>();
+    /** A job before it is cancelled, so it will be. */
+    boolean doomed;
+    /** From when on it could start, by the time of day: its submission, or the end of the last job that it needed. */
+    private double sinceMs;
+    /** The highest of its own and of all jobs that need it. */
+    private JobSpec.Priority priority;
+    /** By when it has to be done for the jobs that need it, the soonest and the latest that is still worth it. */
+    private double[] behindMs = NOBODY;
     final BitSet done = new BitSet();
     /** Tasks that are not this cell's to place: lent to another, or of a guest those that were not lent to us. */
     private final BitSet away = new BitSet();
@@ -94,7 +131,7 @@
     /** Attempts that are wanted stopped. */
     int stopping;
     /** When its tasks have to start to meet what is expected of it, the soonest first. */
-    private final double[] goalsMs;
+    private double[] goalsMs;
     long nextAttempt = 1;
     private int version = 1;
     /** Done or cancelled; kept only until all attempts are proven over. */
@@ -152,15 +189,44 @@
         this.key = key;
         this.guest = guest;
         this.submittedMs = submittedMs;
+        this.sinceMs = submittedMs;
+        this.priority = spec.priority();
         this.goalsMs = Arrays.stream(startWithinS).map(g -> submittedMs + g * 1000).toArray();
         this.revision = revision;
-        this.partSize = partSize;
-        this.parts = new Part[(spec.tasks() + partSize - 1) / partSize];
+        layOut(partSize);
+    }
+
+    private void layOut(int tasks) {
+        partSize = tasks;
+        parts = new Part[(spec.tasks() + partSize - 1) / partSize];
         for (int i = 0; i < parts.length; i++) {
             parts[i] = new Part(this, i);
         }
     }
 
+    /**
+     * A job of this cell.
+     *
+     * @param partTasks how many tasks are in one part where the record does not say
+     */
+    public static Job of(JobRecord r, Facts facts, String key, long revision, int partTasks) {
+        Job j = new Job(r.spec(), r.submittedMs(), facts.startWithinS(r.spec()), key, revision,
+                r.partTasks() > 0 ? r.partTasks() : partTasks, false);
+        j.record = r;
+        j.attemptsFrom(r.next());
+        return j;
+    }
+
+    /** What its record says, as of its acceptance or its last lay-out. */
+    public JobRecord record() {
+        return record != null ? record : new JobRecord(spec, submittedMs, List.of(), 0, 0);
+    }
+
+    /** The revision of the record on which every write about the job depends. */
+    public long revision() {
+        return revision;
+    }
+
     /** Tasks {@code from} to before {@code until} of a job whose home is another cell; {@code key}: of that loan. */
     public static Job guest(JobSpec spec, double submittedMs, double[] startWithinS, String key, long revision,
             int partSize, int from, int until) {
@@ -298,7 +364,142 @@
 
     /** The lower, the sooner served: work within its team's guarantee first, then by priority. */
     public int rank() {
-        return (guaranteed ? 0 : JobSpec.Priority.values().length) + spec.priority().ordinal();
+        return (guaranteed ? 0 : JobSpec.Priority.values().length) + priority.ordinal();
+    }
+
+    // ---- jobs before it, and behind it ----------------------------------------------------------
+
+    /** Jobs that have to be done before any of its tasks starts. */
+    public List<String> needs() {
+        return record == null ? List.of() : record.needs();
+    }
+
+    /** Those of them that are not known to be done. */
+    public Set<String> unmet() {
+        return Collections.unmodifiableSet(unmet);
+    }
+
+    /** Whether it can't start yet, or ever, for the jobs that it needs. */
+    public boolean held() {
+        return doomed || !unmet.isEmpty();
+    }
+
+    /** Whether a job before it is cancelled, so that it has to be cancelled too. */
+    public boolean doomed() {
+        return doomed;
+    }
+
+    /** From when on it could start, in milliseconds since 1970. */
+    public double sinceMs() {
+        return sinceMs;
+    }
+
+    /** For how many seconds after its submission it waited for others. */
+    public double heldS() {
+        return (sinceMs - submittedMs) / 1000;
+    }
+
+    /** The highest of its own and of all jobs that need it: the one that counts. */
+    public JobSpec.Priority priority() {
+        return priority;
+    }
+
+    /** Whether a deadline counts for it: its own, or one of a job that needs it. */
+    public boolean hasDeadline() {
+        return spec.deadlineS() != null || behindMs != NOBODY;
+    }
+
+    /** By when it should be done for the sake of a deadline, in milliseconds since 1970; infinite without one. */
+    public double dueMs() {
+        double own = spec.deadlineS() == null ? Double.POSITIVE_INFINITY : submittedMs + 1000 * spec.deadlineS();
+        return Math.min(own, behindMs[0]);
+    }
+
+    double[] behindMs() {
+        return behindMs;
+    }
+
+    /** The last job that it needed was done then. */
+    void ready(double atMs, Facts facts) {
+        sinceMs = Math.max(submittedMs, atMs);
+        aim(facts);
+    }
+
+    /** What the jobs that need it ask of it; returns whether that is news. */
+    boolean serves(JobSpec.Priority highest, double[] endByMs, Facts facts) {
+        if (highest == priority && Arrays.equals(endByMs, behindMs)) {
+            return false;
+        }
+        priority = highest;
+        behindMs = Arrays.equals(endByMs, NOBODY) ? NOBODY : endByMs;
+        aim(facts);
+        return true;
+    }
+
+    private void aim(Facts facts) {
+        double[] own = Arrays.stream(facts.startWithinS(spec, heldS())).map(g -> submittedMs + g * 1000).toArray();
+        if (behindMs == NOBODY) {
+            goalsMs = own;
+            return;
+        }
+        // What its own class is expected to do, and what those behind it need; what is only a habit goes.
+        boolean expected = spec.deadlineS() != null
+                || facts.objectives().stream().anyMatch(o -> o.jobClass().equals(spec.jobClass()));
+        double[] behind = Arrays.stream(behindMs).map(ms -> ms - spec.estimateS() * 1000).distinct().toArray();
+        goalsMs = DoubleStream.concat(Arrays.stream(behind), expected ? Arrays.stream(own) : DoubleStream.empty())
+                .sorted().toArray();
+    }
+
+    // ---- records --------------------------------------------------------------------------------
+
+    /** Whether one more attempt of the task can be on record: its part's record would hold that many bytes at most. */
+    public boolean recordable(int task, int bytes) {
+        return partBytes(partOf(task)) + MOST_PER_ATTEMPT <= bytes;
+    }
+
+    /** The last task in the part that this task is in. */
+    public int lastOfPart(int task) {
+        return (partOf(task) + 1) * partSize - 1;
+    }
+
+    /** At least the bytes of the part's record as it is now. */
+    public int partBytes(int part) {
+        return PART_BYTES + (partSize + 7) / 8 * 4 / 3 + 4 + parts[part].liveBytes;
+    }
+
+    /** Whether all tasks of each part may be on machines of their own and its record still has that many bytes at most. */
+    boolean recordableWhole(int bytes) {
+        return recordableWhole(spec, partSize, bytes);
+    }
+
+    /** The same for a job that is not there yet. */
+    public static boolean recordableWhole(JobSpec s, int partTasks, int bytes) {
+        int at = Math.min(s.tasks(), partTasks);
+        return PART_BYTES + (partTasks + 7) / 8 * 4 / 3 + 4 + at * MOST_PER_ATTEMPT <= bytes;
+    }
+
+    /** Whether its parts hold no more than so many tasks. */
+    boolean narrow(int tasks) {
+        return partSize <= tasks;
+    }
+
+    void liveAdd(Attempt a) {
+        live.put(a.task, a);
+        parts[partOf(a.task)].count(a, 1);
+    }
+
+    void liveRemove(Attempt a) {
+        if (live.remove(a.task, a)) {
+            parts[partOf(a.task)].count(a, -1);
+        }
+    }
+
+    /** Its record was written anew at that revision; nothing is known of its parts' records until they are told. */
+    public void laidOut(JobRecord anew, long atRevision) {
+        record = anew;
+        revision = atRevision;
+        layOut(anew.partTasks());
+        live.values().forEach(a -> parts[partOf(a.task)].count(a, 1));
     }
 
     /** Seconds on the steady clock before which nothing of it is placed. */
@@ -409,7 +610,7 @@
     }
 
     public int waiting() {
-        return over || leaving || complete() ? 0
+        return over || leaving || held() || complete() ? 0
                 : spec.tasks() - done.cardinality() - away.cardinality() - live.size();
     }
 
@@ -428,13 +629,24 @@
     }
 
     public Map<String, Object> partRecord(int part) {
+        return partRecord(part, partSize);
+    }
+
+    /** The same of a part that holds so many tasks; null if there is nothing to say in it. */
+    public Map<String, Object> partRecordOf(int part, int tasks) {
+        boolean said = !live.subMap(part * tasks, (part + 1) * tasks).isEmpty()
+                || done.nextSetBit(part * tasks) >= 0 && done.nextSetBit(part * tasks) < (part + 1) * tasks;
+        return said ? partRecord(part, tasks) : null;
+    }
+
+    private Map<String, Object> partRecord(int part, int tasks) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("next", nextAttempt);
-        int from = part * partSize;
-        BitSet bits = done.get(from, Math.min(spec.tasks(), from + partSize));
+        int from = part * tasks;
+        BitSet bits = done.get(from, Math.min(spec.tasks(), from + tasks));
         m.put("done", Base64.getEncoder().encodeToString(bits.toByteArray()));
         Map<String, List<Object>> on = new HashMap<>();
-        for (Attempt a : liveIn(part)) {
+        for (Attempt a : live.subMap(from, from + tasks).values()) {
             List<Object> l = on.computeIfAbsent(a.machine.id, k -> new ArrayList<>());
             l.add((long) a.task);
             l.add(a.number);
@@ -442,6 +654,9 @@
         Map<String, Object> live = new LinkedHashMap<>();
         on.keySet().stream().sorted(Comparator.naturalOrder()).forEach(k -> live.put(k, on.get(k)));
         m.put("live", live);
+        if (!needs().isEmpty()) {
+            m.put("ready", sinceMs);
+        }
         return m;
     }
 
@@ -472,6 +687,9 @@
         for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
             done.set(part * partSize + i);
         }
+        // It was placed, so all that it needs is done.
+        unmet.clear();
+        sinceMs = Math.max(sinceMs, t.numberOr("ready", 0, 0));
         return t.raw("live") instanceof Map<?, ?> m ? m : Map.of();
     }
 }
--- a/src/main/java/io/kitepath/core/block/Lately.java
+++ b/src/main/java/io/kitepath/core/block/Lately.java
@@ -30,12 +30,12 @@
      */
     public JobSpec typical(String jobClass, double share, double wallMs, double patienceS) {
         List<Job> of = jobs.stream().filter(j -> j.spec.jobClass().equals(jobClass))
-                .sorted(Comparator.comparingDouble(j -> j.submittedMs)).toList();
+                .sorted(Comparator.comparingDouble(Job::sinceMs)).toList();
         if (of.isEmpty()) {
             return null;
         }
-        double last = of.get(of.size() - 1).submittedMs;
-        double gap = (last - of.get(0).submittedMs) / Math.max(1, of.size() - 1);
+        double last = of.get(of.size() - 1).sinceMs();
+        double gap = (last - of.get(0).sinceMs()) / Math.max(1, of.size() - 1);
         if (wallMs - last > Math.max(patienceS * 1000, 10 * gap)) {
             return null;
         }
@@ -50,7 +50,7 @@
     public List<Pace> gangs(double wallMs) {
         Map<String, List<Job>> classes = new TreeMap<>();
         for (Job j : jobs) {
-            if (j.spec.gang()) {
+            if (j.spec.gang() && !j.held()) {
                 classes.computeIfAbsent(j.spec.jobClass(), k -> new ArrayList<>()).add(j);
             }
         }
@@ -67,14 +67,14 @@
 
     /** How many jobs of the class came a second, as of late. */
     public double jobsPerS(String jobClass, double wallMs) {
-        return perS(jobs.stream().filter(j -> j.spec.jobClass().equals(jobClass)).toList(), wallMs, j -> 1);
+        return perS(jobs.stream().filter(j -> j.spec.jobClass().equals(jobClass) && !j.held()).toList(), wallMs, j -> 1);
     }
 
     /** By the later half of their time: it says more of what comes next than a backlog that came all at once. */
     private static double perS(List<Job> of, double wallMs, ToDoubleFunction<Job> what) {
-        double first = of.stream().mapToDouble(j -> j.submittedMs).min().orElse(wallMs);
+        double first = of.stream().mapToDouble(Job::sinceMs).min().orElse(wallMs);
         double half = (first + wallMs) / 2;
-        double sum = of.stream().filter(j -> j.submittedMs > half).mapToDouble(what).sum();
+        double sum = of.stream().filter(j -> j.sinceMs() > half).mapToDouble(what).sum();
         return sum == 0 ? 0 : sum * 1000 / (wallMs - half);
     }
 }
--- a/src/main/java/io/kitepath/core/block/Notes.java
+++ b/src/main/java/io/kitepath/core/block/Notes.java
@@ -5,6 +5,9 @@
 
 /** A sentence on what an unfinished job waits for, out of what the holder knows; null if there is nothing to say. */
 final class Notes {
+    /** Of the jobs that one waits for, those that are named. */
+    private static final int MOST_NAMED = 5;
+
     private final Block block;
 
     Notes(Block block) {
@@ -23,6 +26,12 @@
         if (job.leaving()) {
             return "is to be cancelled" + (lent == null ? "" : " once it is called back: " + lent);
         }
+        if (job.doomed()) {
+            return "is to be cancelled, as a job that it needs is";
+        }
+        if (job.held()) {
+            return "waits for " + before(job);
+        }
         int waiting = job.waiting();
         if (waiting == 0) {
             return lent != null ? lent : fetching(job);
@@ -51,6 +60,12 @@
         return note;
     }
 
+    private static String before(Job job) {
+        int n = job.unmet.size();
+        return String.join(", ", job.unmet.stream().limit(MOST_NAMED).toList())
+                + (n > MOST_NAMED ? " and " + (n - MOST_NAMED) + " more" : "") + " to be done";
+    }
+
     private static String lent(Job job, double now) {
         StringBuilder b = new StringBuilder();
         for (Loan l : job.loans()) {
--- /dev/null
+++ b/src/main/java/io/kitepath/core/block/Pipelines.java
@@ -0,0 +1,224 @@
+package io.kitepath.core.block;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Which open jobs wait for which. A job starts only when the store has it that each job that it needs is done; it is
+ * cancelled when the store has it that one of them is cancelled. Neither progress nor anybody's word counts, and nothing
+ * is remembered from before: a new holder finds out anew how the needed jobs ended that are not open any more.
+ *
+ * <p>It also keeps what the jobs that wait ask of those before them: the highest priority, and by when they have to be
+ * done. Both are worked out as jobs come and end, along what changes by it, not anew for each round.
+ */
+public final class Pipelines {
+    /** Ends that are remembered; what was forgotten is read again. */
+    private static final int ENDS = 10_000;
+
+    /** How a job ended, and when as far as its record says. */
+    private record End(boolean done, double atMs) {}
+
+    private final Facts facts;
+    private final Map<String, Job> jobs;
+    private final ToDoubleFunction<JobSpec> leadS;
+    private final Runnable changed;
+    /** Open jobs by each that they need, as long as it is not known to be over. */
+    private final Map<String, Set<Job>> waiting = new LinkedHashMap<>();
+    private final Map<String, End> ends = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, End> eldest) {
+            return size() > ENDS;
+        }
+    };
+    /** Needed, not open here, and it is not known how they ended. */
+    private final Set<String> unknown = new LinkedHashSet<>();
+    /** To be cancelled, those nearest to what was cancelled first. */
+    private final Set<Job> doomed = new LinkedHashSet<>();
+
+    /**
+     * @param jobs those that are open, or over with something of them left
+     * @param leadS how long jobs of a kind take from placing to running, in seconds; 0 if that is not known
+     * @param changed runs when a job may start
+     */
+    Pipelines(Facts facts, Map<String, Job> jobs, ToDoubleFunction<JobSpec> leadS, Runnable changed) {
+        this.facts = facts;
+        this.jobs = jobs;
+        this.leadS = leadS;
+        this.changed = changed;
+    }
+
+    void clear() {
+        waiting.clear();
+        ends.clear();
+        unknown.clear();
+        doomed.clear();
+    }
+
+    // ---- jobs come and go -----------------------------------------------------------------------
+
+    /** An open job is known from now on. */
+    void opened(Job job) {
+        String id = job.spec.id();
+        unknown.remove(id);
+        for (String need : job.needs()) {
+            End e = ends.get(need);
+            if (e == null) {
+                job.unmet.add(need);
+                waiting.computeIfAbsent(need, k -> new LinkedHashSet<>()).add(job);
+                if (!open(need)) {
+                    unknown.add(need);
+                }
+            } else if (e.done) {
+                job.ready(Math.max(job.sinceMs(), e.atMs), facts);
+            } else {
+                doom(job);
+            }
+        }
+        // Those that need it may have become known before it.
+        Deque<Job> from = new ArrayDeque<>();
+        if (waiting.containsKey(id)) {
+            from.add(job);
+        }
+        from.addAll(before(job));
+        reckon(from);
+    }
+
+    /** Open jobs that it waits for. */
+    private List<Job> before(Job job) {
+        return job.unmet.stream().map(jobs::get).filter(j -> j != null && !j.over).toList();
+    }
+
+    /** Some of its tasks were placed, by its records: all that it needs is done. */
+    void started(Job job) {
+        job.needs().forEach(n -> forget(n, job));
+    }
+
+    /** A job is not open any more; how it ended is for its record to say, unless that is known. */
+    void closed(Job job) {
+        String id = job.spec.id();
+        doomed.remove(job);
+        Deque<Job> before = new ArrayDeque<>(before(job));
+        job.needs().forEach(n -> forget(n, job));
+        if (waiting.containsKey(id) && !ends.containsKey(id)) {
+            unknown.add(id);
+        }
+        reckon(before);
+    }
+
+    /** The store has it that the job is done, or cancelled; {@code atMs}: when, by the time of day. */
+    public void ended(String id, boolean done, double atMs) {
+        ends.put(id, new End(done, atMs));
+        unknown.remove(id);
+        Set<Job> who = waiting.remove(id);
+        if (who == null) {
+            return;
+        }
+        for (Job job : who) {
+            if (!done) {
+                doom(job);
+            } else if (job.unmet.remove(id)) {
+                job.ready(Math.max(job.sinceMs(), atMs), facts);
+                if (job.unmet.isEmpty() && !job.doomed) {
+                    changed.run();
+                }
+            }
+        }
+    }
+
+    private boolean open(String id) {
+        Job j = jobs.get(id);
+        return j != null && !j.over;
+    }
+
+    private void forget(String need, Job job) {
+        Set<Job> who = waiting.get(need);
+        if (who != null && who.remove(job) && who.isEmpty()) {
+            waiting.remove(need);
+            unknown.remove(need);
+        }
+    }
+
+    /** It, and all that need it directly or through others, nearest first; a chain may be long, so without recursion. */
+    private void doom(Job first) {
+        Deque<Job> next = new ArrayDeque<>(List.of(first));
+        while (!next.isEmpty()) {
+            Job job = next.poll();
+            if (!job.over && !job.doomed) {
+                job.doomed = true;
+                doomed.add(job);
+                next.addAll(waiting.getOrDefault(job.spec.id(), Set.of()));
+            }
+        }
+    }
+
+    // ---- what is to be found out, and written ---------------------------------------------------
+
+    /** Jobs whose records have to say how they ended, so many at most; those that block the most urgent work first. */
+    public List<String> unknown(int most, Set<String> but) {
+        return unknown.stream().filter(id -> !but.contains(id))
+                .sorted(Comparator.comparingInt((String id) -> rankOf(waiting.getOrDefault(id, Set.of()))))
+                .limit(most).toList();
+    }
+
+    private static int rankOf(Collection<Job> who) {
+        return who.stream().mapToInt(j -> j.priority().ordinal()).min().orElse(0);
+    }
+
+    /** Jobs to be cancelled because one before them is. */
+    public List<Job> doomed() {
+        return List.copyOf(doomed);
+    }
+
+    /** How many that are. */
+    public int cascade() {
+        return doomed.size();
+    }
+
+    /** How many jobs wait for others. */
+    public long held() {
+        return jobs.values().stream().filter(j -> !j.over && j.held()).count();
+    }
+
+    // ---- what those behind ask of those before --------------------------------------------------
+
+    /** Works out anew what is asked of these jobs, and of those before them as far as that changes anything. */
+    private void reckon(Deque<Job> from) {
+        while (!from.isEmpty()) {
+            Job job = from.poll();
+            JobSpec.Priority highest = job.spec.priority();
+            double[] endByMs = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
+            for (Job behind : waiting.getOrDefault(job.spec.id(), Set.of())) {
+                highest = behind.priority().compareTo(highest) < 0 ? behind.priority() : highest;
+                double[] start = startByMs(behind);
+                endByMs[0] = Math.min(endByMs[0], start[0]);
+                endByMs[1] = Math.min(endByMs[1], start[1]);
+            }
+            if (job.serves(highest, endByMs, facts)) {
+                from.addAll(before(job));
+            }
+        }
+    }
+
+    /** By when the job has to start for its deadline and those behind it: the soonest, and the last that is worth it. */
+    private double[] startByMs(Job job) {
+        double[] own = Arrays.stream(facts.deadlinesS(job.spec)).map(s -> job.submittedMs + 1000 * s).toArray();
+        double[] behind = job.behindMs();
+        double first = own.length == 0 ? behind[0] : Math.min(own[0], behind[0]);
+        double last = own.length == 0 ? behind[1] : Math.min(own[own.length - 1], behind[1]);
+        // Between the end before it and its start: the end is reported and written, its placing written and fetched.
+        double gapS = Math.max(leadS.applyAsDouble(job.spec), facts.workers().reportS()) + facts.workers().reportS();
+        double ms = 1000 * (job.spec.estimateS() + gapS);
+        return new double[] {first - ms, last - ms};
+    }
+}
--- a/src/main/java/io/kitepath/core/block/Served.java
+++ b/src/main/java/io/kitepath/core/block/Served.java
@@ -171,15 +171,16 @@
             g.underWay = 0;
         });
         for (Job j : jobs) {
-            if (j.over || j.guest) {
+            // One that waits for others asks for nothing yet.
+            if (j.over || j.guest || j.held()) {
                 continue;
             }
-            double withinS = facts.servedWithinS(j.spec);
+            double withinS = facts.servedWithinS(j.spec, j.heldS());
             miss(j, withinS, wallMs);
             if (!j.missed) {
-                double mayWaitS = withinS - j.spec.estimateS() - leadS.applyAsDouble(j.spec);
+                double mayWaitS = withinS - j.heldS() - j.spec.estimateS() - leadS.applyAsDouble(j.spec);
                 boolean waits = j.waiting() > 0;
-                boolean endangered = waits && wallMs > j.submittedMs + 1000 * ENDANGERED * mayWaitS;
+                boolean endangered = waits && wallMs > j.sinceMs() + 1000 * ENDANGERED * mayWaitS;
                 each(j.spec, g -> {
                     g.undecided++;
                     g.endangered += endangered ? 1 : 0;
@@ -208,7 +209,7 @@
 
     /** The store has it that the job is done. */
     public void done(Job job, double wallMs) {
-        miss(job, facts.servedWithinS(job.spec), wallMs);
+        miss(job, facts.servedWithinS(job.spec, job.heldS()), wallMs);
         each(job.spec, g -> g.done++);
         if (!job.missed) {
             each(job.spec, g -> g.decide(true));
--- a/src/main/java/io/kitepath/core/cell/Guests.java
+++ b/src/main/java/io/kitepath/core/cell/Guests.java
@@ -177,7 +177,7 @@
 
     private Job job(Guest g) {
         Job job = Job.guest(g.spec, g.submittedMs, block.facts().startWithinS(g.spec), g.key(), g.revision,
-                block.facts().tasksPerPart(), g.from, g.until);
+                block.partTasks(), g.from, g.until);
         job.attemptsFrom(g.next);
         return job;
     }
--- a/src/main/java/io/kitepath/core/cell/HomeJobs.java
+++ b/src/main/java/io/kitepath/core/cell/HomeJobs.java
@@ -10,6 +10,7 @@
 import io.kitepath.core.serve.Registry;
 import io.kitepath.core.serve.Registry.Answer;
 import io.kitepath.core.serve.Registry.Verdict;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -32,8 +33,21 @@
     }
 
     @Override
-    public void submit(JobSpec spec, Consumer<Answer> answer) {
-        ask(new UserAsk(Wish.SUBMIT, spec.id(), spec), answer);
+    public void submit(JobSpec spec, List<String> needs, Consumer<Answer> answer) {
+        if (needs.isEmpty()) {
+            ask(new UserAsk(Wish.SUBMIT, spec.id(), spec), answer);
+        } else if (agreed.getAsBoolean() && isHere(spec.id()) && needs.stream().allMatch(this::isHere)) {
+            here.submit(spec, needs, answer);
+        } else {
+            // Whether a job of another cell is done only that cell's records say, and they may be out of reach when it
+            // matters. One that is known all the same is answered as any other.
+            status(spec.id(), a -> answer.accept(a.verdict() == Verdict.NOT_FOUND
+                    ? Answer.refused("a job waits only for jobs whose home is the cell that it is handed in to") : a));
+        }
+    }
+
+    private boolean isHere(String id) {
+        return directory.home(id).equals(directory.own());
     }
 
     @Override
--- a/src/main/java/io/kitepath/core/cell/Lending.java
+++ b/src/main/java/io/kitepath/core/cell/Lending.java
@@ -188,7 +188,7 @@
             @Override
             public void board(Store.Transaction t) {
                 left = job.loans().stream().filter(l -> !l.closed).toList();
-                t.when(job.key, job.revision).when(Keys.LENT + id, job.lentRevision());
+                t.when(job.key, job.revision()).when(Keys.LENT + id, job.lentRevision());
                 if (left.isEmpty()) {
                     t.remove(Keys.LENT + id);
                 } else {
@@ -373,11 +373,9 @@
 
             @Override
             public void board(Store.Transaction t) {
-                Map<String, Object> record = job.spec.toRecord();
-                record.put("submittedMs", job.submittedMs);
-                record.put("status", "cancelled");
-                record.put("done", 0L);
-                t.when(job.key, job.revision).when(Keys.LENT + id, 0).when(Keys.LEAVE + id, asked).remove(job.key)
+                Map<String, Object> record = job.record().overMap(Map.of("status", "cancelled", "done", 0L),
+                        block.facts().store().valueBytes());
+                t.when(job.key, job.revision()).when(Keys.LENT + id, 0).when(Keys.LEAVE + id, asked).remove(job.key)
                         .remove(Keys.LEAVE + id).put(Keys.OVER + id, record);
             }
 
--- a/src/main/java/io/kitepath/core/fleet/Fleet.java
+++ b/src/main/java/io/kitepath/core/fleet/Fleet.java
@@ -108,7 +108,7 @@
             for (Attempt a : m.attempts()) {
                 if (!a.unwanted() && (forNow == null
                         ? a.remainingS(now) > t.bootS()
-                        : a.job.spec.gang() || a.job.spec.priority().compareTo(forNow.priority()) <= 0)) {
+                        : a.job.spec.gang() || a.job.priority().compareTo(forNow.priority()) <= 0)) {
                     r.then.less(a.job.spec, 1);
                 }
                 if (!a.unwanted()) {
@@ -220,8 +220,8 @@
         } else if (s.shape() == JobSpec.Shape.ARRAY) {
             // Not a place for every task at once: as many as finish the job in good time, one after the other.
             double aim = facts.finishWithinS(s.jobClass(), 10 * facts.workers().leaseS()) / 2.5;
-            if (s.deadlineS() != null) {
-                aim = s.deadlineS() - (wallMs - job.submittedMs) / 1000;
+            if (job.hasDeadline()) {
+                aim = (job.dueMs() - wallMs) / 1000;
             }
             double each = Math.max(1, s.estimateS());
             double places = Math.ceil((job.waiting() + job.live().size()) * each / Math.max(each, aim));
@@ -239,7 +239,7 @@
         boolean spotOnly = s.spot() && market.spotToBeHad(s, now);
         // Room that frees within a boot time is as good as a new machine, but not for a job that has to start sooner
         // to meet its deadline: such work needs the room that is free now, or more of it.
-        boolean atOnce = s.deadlineS() != null;
+        boolean atOnce = job.hasDeadline();
         for (Room r : rooms) {
             if (waiting == 0) {
                 break;
@@ -257,7 +257,7 @@
      */
     private boolean inTime(Job job, double wallMs) {
         int goal = job.goals() - 1;
-        if (job.spec.deadlineS() != null) {
+        if (job.hasDeadline()) {
             // A deadline is missed long before a machine is up, by this job and by those that come like it meanwhile.
             goal = 0;
             while (goal < job.goals() - 1 && job.goalMs(goal) < wallMs) {
--- a/src/main/java/io/kitepath/core/model/Facts.java
+++ b/src/main/java/io/kitepath/core/model/Facts.java
@@ -26,7 +26,28 @@
 
     public record Workers(double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
 
-    public record StoreLimits(double rps, double writeRps, double valueKb, int txnOps) {}
+    /**
+     * What the state service takes, and will take after limits of its that are announced have fallen: whoever writes
+     * keeps to the lower ones from the start, since nobody says when they fall.
+     *
+     * @param layoutKb the size of values by which records are laid out that earlier versions wrote, and may still read
+     */
+    public record StoreLimits(double rps, double writeRps, double valueKb, int txnOps, double layoutKb) {
+        public StoreLimits(double rps, double writeRps, double valueKb, int txnOps) {
+            this(rps, writeRps, valueKb, txnOps, valueKb);
+        }
+
+        /** The lower of each; records stay laid out as they are. */
+        public StoreLimits andLater(StoreLimits next) {
+            return new StoreLimits(Math.min(rps, next.rps), Math.min(writeRps, next.writeRps),
+                    Math.min(valueKb, next.valueKb), Math.min(txnOps, next.txnOps), layoutKb);
+        }
+
+        /** The bytes, in the JSON form that the state service counts, that a value may have. */
+        public int valueBytes() {
+            return (int) (valueKb * 1024);
+        }
+    }
 
     public record CloudLimits(double rps, double listLagS) {}
 
@@ -37,9 +58,22 @@
         return new Facts(node, zone, siblings, zones, others, objectives, workers, store, cloud, limits, clockErrorMs);
     }
 
-    /** How many tasks one part record holds: at most 32 bytes each, so that a part stays under the value limit. */
+    /**
+     * How many tasks one part record holds unless the job's own record says something else: at most 32 bytes each, so
+     * that a part stays under the value limit as it was. Never changes for a deployment: a part's key means these tasks,
+     * to nodes of every version.
+     */
     public int tasksPerPart() {
-        return Math.max(8, (int) (store.valueKb * 1024 / 32));
+        return tasksPerPart(store.layoutKb);
+    }
+
+    /** The same for parts that stay under the value limit whatever machines their tasks are on. */
+    public int tasksPerNarrowPart() {
+        return tasksPerPart(store.valueKb);
+    }
+
+    private static int tasksPerPart(double valueKb) {
+        return Math.max(8, (int) (valueKb * 1024 / 32));
     }
 
     /**
@@ -47,14 +81,22 @@
      * of its class, its own deadline; ten leases if nothing is said.
      */
     public double[] startWithinS(JobSpec s) {
+        return startWithinS(s, 0);
+    }
+
+    /**
+     * The same for a job that could not start for that many seconds, since it waited for others: its deadline counts
+     * from its submission, everything else from then.
+     */
+    public double[] startWithinS(JobSpec s, double readyAfterS) {
         List<Double> goals = new ArrayList<>();
         for (Objective o : objectives) {
             if (!o.jobClass.equals(s.jobClass())) {
                 continue;
             }
             switch (o.kind) {
-                case "wait" -> goals.add(o.withinS);
-                case "finished" -> goals.add(o.withinS - s.estimateS());
+                case "wait" -> goals.add(readyAfterS + o.withinS);
+                case "finished" -> goals.add(readyAfterS + o.withinS - s.estimateS());
                 case "deadline" -> {
                     if (s.deadlineS() != null) {
                         goals.add(s.deadlineS() * o.times - s.estimateS());
@@ -64,22 +106,37 @@
             }
         }
         if (goals.isEmpty()) {
-            goals.add(s.deadlineS() != null ? s.deadlineS() - s.estimateS() : 10 * workers.leaseS());
+            goals.add(s.deadlineS() != null ? s.deadlineS() - s.estimateS() : readyAfterS + 10 * workers.leaseS());
         }
         return goals.stream().mapToDouble(Double::doubleValue).sorted().toArray();
     }
 
+    /**
+     * Within what times after its submission a job has to be done for its own deadline, as its class's objectives
+     * count it; the soonest first, none if it has no deadline.
+     */
+    public double[] deadlinesS(JobSpec s) {
+        if (s.deadlineS() == null) {
+            return new double[0];
+        }
+        double[] of = objectives.stream().filter(o -> o.kind.equals("deadline") && o.jobClass.equals(s.jobClass()))
+                .mapToDouble(o -> s.deadlineS() * o.times).sorted().toArray();
+        return of.length > 0 ? of : new double[] {s.deadlineS()};
+    }
+
     /**
      * Within what time after its submission a job has to be done to count as served at all: the most generous of its
      * class's objectives and of its own deadline; NaN if nothing is said.
+     *
+     * @param readyAfterS for how long it waited for other jobs
      */
-    public double servedWithinS(JobSpec s) {
+    public double servedWithinS(JobSpec s, double readyAfterS) {
         double most = Double.NaN;
         for (Objective o : objectives) {
             if (!o.jobClass.equals(s.jobClass())) {
                 continue;
             }
-            double within = o.kind.equals("finished") ? o.withinS
+            double within = o.kind.equals("finished") ? readyAfterS + o.withinS
                     : o.kind.equals("deadline") && s.deadlineS() != null ? s.deadlineS() * o.times : Double.NaN;
             most = Double.isNaN(most) || within > most ? within : most;
         }
--- a/src/main/java/io/kitepath/core/model/JobSpec.java
+++ b/src/main/java/io/kitepath/core/model/JobSpec.java
@@ -36,7 +36,7 @@
                 spread, spot, image, imageGb, estimateS, checkpointS, saveS, deadlineS);
     }
 
-    /** The form that is kept in the state service. */
+    /** The form that is kept in the state service, as a part of {@link JobRecord}. */
     public Map<String, Object> toRecord() {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("class", jobClass);
@@ -63,7 +63,7 @@
 
     public static JobSpec fromRecord(String id, Object record) {
         Tree t = Tree.of(record);
-        return new JobSpec(id, t.text("class"), t.text("team"), Shape.valueOf(t.text("shape")),
+        return new JobSpec(id, t.text("class"), t.text("team"), JobRecord.shape(t.text("shape")),
                 Priority.valueOf(t.text("priority")), (int) t.integer("tasks", 1, Integer.MAX_VALUE),
                 t.number("cpus", 0), t.number("gpus", 0), t.number("memory", 0),
                 t.has("types") ? t.texts("types") : null, t.textOr("zone", null), t.flag("oneZone"), t.flag("spread"),
--- a/src/main/java/io/kitepath/core/place/GivingWay.java
+++ b/src/main/java/io/kitepath/core/place/GivingWay.java
@@ -211,7 +211,7 @@
 
     /** Whether the job waits a little for room that comes free by itself. */
     boolean patient(Job job, double wallMs) {
-        return small(job.spec) && wallMs - job.submittedMs < PATIENCE * 1000 * block.facts().workers().reportS();
+        return small(job.spec) && wallMs - job.sinceMs() < PATIENCE * 1000 * block.facts().workers().reportS();
     }
 
     private boolean small(JobSpec s) {
@@ -238,7 +238,7 @@
     }
 
     private Giving giving(Job job) {
-        Claim claim = new Claim(job.spec.priority(), job.guaranteed(), job.spec.team());
+        Claim claim = new Claim(job.priority(), job.guaranteed(), job.spec.team());
         Giving known = givings.get(claim);
         if (known != null) {
             return known;
@@ -287,7 +287,7 @@
         if (v.gang() || v.shape() == JobSpec.Shape.SERVICE) {
             return false;
         }
-        if (v.priority().compareTo(job.spec.priority()) > 0) {
+        if (holding.priority().compareTo(job.priority()) > 0) {
             return true;
         }
         Facts.Team t = block.facts().teams().get(v.team());
@@ -328,7 +328,7 @@
             block.stop(a, a.job.spec.stopGraceS());
             evictions++;
             forGangs += small(job.spec) ? 0 : 1;
-            forGuarantees += a.job.spec.priority().compareTo(job.spec.priority()) > 0 ? 0 : 1;
+            forGuarantees += a.job.priority().compareTo(job.priority()) > 0 ? 0 : 1;
             if (written) {
                 less(less, a);
             }
--- a/src/main/java/io/kitepath/core/place/Hopeless.java
+++ b/src/main/java/io/kitepath/core/place/Hopeless.java
@@ -19,7 +19,7 @@
         /** {@code image}: null, or the one that the work holds out for. */
         static Rights of(Job j, String image) {
             JobSpec s = j.spec;
-            return new Rights(s.shape(), s.priority(), s.team(), j.guaranteed(), s.types(), s.zone(), s.oneZone(),
+            return new Rights(s.shape(), j.priority(), s.team(), j.guaranteed(), s.types(), s.zone(), s.oneZone(),
                     s.spread(), s.spot(), image);
         }
     }
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -108,11 +108,11 @@
     /** A job is within its team's guarantee if it fits into it together with the jobs that claim it before. */
     private void markGuaranteed() {
         List<Job> jobs = new ArrayList<>(block.jobs().values());
-        jobs.sort(Comparator.comparingDouble(j -> j.submittedMs));
+        jobs.sort(Comparator.comparingDouble(Job::sinceMs));
         Map<String, double[]> claimed = new HashMap<>();
         for (Job j : jobs) {
             boolean fits = claim(j, claimed);
-            if (!j.claimed()) {
+            if (!j.claimed() && !j.held()) {
                 j.claims(fits);
             }
         }
@@ -125,7 +125,7 @@
         jobs.forEach(j -> standing.put(j, block.served().standing(j.spec)));
         jobs.sort(Comparator.comparingInt((Job j) -> j.missed() ? 2 : j.fittedWhenItCame() ? 0 : 1)
                 .thenComparingDouble(j -> j.missed() || j.fittedWhenItCame() ? 0 : standing.get(j))
-                .thenComparingDouble(j -> j.missed() || j.fittedWhenItCame() ? j.submittedMs
+                .thenComparingDouble(j -> j.missed() || j.fittedWhenItCame() ? j.sinceMs()
                         : j.left() * j.spec.cpus() * j.spec.estimateS()));
         claimed.clear();
         for (Job j : jobs) {
@@ -136,7 +136,7 @@
     /** Adds what is left of the job to what its team has claimed; whether that is within the guarantee. */
     private boolean claim(Job j, Map<String, double[]> claimed) {
         Facts.Team t = block.facts().teams().get(j.spec.team());
-        if (j.over() || t == null || t.cpus() == 0 && t.gpus() == 0) {
+        if (j.over() || j.held() || t == null || t.cpus() == 0 && t.gpus() == 0) {
             return false;
         }
         double[] c = claimed.computeIfAbsent(t.name(), k -> new double[2]);
@@ -248,6 +248,14 @@
             search = search.within(m -> perZone.getOrDefault(m.zone(), 0) < s.mostPerZone());
         }
         for (int t = job.nextWaiting(0); t >= 0 && placed < n; t = job.nextWaiting(t + 1)) {
+            if (!block.recordable(job, t)) {
+                if (s.shape() == JobSpec.Shape.SERVICE) {
+                    block.tooWide(job); // Nothing of it ends by itself.
+                    break;
+                }
+                t = job.lastOfPart(t); // The next part may have room on record; this one has when some of it ends.
+                continue;
+            }
             Machine m = search.next();
             if (m == null) {
                 break;
@@ -276,6 +284,10 @@
         if (block.teamUse().left(job.spec) < job.spec.tasks()) {
             return 0;
         }
+        if (!block.recordable(job)) {
+            block.tooWide(job);
+            return 0;
+        }
         List<Machine> found = placement.chooseGang(job.spec, candidates(job, open, now));
         if (found == null) {
             return 0;
--- a/src/main/java/io/kitepath/core/place/ServiceOrder.java
+++ b/src/main/java/io/kitepath/core/place/ServiceOrder.java
@@ -128,7 +128,7 @@
             }
         }
         while (!tried.isEmpty()) {
-            tried.sort(Comparator.comparingDouble(Entry::startMs).thenComparingDouble(e -> e.job.submittedMs)
+            tried.sort(Comparator.comparingDouble(Entry::startMs).thenComparingDouble(e -> e.job.sinceMs())
                     .thenComparing(e -> e.job.spec.id()));
             PriorityQueue<Entry> largest = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.standing)
                     .thenComparingDouble(e -> -e.work).thenComparing(e -> e.job.spec.id()));
@@ -164,7 +164,7 @@
             tried.clear();
             again.forEach(e -> aim(e, tried, last));
         }
-        last.sort(Comparator.comparingDouble((Job j) -> j.submittedMs).thenComparing(j -> j.spec.id()));
+        last.sort(Comparator.comparingDouble(Job::sinceMs).thenComparing(j -> j.spec.id()));
         out.addAll(last);
     }
 
--- a/src/main/java/io/kitepath/core/place/Standby.java
+++ b/src/main/java/io/kitepath/core/place/Standby.java
@@ -59,6 +59,6 @@
     /** Whether the job would have to give way here soon. */
     boolean keepsFrom(Machine m, Job job) {
         JobSpec.Priority of = kept.get(m);
-        return of != null && !job.spec.gang() && job.spec.priority().compareTo(of) > 0;
+        return of != null && !job.spec.gang() && job.priority().compareTo(of) > 0;
     }
 }
--- a/src/main/java/io/kitepath/core/port/Store.java
+++ b/src/main/java/io/kitepath/core/port/Store.java
@@ -7,8 +7,11 @@
 
 /** The state service, the only place where anything lasts. Answers come later, on the event loop. */
 public interface Store {
-    /** NO is a definite answer; REFUSED means it was not executed; UNKNOWN that it may have been, or still will. */
-    enum Outcome { OK, NO, REFUSED, UNKNOWN }
+    /**
+     * NO is a definite answer; REFUSED means it was not executed; UNKNOWN that it may have been, or still will; INVALID
+     * that it was not and never will be, as when it is larger than the limits are by now.
+     */
+    enum Outcome { OK, NO, REFUSED, UNKNOWN, INVALID }
 
     record Entry(String key, Object value, long revision) {}
 
--- a/src/main/java/io/kitepath/core/serve/Jobs.java
+++ b/src/main/java/io/kitepath/core/serve/Jobs.java
@@ -2,12 +2,18 @@
 
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.serve.Registry.Answer;
+import java.util.List;
 import java.util.function.Consumer;
 
 /** What users ask of any node. */
 public interface Jobs {
     /** Accepts a job that neither is nor was there. */
-    void submit(JobSpec spec, Consumer<Answer> answer);
+    default void submit(JobSpec spec, Consumer<Answer> answer) {
+        submit(spec, List.of(), answer);
+    }
+
+    /** The same; none of its tasks starts before all jobs that it needs are done. */
+    void submit(JobSpec spec, List<String> needs, Consumer<Answer> answer);
 
     void status(String id, Consumer<Answer> answer);
 
--- a/src/main/java/io/kitepath/core/serve/Questions.java
+++ b/src/main/java/io/kitepath/core/serve/Questions.java
@@ -3,7 +3,9 @@
 import io.kitepath.core.block.Job;
 import io.kitepath.core.model.Bucket;
 import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Progress;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.Entry;
@@ -59,7 +61,14 @@
     private final Map<String, List<Consumer<Answer>>> waiting = new LinkedHashMap<>();
     private int waitingCount;
     private boolean gathering;
-    private final Cache<String, Progress> lately = Caffeine.newBuilder().maximumSize(3000).build();
+    private final Cache<String, Heard> lately = Caffeine.newBuilder().maximumSize(3000).build();
+    /** Jobs that wait for no others, or not any more. */
+    private final Cache<String, Boolean> free = Caffeine.newBuilder().maximumSize(10_000).build();
+    /** For how long it may be said of one that may wait for others how far it was. */
+    private final double freshS;
+
+    /** How far a job was, and when that was said. */
+    private record Heard(Progress progress, double at) {}
 
     Questions(Facts facts, Store store, Timers timers, Holder holder, BiConsumer<String, Consumer<Answer>> over) {
         this.store = store;
@@ -70,11 +79,20 @@
         // A transaction takes four conditions for each change that it may hold, and a job needs two.
         this.most = 2 * facts.store().txnOps();
         this.mostWaiting = facts.limits().sockets();
+        this.freshS = facts.workers().cancelS() / 2;
+    }
+
+    /** A job that was accepted here just now; {@code free}: it waits for no others. */
+    void accepted(String id, boolean free) {
+        heard(new Progress(id, 0, 0, null), free);
     }
 
-    /** A job that was accepted here just now. */
-    void accepted(String id) {
-        lately.put(id, new Progress(id, 0, 0, null));
+    private void heard(Progress p, boolean isFree) {
+        lately.put(p.job(), new Heard(p, timers.now()));
+        // What runs, or ran, waits for nothing any more, and can only be cancelled by its own user.
+        if (isFree || p.running() > 0 || p.done() > 0) {
+            free.put(p.job(), true);
+        }
     }
 
     void ask(String id, Consumer<Answer> answer) {
@@ -170,21 +188,62 @@
             return;
         }
         holder.progress(open, known -> {
-            known.forEach(p -> lately.put(p.job(), p));
+            Set<String> told = new HashSet<>();
+            known.forEach(p -> {
+                told.add(p.job());
+                heard(p, false);
+            });
             for (String id : open) {
-                Progress p = lately.getIfPresent(id);
-                if (p != null && known.isEmpty()) {
-                    p = new Progress(id, p.done(), p.running(), holder.silence() + "; the figures are from before");
-                }
-                if (p != null) {
-                    tell(batch, id, new Answer(Verdict.KNOWN, JobState.unfinished(p)));
+                Heard h = lately.getIfPresent(id);
+                if (h != null && told.contains(id)) {
+                    tell(batch, id, unfinished(h.progress));
                 } else {
-                    fromRecords(batch, id);
+                    remembered(batch, id, h, known.isEmpty());
                 }
             }
         });
     }
 
+    private static Answer unfinished(Progress p) {
+        return new Answer(Verdict.KNOWN, JobState.unfinished(p));
+    }
+
+    /**
+     * The holder does not say how far it is. Guards against a user who is told for ever that a job is pending which is
+     * cancelled, because one before it was: that is only known to the holder until it has been written. So nothing old
+     * is said of one that may still wait for others.
+     */
+    private void remembered(Map<String, List<Consumer<Answer>>> batch, String id, Heard h, boolean silent) {
+        if (h != null && (free.getIfPresent(id) != null || timers.now() - h.at < freshS)) {
+            Progress p = h.progress;
+            tell(batch, id, unfinished(silent ? new Progress(id, p.done(), p.running(), holder.silence()
+                    + "; the figures are from before") : p));
+        } else if (free.getIfPresent(id) != null) {
+            fromRecords(batch, id);
+        } else if (!requests.take(1, timers.now())) {
+            tell(batch, id, Answer.LATER);
+        } else {
+            store.get(Keys.OPEN + id, (outcome, entry) -> {
+                if (outcome == Outcome.NO) {
+                    over.accept(id, a -> tell(batch, id, a));
+                } else if (outcome != Outcome.OK || needsOthers(id, entry.value())) {
+                    tell(batch, id, Answer.LATER);
+                } else {
+                    free.put(id, true);
+                    remembered(batch, id, h, silent);
+                }
+            });
+        }
+    }
+
+    private static boolean needsOthers(String id, Object record) {
+        try {
+            return !JobRecord.of(id, record).needs().isEmpty();
+        } catch (Malformed | IllegalArgumentException e) {
+            return true; // Not to be told from one that does.
+        }
+    }
+
     /** The holder can't be asked or does not know the job, and nothing was heard of it here before. */
     private void fromRecords(Map<String, List<Consumer<Answer>>> batch, String id) {
         if (!requests.take(1, timers.now())) {
@@ -197,8 +256,8 @@
                 return;
             }
             Progress p = Job.recorded(id, parts.entries().stream().map(Entry::value).toList());
-            lately.put(id, p);
-            tell(batch, id, new Answer(Verdict.KNOWN, JobState.unfinished(p)));
+            heard(p, true);
+            tell(batch, id, unfinished(p));
         });
     }
 }
--- a/src/main/java/io/kitepath/core/serve/Registry.java
+++ b/src/main/java/io/kitepath/core/serve/Registry.java
@@ -1,8 +1,12 @@
 package io.kitepath.core.serve;
 
+import io.kitepath.core.block.Job;
 import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Json;
+import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Tree;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.Outcome;
@@ -12,6 +16,7 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -21,17 +26,32 @@
  * states come from memory, because they never change.
  */
 public final class Registry implements Jobs {
-    public enum Verdict { CREATED, KNOWN, NOT_FOUND, LATER }
+    /** REFUSED: it can never be accepted; INVALID: nor kept, as it is. */
+    public enum Verdict { CREATED, KNOWN, NOT_FOUND, LATER, REFUSED, INVALID }
 
-    public record Answer(Verdict verdict, JobState state) {
+    /** {@code why}: of what is refused or invalid. */
+    public record Answer(Verdict verdict, JobState state, String why) {
         public static final Answer LATER = new Answer(Verdict.LATER, null);
         static final Answer NOT_FOUND = new Answer(Verdict.NOT_FOUND, null);
+
+        public Answer(Verdict verdict, JobState state) {
+            this(verdict, state, null);
+        }
+
+        public static Answer refused(String why) {
+            return new Answer(Verdict.REFUSED, null, why);
+        }
     }
 
+    /** What a record of a job that is over says beyond one of an open job, in bytes. */
+    private static final int OVER_BYTES = 96;
+
     private static final int MAX_TRIES = 4;
 
+    private final Facts facts;
     private final Store store;
     private final Timers timers;
+    private final Needs needs;
     private final Cache<String, JobState> over = Caffeine.newBuilder().maximumSize(5000).build();
     private final Questions questions;
     /** Whether tasks may be lent to other cells. */
@@ -47,6 +67,8 @@
     public Registry(Facts facts, Store store, Timers timers, BooleanSupplier served, Questions.Holder holder,
             boolean cells) {
         this.cells = cells;
+        this.facts = facts;
+        this.needs = new Needs(facts, store);
         this.store = store;
         this.timers = timers;
         this.served = served;
@@ -76,22 +98,57 @@
     }
 
     @Override
-    public void submit(JobSpec spec, Consumer<Answer> answer) {
+    public void submit(JobSpec spec, List<String> needs, Consumer<Answer> answer) {
         String id = spec.id();
         if (answeredAtOnce(id, answer)) {
             return;
         }
-        Map<String, Object> record = spec.toRecord();
-        record.put("submittedMs", timers.wallMs());
+        if (needs.contains(id)) {
+            known(id, Answer.refused("a job can't wait for itself"), answer);
+            return;
+        }
+        if (needs.isEmpty()) {
+            create(spec, needs, answer);
+            return;
+        }
+        this.needs.check(needs, (sure, wrong) -> {
+            if (!sure) {
+                answer.accept(Answer.LATER);
+            } else if (wrong != null) {
+                known(id, Answer.refused(wrong), answer);
+            } else {
+                create(spec, needs, answer);
+            }
+        });
+    }
+
+    /** A job that is known gets its state whatever else is said of it now. */
+    private void known(String id, Answer otherwise, Consumer<Answer> answer) {
+        status(id, a -> answer.accept(a.verdict() == Verdict.NOT_FOUND ? otherwise : a));
+    }
+
+    private void create(JobSpec spec, List<String> needs, Consumer<Answer> answer) {
+        String id = spec.id();
+        boolean atOnce = spec.shape() != JobSpec.Shape.ARRAY;
+        int bytes = facts.store().valueBytes();
+        int narrow = atOnce && !Job.recordableWhole(spec, facts.tasksPerPart(), bytes) ? facts.tasksPerNarrowPart() : 0;
+        Map<String, Object> record = new JobRecord(spec, timers.wallMs(), needs, narrow, 0).toMap();
+        if (Json.size(record) + OVER_BYTES > bytes) {
+            known(id, new Answer(Verdict.INVALID, null, "names and lists that can't be kept: over "
+                    + (bytes - OVER_BYTES) + " bytes together"), answer);
+            return;
+        }
         store.commit(new Transaction().when(Keys.OPEN + id, 0).when(Keys.OVER + id, 0)
                 .put(Keys.OPEN + id, record), c -> {
-            if (c.outcome() == Outcome.OK) {
-                questions.accepted(id);
-                answer.accept(new Answer(Verdict.CREATED, new JobState(id, "pending", 0, 0)));
-            } else if (c.outcome() == Outcome.NO) {
-                status(id, answer);
-            } else {
-                answer.accept(Answer.LATER);
+            switch (c.outcome()) {
+                case OK -> {
+                    questions.accepted(id, needs.isEmpty());
+                    this.needs.accepted(id, spec.shape());
+                    answer.accept(new Answer(Verdict.CREATED, new JobState(id, "pending", 0, 0)));
+                }
+                case NO -> status(id, answer);
+                case INVALID -> known(id, new Answer(Verdict.INVALID, null, "can't be kept as it is"), answer);
+                default -> answer.accept(Answer.LATER);
             }
         });
     }
@@ -138,10 +195,7 @@
                 answer.accept(Answer.LATER);
                 return;
             }
-            Map<String, Object> record = new LinkedHashMap<>();
-            ((Map<?, ?>) open.value()).forEach((k, v) -> record.put((String) k, v));
-            record.put("status", "cancelled");
-            record.put("done", 0L);
+            Map<String, Object> record = cancelled(id, open.value());
             Transaction move = new Transaction().when(Keys.OPEN + id, open.revision()).when(Keys.OVER + id, 0)
                     .remove(Keys.OPEN + id).put(Keys.OVER + id, record);
             if (cells) {
@@ -164,6 +218,19 @@
         });
     }
 
+    private Map<String, Object> cancelled(String id, Object open) {
+        Map<String, Object> end = Map.of("status", "cancelled", "done", 0L, "endedMs", timers.wallMs());
+        try {
+            return JobRecord.of(id, open).overMap(end, facts.store().valueBytes());
+        } catch (Malformed | IllegalArgumentException e) {
+            // Of a later version, or not what it should be: kept as it is, and cancelled all the same.
+            Map<String, Object> record = new LinkedHashMap<>();
+            ((Map<?, ?>) open).forEach((k, v) -> record.put((String) k, v));
+            record.putAll(end);
+            return record;
+        }
+    }
+
     /**
      * Some of the job is lent to other cells. Guards against a user who is told that it is cancelled while a cell that
      * nobody can reach starts a task of it: it is called back first, and the user told to come again, until its holder
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -5,8 +5,9 @@
 import io.kitepath.core.block.Job;
 import io.kitepath.core.model.Bucket;
 import io.kitepath.core.model.Facts;
-import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Json;
 import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Tree;
 import io.kitepath.core.port.Store;
@@ -36,6 +37,8 @@
     private static final double WRITE_SHARE = 0.7;
     /** Of the 64 KiB that a transaction may hold, by an estimate of its JSON form. */
     private static final int MAX_BYTES = 48 * 1024;
+    /** Of those, a record's key and what depends on it. */
+    private static final int RECORD_BYTES = 128;
 
     /** How often everything is read again before a part of no job is passed over. */
     private static final int MISFITS = 5;
@@ -47,6 +50,11 @@
     private final ImageRecords images;
     private final Listener listener;
     private final Bucket writes;
+    private final Ends ends;
+    /** Writes that a transaction may have: fewer after one was refused for good, until others have gone through. */
+    private int mostWrites;
+    private long invalid;
+    private long oversize;
     /** What waits to be written along, in order. */
     private final ArrayDeque<Rider> riders = new ArrayDeque<>();
     private final ArrayDeque<Rider> patient = new ArrayDeque<>();
@@ -70,8 +78,8 @@
         /** Somebody else holds the block, or nobody. */
         void blockLost();
 
-        /** The store has it that this job is done. */
-        void done(JobState job);
+        /** The store has it that this job is done, or cancelled for one that it needs. */
+        void over(JobState job);
 
         /** What earlier holders, or this one, put down to ask of the cloud. */
         void intended(List<Entry> acts);
@@ -109,9 +117,11 @@
         final Transaction transaction = new Transaction();
         final List<Written> parts = new ArrayList<>();
         final List<Job> finishing = new ArrayList<>();
+        final List<Job> cancelling = new ArrayList<>();
         final Set<Job.Part> taken = new HashSet<>();
         final Set<Job> conditioned = new HashSet<>();
         final List<Rider> riders = new ArrayList<>();
+        Relayout relaid;
         boolean unsure;
         int bytes;
     }
@@ -127,6 +137,18 @@
         this.images = images;
         this.listener = listener;
         this.writes = new Bucket(facts.store().writeRps() * WRITE_SHARE);
+        this.ends = new Ends(facts, store, timers, block.pipelines());
+        this.mostWrites = facts.store().txnOps();
+    }
+
+    /** Transactions that the store refused for good, as over its limits. */
+    public long invalid() {
+        return invalid;
+    }
+
+    /** Times that a record was not written since it would be too large; it is once there is less to say in it. */
+    public long oversize() {
+        return oversize;
     }
 
     /** Transactions, and records, that this holder has written. */
@@ -162,6 +184,7 @@
         riders.clear();
         patient.clear();
         images.forget();
+        ends.stop();
     }
 
     /** Writes that along in one of the next rounds. */
@@ -198,7 +221,10 @@
         });
         new Reading(store, timers, elsewhere != null, () -> e != epoch).read(found -> {
             if (found != null && adopt(found)) {
+                layOut(found.layout());
                 readImages(e);
+                ends.begin(ready);
+                ends.look();
                 follow(e, Keys.OPEN, found.revision(), ready, this::jobChanged);
                 follow(e, Keys.ACT, found.acts().revision(), ready, listener::acted);
                 if (elsewhere != null) {
@@ -211,6 +237,37 @@
         });
     }
 
+    /**
+     * Puts down by what the parts of jobs are laid out whose records do not say. Guards against settings that change: a
+     * part's key would mean other tasks, and those on machines would be started once more.
+     */
+    private void layOut(Entry known) {
+        if (known != null) {
+            return;
+        }
+        ride(new Rider() {
+            @Override
+            public boolean urgent() {
+                return false;
+            }
+
+            @Override
+            public boolean wanted() {
+                return true;
+            }
+
+            @Override
+            public void board(Transaction t) {
+                t.when(Keys.LAYOUT, 0).put(Keys.LAYOUT, Map.of("partTasks", (long) block.partTasks()));
+            }
+
+            @Override
+            public void written(long revision) {
+                LOG.info("parts of jobs hold {} tasks where their records do not say", block.partTasks());
+            }
+        });
+    }
+
     /** After all that work waits for, and without a word if it can't be had. */
     private void readImages(long e) {
         Pages.read(store, timers, Keys.IMAGES, 3, records -> {
@@ -225,6 +282,9 @@
     private boolean adopt(Reading.Found found) {
         double now = timers.now();
         block.forgetJobs();
+        if (found.layout() != null) {
+            block.laidOutBy((int) Tree.of(found.layout().value()).integer("partTasks", 1, Integer.MAX_VALUE));
+        }
         if (servedBefore != null) {
             try {
                 block.served().restore(servedBefore);
@@ -269,9 +329,7 @@
     }
 
     private Job job(String id, Entry x) {
-        JobSpec spec = JobSpec.fromRecord(id, x.value());
-        double submittedMs = Tree.of(x.value()).number("submittedMs", 0);
-        return new Job(spec, submittedMs, facts.startWithinS(spec), x.key(), x.revision(), facts.tasksPerPart());
+        return Job.of(JobRecord.of(id, x.value()), facts, x.key(), x.revision(), block.partTasks());
     }
 
     private void opened(Entry x) {
@@ -305,6 +363,7 @@
             }
             if (c.outcome() == Outcome.OK) {
                 c.events().forEach(changed);
+                ends.look();
                 follow(e, prefix, Math.max(after, c.revision()), ready, changed);
                 if (!c.events().isEmpty()) {
                     ready.run();
@@ -330,10 +389,15 @@
         }
         double now = timers.now();
         double available = writes.available(now);
-        int budget = (int) Math.min(facts.store().txnOps(), available);
+        int budget = (int) Math.min(mostWrites, available);
         Round r = new Round();
         r.transaction.when(blockKey, blockRevision);
+        if (layOutAnew(r, budget)) {
+            go(r, done, now);
+            return;
+        }
         board(r, riders, budget);
+        cascade(r, budget * 3 / 4);
         // In turns: a swarm's ends, two writes each, would leave nothing to what is to start, and the other way round.
         boolean endsFirst = rounds % 2 == 0;
         if (endsFirst) {
@@ -362,9 +426,12 @@
                 r.transaction.put(Keys.SERVED, block.served().record(timers.wallMs()));
             }
         }
-        if (r.transaction.writes().isEmpty()) {
-            return;
+        if (!r.transaction.writes().isEmpty()) {
+            go(r, done, now);
         }
+    }
+
+    private void go(Round r, Runnable done, double now) {
         writes.take(r.transaction.writes().size(), now);
         round = r;
         rounds++;
@@ -372,6 +439,26 @@
         send(epoch, done);
     }
 
+    /** A job whose parts can't be on record as they are laid out is written anew, by itself. */
+    private boolean layOutAnew(Round r, int budget) {
+        for (Job job : block.wide()) {
+            if (job.over()) {
+                block.laidOut(job);
+                continue;
+            }
+            Relayout l = new Relayout(job, facts.tasksPerNarrowPart());
+            if (l.writes() > facts.store().txnOps()) {
+                LOG.error("job {} has parts that can't be written under the limits that will come", job.spec.id());
+                block.laidOut(job);
+            } else if (l.writes() <= budget) {
+                l.board(r.transaction);
+                r.relaid = l;
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void board(Round r, ArrayDeque<Rider> waiting, int budget) {
         // Each takes a handful of writes at most; a quarter is left to everything else.
         while (!waiting.isEmpty() && r.transaction.writes().size() < budget * 3 / 4 && r.bytes < MAX_BYTES / 2) {
@@ -424,26 +511,41 @@
                 continue;
             }
             if (!job.over() && r.conditioned.add(job)) {
-                r.transaction.when(job.key, job.revision);
+                r.transaction.when(job.key, job.revision());
             }
             putPart(r, p);
         }
     }
 
     private void finish(Round r, Job job) {
-        String id = job.spec.id();
-        Map<String, Object> record = job.spec.toRecord();
-        record.put("submittedMs", job.submittedMs);
-        record.put("status", "done");
-        record.put("done", (long) job.spec.tasks());
-        r.transaction.when(job.key, job.revision).remove(job.key).put(Keys.OVER + id, record);
+        over(r, job, "done", job.spec.tasks());
         if (job.lentRevision() > 0) {
-            r.transaction.when(Keys.LENT + id, job.lentRevision()).remove(Keys.LENT + id);
+            r.transaction.when(Keys.LENT + job.spec.id(), job.lentRevision()).remove(Keys.LENT + job.spec.id());
         }
-        r.bytes += 1024;
         r.finishing.add(job);
     }
 
+    /**
+     * Cancels jobs that need one which is cancelled. All that it takes is on record, so that the next holder goes on with
+     * it wherever this one ends. They have no tasks to stop, as none of them could start; but their users wait for word.
+     */
+    private void cascade(Round r, int budget) {
+        for (Job job : block.pipelines().doomed()) {
+            if (r.transaction.writes().size() + 2 > budget || r.bytes >= MAX_BYTES) {
+                return;
+            }
+            over(r, job, "cancelled", 0);
+            r.cancelling.add(job);
+        }
+    }
+
+    private void over(Round r, Job job, String status, int done) {
+        Map<String, Object> record = job.record().overMap(Map.of("status", status, "done", (long) done, "endedMs",
+                timers.wallMs()), facts.store().valueBytes());
+        r.bytes += Json.size(record) + RECORD_BYTES;
+        r.transaction.when(job.key, job.revision()).remove(job.key).put(Keys.OVER + job.spec.id(), record);
+    }
+
     private void putPart(Round r, Job.Part p) {
         Job job = p.job;
         String key = Keys.part(job.spec.id(), p.index);
@@ -457,8 +559,16 @@
         if (remove) {
             r.transaction.remove(key);
         } else {
-            r.bytes += 96 + 12 * live.size() + 32;
-            r.transaction.put(key, job.partRecord(p.index));
+            Map<String, Object> record = job.partRecord(p.index);
+            if (Json.size(record) > facts.store().valueBytes()) {
+                // Placed when records could be larger. Until enough of it has ended, its workers go on reporting what
+                // has, and no more of it is placed.
+                oversize++;
+                r.transaction.conditions().remove(r.transaction.conditions().size() - 1);
+                return;
+            }
+            r.bytes += Json.size(record) + RECORD_BYTES;
+            r.transaction.put(key, record);
         }
         r.parts.add(new Written(p, job.version(), remove));
     }
@@ -472,6 +582,7 @@
             switch (c.outcome()) {
                 case OK -> committed(r, c.revision(), done);
                 case NO -> refused(r, c);
+                case INVALID -> invalid(r);
                 case REFUSED -> timers.after(0.2, () -> resend(e, r, done));
                 default -> {
                     // It may have been executed, or still be: the very same transaction again settles it, since
@@ -491,6 +602,7 @@
 
     private void committed(Round r, long revision, Runnable done) {
         round = null;
+        mostWrites = Math.min(facts.store().txnOps(), mostWrites + 1);
         r.riders.forEach(x -> x.written(revision));
         for (Written w : r.parts) {
             block.recorded(w.part, w.version, w.removed ? 0 : revision);
@@ -498,19 +610,60 @@
         for (Job job : r.finishing) {
             LOG.info("job {} done: {}", job.spec.id(), job.took(timers.now(), timers.wallMs()));
             block.served().done(job, timers.wallMs());
+            block.pipelines().ended(job.spec.id(), true, timers.wallMs());
             block.jobOver(job.spec.id());
-            listener.done(new JobState(job.spec.id(), "done", job.spec.tasks(), 0));
+            listener.over(new JobState(job.spec.id(), "done", job.spec.tasks(), 0));
+        }
+        for (Job job : r.cancelling) {
+            LOG.info("job {} cancelled, as one that it needs was", job.spec.id());
+            block.pipelines().ended(job.spec.id(), false, timers.wallMs());
+            block.jobOver(job.spec.id());
+            listener.over(new JobState(job.spec.id(), "cancelled", 0, 0));
+        }
+        if (r.relaid != null) {
+            r.relaid.written(block, revision);
         }
         done.run();
     }
 
-    private void refused(Round r, Committed c) {
+    /** None of it was written; all of it waits again. */
+    private void putBack(Round r) {
         round = null;
         r.parts.forEach(w -> block.unwritten().queue(w.part));
         for (int i = r.riders.size() - 1; i >= 0; i--) {
             Rider rider = r.riders.get(i);
             (rider.urgent() ? riders : patient).addFirst(rider);
         }
+    }
+
+    /**
+     * The store won't ever take it: its limits are lower than anybody said. Guards against the same transaction worked
+     * out again and again while everything else waits: the next ones are smaller, down to a single record, and one that
+     * is refused by itself waits until it has changed.
+     */
+    private void invalid(Round r) {
+        invalid++;
+        int n = r.transaction.writes().size();
+        for (Store.Write w : r.transaction.writes()) {
+            LOG.warn("refused for good, with {} others: {}, {} bytes", n - 1, w.key(),
+                    w.value() == null ? 0 : Json.size(w.value()));
+        }
+        mostWrites = Math.max(2, n / 2);
+        if (r.unsure) {
+            round = null;
+            listener.outOfStep("an earlier try of this write may have been executed");
+        } else if (r.parts.size() + r.riders.size() + r.finishing.size() + r.cancelling.size() > 1) {
+            putBack(r);
+        } else {
+            round = null;
+            if (r.relaid != null) {
+                block.laidOut(r.relaid.job);
+            }
+        }
+    }
+
+    private void refused(Round r, Committed c) {
+        putBack(r);
         if (c.failed().contains(blockKey)) {
             listener.blockLost();
             return;
--- a/src/main/java/io/kitepath/core/state/Keys.java
+++ b/src/main/java/io/kitepath/core/state/Keys.java
@@ -23,6 +23,8 @@
     public static final String DUTY_TOKEN = "kitepath/duty-token/";
     /** What was served in time, by class and team, for the next holder. */
     public static final String SERVED = "kitepath/served";
+    /** How the records of the deployment are laid out, written once, by the first holder that knew of it. */
+    public static final String LAYOUT = "kitepath/layout";
     /** Jobs that are accepted and neither done nor cancelled. */
     public static final String OPEN = "jobs/open/";
     /** Jobs that are over, kept for ever. */
--- a/src/main/java/io/kitepath/core/state/Reading.java
+++ b/src/main/java/io/kitepath/core/state/Reading.java
@@ -34,10 +34,11 @@
      * @param voids which of their numbers can't be taken any more
      * @param leaving open jobs whose users asked to cancel them
      * @param acts what was asked of the cloud, read at its own revision
+     * @param layout how records are laid out, null if nobody has put it down yet
      */
     public record Found(long revision, List<Entry> open, List<Entry> parts, Map<String, Entry> over,
             List<Entry> lent, List<Entry> guests, List<Entry> leaving, List<Entry> voids, List<Entry> shares,
-            Listing acts) {}
+            Listing acts, Entry layout) {}
 
     /** Takes what the records say about other cells. */
     public interface Elsewhere {
@@ -61,6 +62,7 @@
     private List<Entry> voids = List.of();
     private List<Entry> shares = List.of();
     private Listing acts;
+    private Entry layout;
     /** What is called once all is there, except for what else is still being read. */
     private Runnable jobsRead;
     private final Deque<String> closed = new ArrayDeque<>();
@@ -85,6 +87,20 @@
             acts = l;
             joined();
         });
+        store.get(Keys.LAYOUT, (outcome, entry) -> {
+            if (stale.getAsBoolean()) {
+                return;
+            }
+            if (outcome == Outcome.OK || outcome == Outcome.NO) {
+                layout = entry;
+                readJobs();
+            } else {
+                answer.accept(null);
+            }
+        });
+    }
+
+    private void readJobs() {
         pages(Keys.OPEN, open -> {
             if (cells) {
                 readElsewhere(open);
@@ -144,7 +160,7 @@
         missing = closed.size();
         Runnable done = () -> {
             jobsRead = () -> answer.accept(new Found(open.revision(), open.entries(), parts.entries(), over,
-                    lent, guests, leaving, voids, shares, acts));
+                    lent, guests, leaving, voids, shares, acts, layout));
             joined();
         };
         if (missing == 0) {
--- /dev/null
+++ b/src/main/java/io/kitepath/core/state/Relayout.java
@@ -0,0 +1,63 @@
+package io.kitepath.core.state;
+
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.JobRecord;
+import io.kitepath.core.port.Store.Transaction;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * One job's records laid out anew, in narrower parts, in one transaction: a gang, or a service, all of whose tasks have
+ * to be on record at the same time, which its parts are too wide for under the state service's limits.
+ */
+final class Relayout {
+    final Job job;
+    private final JobRecord record;
+    private final int version;
+    private final Map<Integer, Map<String, Object>> parts = new LinkedHashMap<>();
+    private final int removed;
+
+    Relayout(Job job, int partTasks) {
+        this.job = job;
+        this.version = job.version();
+        JobRecord was = job.record();
+        this.record = new JobRecord(was.spec(), was.submittedMs(), was.needs(), partTasks, job.nextAttempt());
+        for (int i = 0; i * partTasks < job.spec.tasks(); i++) {
+            Map<String, Object> part = job.partRecordOf(i, partTasks);
+            if (part != null) {
+                parts.put(i, part);
+            }
+        }
+        int gone = 0;
+        for (int i = 0; i < job.parts(); i++) {
+            gone += job.part(i).revision() > 0 && !parts.containsKey(i) ? 1 : 0;
+        }
+        this.removed = gone;
+    }
+
+    int writes() {
+        return 1 + parts.size() + removed;
+    }
+
+    void board(Transaction t) {
+        String id = job.spec.id();
+        t.when(job.key, job.revision()).put(job.key, record.toMap());
+        for (int i = 0; i < job.parts(); i++) {
+            t.when(Keys.part(id, i), job.part(i).revision());
+            if (job.part(i).revision() > 0 && !parts.containsKey(i)) {
+                t.remove(Keys.part(id, i));
+            }
+        }
+        parts.forEach((i, p) -> t.put(Keys.part(id, i), p));
+    }
+
+    /** The store has it at that revision. */
+    void written(Block block, long revision) {
+        boolean same = job.version() == version;
+        block.relaid(job, record, revision, version, parts.keySet());
+        if (!same) {
+            block.differs(job);
+        }
+    }
+}
--- a/src/main/java/io/kitepath/settings/Settings.java
+++ b/src/main/java/io/kitepath/settings/Settings.java
@@ -77,8 +77,7 @@
                 objectives,
                 new Facts.Workers(w.number("report_s", 0.001), w.number("lease_s", 0.001),
                         w.number("gang_wait_s", 0), w.number("gang_peer_s", 0), w.number("cancel_s", 0)),
-                new Facts.StoreLimits(s.number("rps", 1), s.number("write_rps", 1), s.number("value_kb", 1),
-                        (int) s.integer("txn_ops", 4, 1_000_000)),
+                limits(s),
                 new Facts.CloudLimits(c.number("rps", 0.001), c.number("list_lag_s", 0)),
                 new Facts.Limits(l.number("cpu", 0.001), l.number("ram_mb", 1),
                         (int) l.integer("sockets", 16, Integer.MAX_VALUE)),
@@ -88,6 +87,19 @@
                 address(e, "state"));
     }
 
+    /** The state service's limits, and those that it will have at some later time, if that is announced. */
+    private static Facts.StoreLimits limits(Tree s) {
+        Facts.StoreLimits now = new Facts.StoreLimits(s.number("rps", 1), s.number("write_rps", 1),
+                s.number("value_kb", 1), (int) s.integer("txn_ops", 4, 1_000_000));
+        if (!s.has("next")) {
+            return now;
+        }
+        Tree n = s.child("next");
+        return now.andLater(new Facts.StoreLimits(n.numberOr("rps", 1, now.rps()),
+                n.numberOr("write_rps", 1, now.writeRps()), n.numberOr("value_kb", 1, now.valueKb()),
+                n.has("txn_ops") ? (int) n.integer("txn_ops", 4, 1_000_000) : now.txnOps()));
+    }
+
     /** A numeric IPv4 address and a port; names are not looked up. */
     static InetSocketAddress address(Tree t, String field) {
         String s = t.text(field);
--- a/src/main/java/io/kitepath/standin/Loopback.java
+++ b/src/main/java/io/kitepath/standin/Loopback.java
@@ -181,8 +181,9 @@
     private static void committed(Committed c, Responder out) {
         switch (c.outcome()) {
             case OK -> out.reply(200, Outside.committed(c));
-            case NO -> out.reply(c.leaseGone() ? 400 : 409, c.leaseGone() ? Wire.error("no such lease")
+            case NO -> out.reply(c.leaseGone() ? 400 : 409, c.leaseGone() ? Wire.error(Wire.NO_SUCH_LEASE)
                     : Outside.committed(c));
+            case INVALID -> out.reply(400, Wire.error("over the limits"));
             default -> failed(c.outcome(), out);
         }
     }
--- a/src/main/java/io/kitepath/standin/MemoryStore.java
+++ b/src/main/java/io/kitepath/standin/MemoryStore.java
@@ -1,5 +1,6 @@
 package io.kitepath.standin;
 
+import io.kitepath.core.model.Json;
 import io.kitepath.core.model.Tree;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.state.Keys;
@@ -157,8 +158,19 @@
         }
     }
 
+    /** The limits that it has from now on: bytes of a value, changes of a transaction; none at first. */
+    public int valueBytes = Integer.MAX_VALUE;
+    public int txnOps = Integer.MAX_VALUE;
+    /** Transactions that were over them. */
+    public int overLimits;
+
     public Store.Committed execute(Store.Transaction t) {
         expire();
+        if (t.writes().size() > txnOps || t.conditions().size() > 4L * txnOps
+                || t.writes().stream().anyMatch(x -> x.value() != null && Json.size(x.value()) > valueBytes)) {
+            overLimits++;
+            return new Store.Committed(Store.Outcome.INVALID, 0, List.of(), false);
+        }
         if (t.writes().stream().anyMatch(x -> x.lease() != 0 && !leases.containsKey(x.lease()))) {
             return new Store.Committed(Store.Outcome.NO, 0, List.of(), true);
         }
--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -176,6 +176,7 @@
             w.after(runsFor, () -> gang.stream().filter(x -> x.state == State.RUNNING).forEach(x -> {
                 x.state = State.ENDED;
                 x.cause = Cause.DONE;
+                w.completed.computeIfAbsent(x.job, k -> new HashSet<>()).add(x.number);
             }));
             return;
         }
@@ -197,6 +198,7 @@
                 .anyMatch(e -> ((Map<?, ?>) e.value()).get("machines") instanceof List<?> l && l.contains(id))) {
             w.broken.add("started on a machine that goes: " + key + " on " + id);
         }
+        w.starts(o.job());
         started++;
         Task t = new Task(this, o.job(), o.task(), o.attempt(), State.RUNNING);
         tasks.put(key, t);
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -27,6 +27,8 @@
  * waits for real time, and nothing is random without a seed.
  */
 public final class World {
+    private static final double CANCEL_S = 30;
+
     /** Seconds between a worker's reports, and those of its lease. */
     public double reportS = 1;
     public double leaseS = 10;
@@ -125,12 +127,25 @@
         clock.run(seconds);
     }
 
+    /** Limits of the store that the settings announce, or null. */
+    public Facts.StoreLimits next;
+    /** What jobs need that were handed in here, by id. */
+    public final Map<String, List<String>> needs = new HashMap<>();
+    /** When users were told that a job is cancelled, by id. */
+    public final Map<String, Double> toldCancelled = new HashMap<>();
+    /** And that it is done. */
+    public final Set<String> toldDone = new HashSet<>();
+
     public Facts facts(String node) {
         return new Facts(node, "a", siblings, zones, teams, objectives,
-                new Facts.Workers(reportS, leaseS, 30, 5, 30), new Facts.StoreLimits(1000, writeRps, 8, 40),
+                new Facts.Workers(reportS, leaseS, 30, 5, CANCEL_S), next == null ? limits() : limits().andLater(next),
                 new Facts.CloudLimits(10, Math.max(2, cloud.listLagS)), new Facts.Limits(1, 200, 1000), 5);
     }
 
+    private Facts.StoreLimits limits() {
+        return new Facts.StoreLimits(1000, writeRps, 8, 40);
+    }
+
     public Node node(String name) {
         Node n = new Node(this, name);
         nodes.put(name, n);
@@ -176,26 +191,73 @@
                 s.estimateS(), s.checkpointS(), s.saveS(), s.deadlineS());
     }
 
-    public Registry.Answer submit(Node n, JobSpec s) {
+    public Registry.Answer submit(Node n, JobSpec s, String... itsNeeds) {
         Registry.Answer[] got = new Registry.Answer[1];
         specs.put(s.id(), s);
-        n.controller.registry().submit(s, a -> got[0] = a);
+        n.controller.registry().submit(s, List.of(itsNeeds), a -> got[0] = a);
         run(0.1);
-        return got[0];
+        if (got[0] != null && (got[0].verdict() == Registry.Verdict.CREATED
+                || got[0].verdict() == Registry.Verdict.KNOWN)) {
+            needs.putIfAbsent(s.id(), List.of(itsNeeds));
+        }
+        return heard(s.id(), got[0]);
     }
 
     public Registry.Answer cancel(Node n, String id) {
         Registry.Answer[] got = new Registry.Answer[1];
         n.controller.registry().cancel(id, a -> got[0] = a);
         run(0.1);
-        return got[0];
+        return heard(id, got[0]);
     }
 
     public Registry.Answer ask(Node n, String id) {
         Registry.Answer[] got = new Registry.Answer[1];
         n.controller.registry().status(id, a -> got[0] = a);
         run(0.1);
-        return got[0];
+        return heard(id, got[0]);
+    }
+
+    /** What a user is told, against the rules about what users are told. */
+    private Registry.Answer heard(String id, Registry.Answer a) {
+        if (a == null || a.verdict() != Registry.Verdict.KNOWN && a.verdict() != Registry.Verdict.CREATED) {
+            return a;
+        }
+        String status = a.state().status();
+        if (toldDone.contains(id) && !status.equals("done")
+                || toldCancelled.containsKey(id) && !status.equals("cancelled")) {
+            broken.add("went back: " + id + " is called " + status);
+        }
+        if (status.equals("done")) {
+            toldDone.add(id);
+        } else if (status.equals("cancelled")) {
+            toldCancelled.putIfAbsent(id, clock.now);
+        } else if (before(id).stream().anyMatch(n -> clock.now > toldCancelled.getOrDefault(n, 1e18) + CANCEL_S)) {
+            broken.add("orphaned: " + id + " is called " + status);
+        }
+        return a;
+    }
+
+    /** All jobs that have to be done before that one, directly or through others. */
+    private Set<String> before(String id) {
+        Set<String> all = new HashSet<>();
+        List<String> next = new ArrayList<>(needs.getOrDefault(id, List.of()));
+        while (!next.isEmpty()) {
+            String n = next.remove(next.size() - 1);
+            if (all.add(n)) {
+                next.addAll(needs.getOrDefault(n, List.of()));
+            }
+        }
+        return all;
+    }
+
+    /** A task starts, against the rule that all jobs before it are done. */
+    void starts(String id) {
+        for (String n : before(id)) {
+            JobSpec s = specs.get(n);
+            if (s == null || completed.getOrDefault(n, Set.of()).size() < s.tasks()) {
+                broken.add("too early: " + id + " starts before " + n + " is done");
+            }
+        }
     }
 
     public String status(Node n, String id) {
--- a/src/main/java/io/kitepath/store/HttpStore.java
+++ b/src/main/java/io/kitepath/store/HttpStore.java
@@ -88,8 +88,11 @@
                 List<String> failed = read(status, body, Wire::failed);
                 answer.accept(new Committed(Outcome.NO, 0, failed == null ? List.of() : failed, false));
             } else if (status == 400) {
-                LOG.warn("state service refused a transaction of {} writes", t.writes().size());
-                answer.accept(new Committed(Outcome.NO, 0, List.of(), true));
+                String why = read(status, body, Wire::reason);
+                LOG.warn("state service refused a transaction of {} writes: {}", t.writes().size(), why);
+                // Only this one says something about the world; anything else is wrong with what was sent.
+                boolean lease = Wire.NO_SUCH_LEASE.equals(why);
+                answer.accept(new Committed(lease ? Outcome.NO : Outcome.INVALID, 0, List.of(), lease));
             } else {
                 answer.accept(new Committed(other(status), 0, List.of(), false));
             }
--- a/src/main/java/io/kitepath/users/UsersApi.java
+++ b/src/main/java/io/kitepath/users/UsersApi.java
@@ -9,6 +9,7 @@
 import io.kitepath.net.HttpServer.Responder;
 import io.kitepath.wire.Pack;
 import io.kitepath.wire.Wire;
+import java.util.List;
 
 /** What users may ask over HTTP. */
 public final class UsersApi {
@@ -60,13 +61,14 @@
         int status;
         try {
             JobSpec spec = Wire.submission(body);
+            List<String> needs = Wire.needs(body);
             if (controller.types().isEmpty()) {
                 known(id, 503, "the machine types are not known yet", out);
                 return;
             }
             wrong = controller.impossible(spec);
             if (wrong == null) {
-                controller.registry().submit(spec, a -> answer(a, a.verdict() == Registry.Verdict.CREATED, out));
+                controller.registry().submit(spec, needs, a -> answer(a, a.verdict() == Registry.Verdict.CREATED, out));
                 return;
             }
             status = 422;
@@ -92,6 +94,8 @@
         switch (a.verdict()) {
             case CREATED -> out.reply(201, Wire.jobState(a.state(), true));
             case KNOWN -> out.reply(200, Wire.jobState(a.state(), brief));
+            case REFUSED -> out.reply(422, Wire.error(a.why()));
+            case INVALID -> out.reply(400, Wire.error(a.why()));
             case NOT_FOUND -> out.reply(404, Wire.error("no such job"));
             default -> out.reply(503, Wire.error("the state service can't be asked now"), controller.retryS());
         }
--- a/src/main/java/io/kitepath/wire/Wire.java
+++ b/src/main/java/io/kitepath/wire/Wire.java
@@ -1,6 +1,7 @@
 package io.kitepath.wire;
 
 import io.kitepath.core.port.Cloud;
+import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.MachineKind;
 import io.kitepath.core.model.MachineType;
@@ -22,6 +23,9 @@
     private static final int MAX_JSON = 64 * 1024;
     private static final Pattern JOB_ID = Pattern.compile("j-[0-9]{1,18}");
 
+    /** Why the state service refuses a write that hangs on a lease which is over. */
+    public static final String NO_SUCH_LEASE = "no such lease";
+
     private Wire() {}
 
     // ---- users ----------------------------------------------------------------------------------
@@ -52,6 +56,21 @@
                 t.has("dueS") ? t.number("dueS", 0) : null);
     }
 
+    /** The jobs that have to be done before the submitted one starts, each once. */
+    public static List<String> needs(Object body) {
+        Tree t = Tree.of(body);
+        if (!t.has("awaits")) {
+            return List.of();
+        }
+        List<String> ids = t.texts("awaits");
+        for (String id : ids) {
+            if (!isJobId(id)) {
+                throw new Malformed("awaits: must be a list of ids such as j-000412");
+            }
+        }
+        return JobRecord.distinct(ids);
+    }
+
     private static String name(Tree t, String field) {
         String s = t.text(field);
         if (s.isEmpty() || s.length() > 200) {
@@ -258,6 +277,11 @@
         return Pack.bytes(Map.of("lifeMs", ms));
     }
 
+    /** Why a request was refused, empty if it does not say. */
+    public static String reason(Object body) {
+        return Tree.of(body).textOr("error", "");
+    }
+
     public static List<String> failed(Object body) {
         return Tree.of(body).texts("failed");
     }
--- a/src/test/java/io/kitepath/core/cell/SharesModelTest.java
+++ b/src/test/java/io/kitepath/core/cell/SharesModelTest.java
@@ -92,7 +92,7 @@
             List<Store.Entry> all = List.copyOf(keys.values());
             shares.adopt(new Reading.Found(0, List.of(), List.of(), Map.of(), List.of(), List.of(), List.of(),
                     all.stream().filter(e -> e.key().startsWith(Keys.VOID)).toList(),
-                    all.stream().filter(e -> e.key().startsWith(Keys.SHARE)).toList(), null));
+                    all.stream().filter(e -> e.key().startsWith(Keys.SHARE)).toList(), null, null));
             job = null;
             if (wants) {
                 want();
