--- a/src/main/java/io/kitepath/core/block/Block.java
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -63,6 +63,7 @@
     private final Set<Job> wide = new LinkedHashSet<>();
     /** How many tasks one part of a job holds whose record does not say. */
     private int partTasks;
+    private int recordBytes;
     private long token;
     private long ends;
     private long lost;
@@ -79,6 +80,7 @@
         this.boots = new Boots(types);
         this.pipelines = new Pipelines(facts, jobs, s -> leads.mostS(s.jobClass()), this::change);
         this.partTasks = facts.tasksPerPart();
+        this.recordBytes = facts.store().valueBytes();
     }
 
     public Facts facts() {
@@ -417,14 +419,23 @@
         a.stopGraceS = Math.min(a.stopGraceS, graceS);
     }
 
+    /** The bytes that a record may have: as the settings say, or fewer if the store has refused one of that size. */
+    public int recordBytes() {
+        return recordBytes;
+    }
+
+    public void recordsBelow(int bytes) {
+        recordBytes = Math.min(recordBytes, bytes - 1);
+    }
+
     /** Whether the record of the task's part can take one more attempt; nothing may start that is not on record. */
     public boolean recordable(Job job, int task) {
-        return job.recordable(task, facts.store().valueBytes());
+        return job.recordable(task, recordBytes);
     }
 
     /** Whether the records of its parts can take all its tasks at once, or can't be made to. */
     public boolean recordable(Job job) {
-        return job.narrow(facts.tasksPerNarrowPart()) || job.recordableWhole(facts.store().valueBytes());
+        return job.narrow(facts.tasksPerNarrowPart()) || job.recordableWhole(recordBytes);
     }
 
     /** The job's parts can't be on record as they are laid out; nothing more of it is placed until they are anew. */
@@ -581,6 +592,7 @@
 
     /** The job's records are laid out anew, as of that version of it, with these parts. */
     public void relaid(Job job, JobRecord record, long revision, int version, Set<Integer> parts) {
+        job.allParts().forEach(unwritten::taken); // Those that were are no more.
         job.laidOut(record, revision);
         for (Job.Part p : job.allParts()) {
             recorded(p, version, parts.contains(p.index) ? revision : 0);
--- a/src/main/java/io/kitepath/core/duty/Audit.java
+++ b/src/main/java/io/kitepath/core/duty/Audit.java
@@ -194,6 +194,14 @@
             } else if (c.outcome() == Outcome.NO && !c.failed().isEmpty()) {
                 Set<String> there = new HashSet<>(c.failed());
                 tell.accept(ids.stream().filter(id -> !there.contains(under + id)).toList());
+            } else if (c.outcome() == Outcome.INVALID && ids.size() > 1) {
+                // The store takes fewer conditions by now than anybody said.
+                int half = ids.size() / 2;
+                absent(under, ids.subList(0, half), some -> absent(under, ids.subList(half, ids.size()), rest -> {
+                    List<String> both = new ArrayList<>(some);
+                    both.addAll(rest);
+                    tell.accept(both);
+                }));
             } else {
                 steps.addFirst(() -> absent(under, ids, tell));
                 failed = true;
--- a/src/main/java/io/kitepath/core/serve/Needs.java
+++ b/src/main/java/io/kitepath/core/serve/Needs.java
@@ -32,7 +32,7 @@
 
     private final Store store;
     /** Of a transaction's conditions, of which a job takes two. */
-    private final int most;
+    private int most;
     /** Jobs that were accepted and are no services. */
     private final Cache<String, Boolean> accepted = Caffeine.newBuilder().maximumSize(5000).build();
 
@@ -110,6 +110,11 @@
         Transaction t = new Transaction();
         some.forEach(id -> t.when(Keys.OPEN + id, 0).when(Keys.OVER + id, 0));
         store.commit(t, c -> {
+            if (c.outcome() == Outcome.INVALID && some.size() > 1) {
+                most = some.size() / 2; // The store takes fewer conditions by now than anybody said.
+                compare(ids, answer);
+                return;
+            }
             if (c.outcome() != Outcome.OK && c.outcome() != Outcome.NO) {
                 answer.is(false, null);
                 return;
--- a/src/main/java/io/kitepath/core/serve/Questions.java
+++ b/src/main/java/io/kitepath/core/serve/Questions.java
@@ -56,7 +56,8 @@
     /** Reads how a job that is over ended, which happens once on each node. */
     private final BiConsumer<String, Consumer<Answer>> over;
     private final Bucket requests;
-    private final int most;
+    /** Jobs in one comparison. */
+    private int most;
     private final int mostWaiting;
     private final Map<String, List<Consumer<Answer>>> waiting = new LinkedHashMap<>();
     private int waitingCount;
@@ -141,6 +142,11 @@
                 // None of the keys exists.
                 case OK -> batch.keySet().forEach(id -> tell(batch, id, Answer.NOT_FOUND));
                 case NO -> sort(batch, new HashSet<>(c.failed()));
+                case INVALID -> {
+                    // The store takes fewer conditions by now than anybody said.
+                    most = Math.max(1, batch.size() / 2);
+                    batch.keySet().forEach(id -> tell(batch, id, Answer.LATER));
+                }
                 default -> {
                     if (tries > 1) {
                         timers.after(0.1 * (MAX_TRIES + 1 - tries), () -> send(compare, batch, tries - 1));
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -53,6 +53,7 @@
     private final Ends ends;
     /** Writes that a transaction may have: fewer after one was refused for good, until others have gone through. */
     private int mostWrites;
+    private int refusedWrites = Integer.MAX_VALUE;
     private long invalid;
     private long oversize;
     /** What waits to be written along, in order. */
@@ -419,11 +420,12 @@
         board(r, patient, (int) Math.min(budget, patient.size() > budget ? budget : spare));
         if (r.transaction.writes().size() < budget && r.bytes < MAX_BYTES / 2) {
             Store.Write due = images.due(block.machines().values(), now);
-            if (due != null) {
-                r.transaction.put(due.key(), due.value());
-            } else if (now - servedAt > facts.workers().leaseS() / 2) {
+            if (due == null && now - servedAt > facts.workers().leaseS() / 2) {
                 servedAt = now;
-                r.transaction.put(Keys.SERVED, block.served().record(timers.wallMs()));
+                due = new Store.Write(Keys.SERVED, block.served().record(timers.wallMs()), 0);
+            }
+            if (due != null && Json.size(due.value()) <= block.recordBytes()) {
+                r.transaction.put(due.key(), due.value());
             }
         }
         if (!r.transaction.writes().isEmpty()) {
@@ -541,7 +543,7 @@
 
     private void over(Round r, Job job, String status, int done) {
         Map<String, Object> record = job.record().overMap(Map.of("status", status, "done", (long) done, "endedMs",
-                timers.wallMs()), facts.store().valueBytes());
+                timers.wallMs()), block.recordBytes());
         r.bytes += Json.size(record) + RECORD_BYTES;
         r.transaction.when(job.key, job.revision()).remove(job.key).put(Keys.OVER + job.spec.id(), record);
     }
@@ -560,7 +562,7 @@
             r.transaction.remove(key);
         } else {
             Map<String, Object> record = job.partRecord(p.index);
-            if (Json.size(record) > facts.store().valueBytes()) {
+            if (Json.size(record) > block.recordBytes()) {
                 // Placed when records could be larger. Until enough of it has ended, its workers go on reporting what
                 // has, and no more of it is placed.
                 oversize++;
@@ -602,7 +604,7 @@
 
     private void committed(Round r, long revision, Runnable done) {
         round = null;
-        mostWrites = Math.min(facts.store().txnOps(), mostWrites + 1);
+        mostWrites = Math.min(Math.min(facts.store().txnOps(), refusedWrites - 1), mostWrites + 1);
         r.riders.forEach(x -> x.written(revision));
         for (Written w : r.parts) {
             block.recorded(w.part, w.version, w.removed ? 0 : revision);
@@ -644,11 +646,15 @@
     private void invalid(Round r) {
         invalid++;
         int n = r.transaction.writes().size();
-        for (Store.Write w : r.transaction.writes()) {
-            LOG.warn("refused for good, with {} others: {}, {} bytes", n - 1, w.key(),
-                    w.value() == null ? 0 : Json.size(w.value()));
+        Store.Write largest = r.transaction.writes().stream().max(Comparator.comparingInt(Keeper::size)).orElseThrow();
+        LOG.warn("{} writes were refused for good, the largest one {} of {} bytes", n, largest.key(), size(largest));
+        if (n > 1) {
+            refusedWrites = Math.min(refusedWrites, n);
+            mostWrites = Math.max(2, n / 2);
+        } else if (largest.value() != null) {
+            block.recordsBelow(size(largest));
+            refusedWrites = Integer.MAX_VALUE; // It may have been this one all the time.
         }
-        mostWrites = Math.max(2, n / 2);
         if (r.unsure) {
             round = null;
             listener.outOfStep("an earlier try of this write may have been executed");
@@ -662,6 +668,10 @@
         }
     }
 
+    private static int size(Store.Write w) {
+        return w.value() == null ? 0 : Json.size(w.value());
+    }
+
     private void refused(Round r, Committed c) {
         putBack(r);
         if (c.failed().contains(blockKey)) {
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -133,14 +134,23 @@
     @Override
     public void tell(long token, String leader, boolean served) {
         view = new Messages.View(node, token, leader != null, served);
-        channels.values().forEach(ch -> send(ch, view));
+        toAll(channels.values(), ch -> send(ch, view));
     }
 
     private Messages.View view;
 
     @Override
     public void over(JobState job) {
-        channels.values().forEach(ch -> send(ch, new Messages.Over(job)));
+        toAll(channels.values(), ch -> send(ch, new Messages.Over(job)));
+    }
+
+    /**
+     * Guards against a sibling's connection that turns out to be reset as something is written to it: it closes there and
+     * then, and is struck off while the others are still gone through. That ended nodes as they started, and those that
+     * ran never told their view again.
+     */
+    static void toAll(Collection<Channel> channels, Consumer<Channel> then) {
+        List.copyOf(channels).forEach(then);
     }
 
     @Override
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -39,6 +39,8 @@
     public final Directory directory;
     /** Changes a second that the settings allow. */
     public double writeRps = 1000;
+    /** And the size of values. */
+    public double valueKb = 8;
 
     public final Map<String, Facts.Team> teams = new LinkedHashMap<>();
     /** What the settings name as siblings, whether or not they run. */
@@ -143,7 +145,7 @@
     }
 
     private Facts.StoreLimits limits() {
-        return new Facts.StoreLimits(1000, writeRps, 8, 40);
+        return new Facts.StoreLimits(1000, writeRps, valueKb, 40);
     }
 
     public Node node(String name) {
--- /dev/null
+++ b/src/test/java/io/kitepath/core/LimitsTest.java
@@ -0,0 +1,223 @@
+package io.kitepath.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobRecord;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.model.Json;
+import io.kitepath.core.serve.Registry.Verdict;
+import io.kitepath.core.state.Keys;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.World;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The state service's limits fall: before, while it happens, and for what was written when they were higher. */
+class LimitsTest {
+    private static final Facts.StoreLimits LOW = new Facts.StoreLimits(1000, 1000, 2, 13);
+    private final World w = new World();
+
+    private void workers(int n) {
+        for (int i = 0; i < n; i++) {
+            w.worker("i-" + String.format("%06d", i), "a");
+        }
+    }
+
+    private void fall() {
+        w.store.valueBytes = 2048;
+        w.store.txnOps = 13;
+    }
+
+    private void largestIs(int bytes) {
+        w.store.keys.forEach((k, e) -> assertTrue(Json.size(e.value()) <= bytes, k + " has " + Json.size(e.value())));
+    }
+
+    @Test
+    void whatIsAnnouncedIsKeptToFromTheStart() {
+        w.next = LOW;
+        Node n = w.node("k0");
+        workers(150);
+        w.run(5);
+        w.submit(n, World.job("j-1", Shape.ARRAY, 500, 1));
+        w.submit(n, World.job("j-2", Shape.GANG, 100, 1));
+        w.submit(n, World.job("j-3", Shape.SERVICE, 120, 0.1));
+        w.run(10);
+        largestIs(2048);
+        fall();
+        assertEquals(100, w.onMachines("j-2"));
+        assertEquals(120, w.onMachines("j-3"));
+        assertTrue(w.onMachines("j-1") > 150, "only " + w.onMachines("j-1"));
+        w.run(90);
+        assertEquals("done", w.status(n, "j-1"));
+        assertEquals("done", w.status(n, "j-2"));
+        assertEquals(0, w.store.overLimits);
+        assertEquals(List.of(), w.broken);
+    }
+
+    /** Written by a holder that knew nothing of lower limits, as production does. */
+    @Test
+    void whatWasWrittenBeforeIsGoneOnWith() {
+        Node old = w.node("k0");
+        workers(400);
+        w.run(5);
+        w.submit(old, World.job("j-1", Shape.ARRAY, 250, 3));
+        w.submit(old, World.job("j-3", Shape.SERVICE, 250, 0.5));
+        w.run(5);
+        assertTrue(Json.size(w.store.keys.get(Keys.part("j-1", 0)).value()) > 2048);
+        w.runsFor = id -> 60;
+        old.crash();
+        w.next = LOW;
+        fall();
+        Node n = w.node("k1");
+        w.run(20);
+        // The machines of a fifth of the service's replicas go.
+        List<String> some = new ArrayList<>(w.workers.keySet());
+        Collections.shuffle(some, new java.util.Random(5));
+        some.subList(0, 80).forEach(id -> {
+            w.workers.get(id).die();
+            w.cloud.machines.remove(id);
+        });
+        w.submit(n, World.job("j-4", Shape.GANG, 150, 1));
+        w.run(200);
+        assertEquals(250, w.onMachines("j-3"));
+        assertEquals("done", w.status(n, "j-1"));
+        assertEquals("done", w.status(n, "j-4"));
+        assertEquals(List.of(), w.broken);
+        // Takes over what it laid out anew.
+        n.crash();
+        Node next = w.node("k2");
+        w.run(20);
+        assertEquals(250, w.onMachines("j-3"));
+        w.cancel(next, "j-3");
+        w.run(20);
+        assertEquals(0, w.onMachines("j-3"));
+        w.run(60);
+        assertEquals(List.of(), w.store.keys.keySet().stream().filter(k -> k.startsWith(Keys.PART)).toList());
+        assertEquals(List.of(), w.broken);
+    }
+
+    /** A gang that has not begun when the limits fall is laid out anew, by the holder and after its end. */
+    @Test
+    void aGangTooWideForItsPartsStartsWholeWhereverTheHolderEnds() {
+        for (int at = 0; at < 8; at++) {
+            LimitsTest t = new LimitsTest();
+            Node old = t.w.node("k0");
+            t.w.run(3);
+            t.w.submit(old, World.job("j-1", Shape.GANG, 200, 2));
+            assertNull(((Map<?, ?>) t.w.store.keys.get(Keys.OPEN + "j-1").value()).get("partTasks"));
+            old.crash();
+            t.w.next = LOW;
+            t.fall();
+            Node n = t.w.node("k1");
+            t.w.run(4);
+            t.workers(150);
+            if (at > 0) {
+                n.endAfter(at, () -> { });
+            }
+            t.w.run(1);
+            Node other = t.w.node("k2");
+            t.w.run(60);
+            assertEquals("done", t.w.status(other, "j-1"), "ended at " + at);
+            assertEquals(List.of(), t.w.broken);
+        }
+    }
+
+    @Test
+    void limitsLowerThanAnnouncedSlowDownButDontStop() {
+        w.next = LOW;
+        Node n = w.node("k0");
+        workers(60);
+        w.run(5);
+        w.store.txnOps = 5;
+        w.store.valueBytes = 900;
+        for (int i = 0; i < 30; i++) {
+            w.submit(n, World.job("j-" + (100 + i), Shape.ARRAY, 4, 1));
+        }
+        w.run(60);
+        for (int i = 0; i < 30; i++) {
+            assertEquals("done", w.status(n, "j-" + (100 + i)));
+        }
+        assertTrue(w.store.overLimits > 0);
+        assertTrue(w.store.overLimits < 60, w.store.overLimits + " refused");
+        assertEquals(List.of(), w.broken);
+    }
+
+    @Test
+    void whatCantBeKeptIsRefusedAtOnceAndNotForEver() {
+        w.next = LOW;
+        Node n = w.node("k0");
+        w.run(3);
+        JobSpec s = World.job("j-1", Shape.ARRAY, 1, 1);
+        List<String> types = new ArrayList<>(List.of("m4"));
+        for (int i = 0; i < 300; i++) {
+            types.add("type-" + i);
+        }
+        JobSpec large = new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.priority(), 1, 1, 0, 1, types, null, false,
+                false, false, "img", 1, 20, 0, 0, null);
+        assertEquals(Verdict.INVALID, w.submit(n, large).verdict());
+        w.store.valueBytes = 100;
+        assertEquals(Verdict.INVALID, w.submit(n, s).verdict());
+    }
+
+    @Test
+    void aJobAcceptedWhenRecordsCouldBeLargerEndsAllTheSame() {
+        Node old = w.node("k0");
+        w.run(3);
+        List<String> types = new ArrayList<>(List.of("m4"));
+        for (int i = 0; i < 250; i++) {
+            types.add("type-" + i);
+        }
+        for (String id : List.of("j-1", "j-2")) {
+            JobSpec s = World.job(id, Shape.ARRAY, 1, 1);
+            w.submit(old, new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.priority(), 1, 1, 0, 1, types, null,
+                    false, false, false, "img", 1, 20, 0, 0, null));
+        }
+        w.next = LOW;
+        fall();
+        old.crash();
+        Node n = w.node("k1");
+        w.run(10);
+        assertEquals("cancelled", w.cancel(n, "j-2").state().status());
+        workers(1);
+        w.run(40);
+        assertEquals("done", w.status(n, "j-1"));
+        assertEquals(0, w.store.overLimits);
+    }
+
+    /** The settings name the fallen limit as the one in force, without a word of what was before. */
+    @Test
+    void settingsThatChangeDontChangeWhatAPartsKeyMeans() {
+        Node old = w.node("k0");
+        workers(100);
+        w.run(5);
+        w.submit(old, World.job("j-1", Shape.ARRAY, 300, 1));
+        w.run(5);
+        assertEquals(300, w.onMachines("j-1"));
+        old.crash();
+        w.valueKb = 2;
+        fall();
+        Node n = w.node("k1");
+        w.run(50);
+        assertEquals("done", w.status(n, "j-1"));
+        assertEquals(List.of(), w.broken);
+    }
+
+    /** What earlier versions would take for something else they can't read at all. */
+    @Test
+    void earlierVersionsCantReadWhatWouldMislead() {
+        JobSpec s = World.job("j-1", Shape.ARRAY, 300, 1);
+        assertEquals(s.toRecord().get("shape"), new JobRecord(s, 5, List.of(), 0, 0).toMap().get("shape"));
+        for (JobRecord r : List.of(new JobRecord(s, 5, List.of("j-2"), 0, 0), new JobRecord(s, 5, List.of(), 64, 7))) {
+            Object shape = r.toMap().get("shape");
+            assertTrue(java.util.Arrays.stream(Shape.values()).noneMatch(x -> x.name().equals(shape)));
+            assertEquals(r, JobRecord.of("j-1", r.toMap()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/kitepath/peers/VersionsTest.java
@@ -0,0 +1,138 @@
+package io.kitepath.peers;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.model.CellMessage;
+import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.JobRecord;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.model.Report.Cause;
+import io.kitepath.core.model.Report.State;
+import io.kitepath.core.model.Report.TaskReport;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.state.Keys;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.World;
+import io.kitepath.wire.Pack;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What the version in production wrote and sent, as its own code put it down, against this version. */
+class VersionsTest {
+    private final Map<String, byte[]> written = new LinkedHashMap<>();
+
+    VersionsTest() throws IOException {
+        try (InputStream in = VersionsTest.class.getResourceAsStream("/production/written.txt")) {
+            for (String line : new String(in.readAllBytes(), StandardCharsets.UTF_8).split("\n")) {
+                int at = line.lastIndexOf(' ');
+                written.put(line.substring(0, at), HexFormat.of().parseHex(line.substring(at + 1)));
+            }
+        }
+    }
+
+    /** Byte for byte: a class, a field or a number that moved would end a sibling's connection, again and again. */
+    @Test
+    void framesAreTheSameToTheByte() {
+        Messages m = new Messages(true);
+        Report r = new Report("i-000231", "10.1.0.232:9000", "g8", "a", true, 3, 88, 41, 12.5, List.of(
+                new TaskReport("j-000412", 3, 2, State.RUNNING, null),
+                new TaskReport("j-000398", 0, 1, State.ENDED, Cause.DONE)));
+        JobSpec s = new JobSpec("j-000412", "train", "vision", JobSpec.Shape.GANG, JobSpec.Priority.HIGH, 16, 8, 1, 64,
+                List.of("g8"), null, true, false, true, "img-07", 6.2, 240, 30, 4, 900.0);
+        JobState over = new JobState("j-000412", "done", 16, 0);
+        Map<String, Object> frames = new LinkedHashMap<>();
+        frames.put("view", new Messages.View("kite-1", 7, true, false));
+        frames.put("over", new Messages.Over(over));
+        frames.put("ask", new Messages.Ask(5, r, true));
+        frames.put("answer", new Messages.Answer(5, new CheckIn(41, List.of(
+                new Order(Order.Verb.START, "j-000412", 4, 2, 0), new Order(Order.Verb.STOP, "j-000377", 1, 1, 10)),
+                null)));
+        frames.put("askProgress", new Messages.AskProgress(6, List.of("j-000412", "j-000398")));
+        frames.put("answerProgress", new Messages.AnswerProgress(6, List.of(new Progress("j-000412", 3, 13, "waits"))));
+        frames.put("askCell", new Messages.AskCell(9, new CellMessage.Offer("north", 4, 2, s, 1000.5, 0, 16, 3)));
+        frames.put("answerCell", new Messages.AnswerCell(9, new CellMessage.UserAnswer("KNOWN", over)));
+        frames.forEach((name, message) -> {
+            byte[] theirs = written.get("frame." + name);
+            assertArrayEquals(theirs, m.bytes(message), name);
+            assertEquals(message.getClass(), m.value(theirs).getClass(), name);
+        });
+        assertEquals(frames.size(), written.keySet().stream().filter(k -> k.startsWith("frame.")).count());
+        // Without cells, the classes that come first keep their numbers.
+        assertArrayEquals(written.get("frame.view"), new Messages(false).bytes(frames.get("view")));
+    }
+
+    private Store.Entry record(String key) {
+        return new Store.Entry(key, Pack.value(written.get("record " + key)), 1);
+    }
+
+    /** A plain job's record has neither more nor less in it than production would write. */
+    @Test
+    void recordsOfPlainJobsAreTheSame() {
+        for (String id : List.of("j-1", "j-3", "j-4", "j-6")) {
+            Object theirs = record(Keys.OPEN + id).value();
+            JobRecord r = JobRecord.of(id, theirs);
+            assertArrayEquals(Pack.bytes(theirs), Pack.bytes(r.toMap()), id);
+            assertEquals(List.of(), r.needs());
+            assertEquals(0, r.partTasks());
+        }
+    }
+
+    /** A new holder goes on where production ended: nothing starts twice, all of it ends. */
+    @Test
+    void aStoreThatProductionWroteIsGoneOnWith() {
+        World w = new World();
+        w.next = new io.kitepath.core.model.Facts.StoreLimits(1000, 1000, 2, 13);
+        for (String k : written.keySet()) {
+            if (k.startsWith("record ") && !k.contains("/duty/") && !k.contains("/leader") && !k.contains("/blocks/")) {
+                String key = k.substring("record ".length());
+                w.store.keys.put(key, record(key));
+            }
+        }
+        w.runsFor = id -> 30;
+        for (int i = 0; i < 40; i++) {
+            w.worker("i-" + String.format("%06d", i), i % 2 == 0 ? "a" : "b");
+        }
+        // What runs when production ends.
+        for (String part : List.of("j-1/0", "j-1/1", "j-3/0", "j-4/0")) {
+            String job = part.substring(0, part.indexOf('/'));
+            w.specs.put(job, JobRecord.of(job, record(Keys.OPEN + job).value()).spec());
+            Map<?, ?> live = (Map<?, ?>) ((Map<?, ?>) record(Keys.PART + part).value()).get("live");
+            live.forEach((machine, l) -> {
+                for (int i = 0; i + 1 < ((List<?>) l).size(); i += 2) {
+                    w.workers.get(machine).execute(new Order(Order.Verb.START, job,
+                            ((Number) ((List<?>) l).get(i)).intValue(), ((Number) ((List<?>) l).get(i + 1)).longValue(), 0));
+                }
+            });
+        }
+        long running = w.onMachines("j-1");
+        assertTrue(running > 250, "only " + running);
+        Node n = w.node("k1");
+        w.specs.put("j-6", JobRecord.of("j-6", record(Keys.OPEN + "j-6").value()).spec());
+        w.specs.put("j-2", World.job("j-2", JobSpec.Shape.ARRAY, 3, 1));
+        w.completed.put("j-2", java.util.Set.of(0, 1, 2)); // Under production.
+        w.run(20);
+        assertEquals(running, w.onMachines("j-1"));
+        assertEquals("done", w.status(n, "j-2"));
+        assertEquals("cancelled", w.status(n, "j-5"));
+        w.submit(n, World.job("j-7", JobSpec.Shape.ARRAY, 1, 1), "j-2", "j-3");
+        w.submit(n, World.job("j-8", JobSpec.Shape.ARRAY, 1, 1), "j-5");
+        w.run(120);
+        for (String id : List.of("j-1", "j-3", "j-6", "j-7")) {
+            assertEquals("done", w.status(n, id), id);
+        }
+        assertEquals("cancelled", w.status(n, "j-8"));
+        assertEquals(List.of(), w.broken);
+    }
+}
