--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -193,8 +193,16 @@
         if (alike) {
             roomless.add(job, heldOut);
         }
-        if (!patient && !makeRoom(job, open, now) && alike) {
-            hopeless.add(job, heldOut);
+        if (!patient) {
+            if (!makeRoom(job, open, now)) {
+                if (alike) {
+                    hopeless.add(job, heldOut);
+                }
+            } else if (!gang) {
+                // Guards against room of placings that were taken back, as they had not been written yet, which the very
+                // work that gave way takes again in the same round, over and over.
+                placed += placeTasks(job, open, now, most - placed);
+            }
         }
         return placed;
     }
