--- a/src/main/java/io/kitepath/cli/Local.java
+++ b/src/main/java/io/kitepath/cli/Local.java
@@ -1,5 +1,7 @@
 package io.kitepath.cli;
 
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.state.Keys;
 import io.kitepath.settings.Settings;
 import io.kitepath.standin.Loopback;
@@ -23,6 +25,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
@@ -54,12 +57,20 @@
     @Option(names = "--for", description = "Seconds of drill; ${DEFAULT-VALUE}.")
     double forS = 60;
 
+    @Option(names = "--earlier", paramLabel = "JAR", description = {
+        "A jar of an earlier version: nodes start with it, and with --drill are killed and come back with this one,",
+        "one after the other; after that limits of the state service fall and pipelines are handed in."})
+    Path earlier;
+
     @Option(names = "--seed", description = "Of the drill's failures; ${DEFAULT-VALUE}.")
     long seed = 1;
 
     private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
     private final Map<String, Path> settings = new LinkedHashMap<>();
+    /** Nodes that come back with this version, and not the earlier one; and those that have. */
+    private final Set<String> renewed = ConcurrentHashMap.newKeySet();
+    private final Set<String> current = ConcurrentHashMap.newKeySet();
     private final List<InetSocketAddress> listens = new ArrayList<>();
     private volatile boolean ending;
     private Path dir;
@@ -87,6 +98,9 @@
             world.cloud.bootS = n -> 0.5;
             world.runsFor = job -> taskS;
             world.reportsChanges = true;
+            if (earlier != null) {
+                world.next = new Facts.StoreLimits(1000, 500, 2, 13);
+            }
             Loopback outside = new Loopback(group, world, labels);
             List<InetSocketAddress> services = outside.start();
             for (int i = 0; i < count; i++) {
@@ -106,8 +120,14 @@
             System.out.println("a first job, and how to hand it in and look at it:");
             System.out.println("  kitepath submit --node " + text(listens.get(0)) + " " + job);
             System.out.println("  kitepath status --node " + text(listens.get(0)) + " j-000001");
-            boolean done = submit("j-000001", 4) && until(MOST_S, () -> "done".equals(status("j-000001")));
-            System.out.printf(Locale.ROOT, "the first job is %s after %.1f s%n", done ? "done" : "NOT done",
+            boolean done = submit("j-000001", 4);
+            if (earlier == null) {
+                // A small pipeline: the second one starts when the first one is done.
+                done &= submit("j-000002", 2, "j-000001") && until(MOST_S, () -> "done".equals(status("j-000002")));
+            }
+            done &= until(MOST_S, () -> "done".equals(status("j-000001")));
+            System.out.printf(Locale.ROOT, "%s %s after %.1f s%n", earlier == null
+                    ? "the first job and the one that waits for it are" : "the first job is", done ? "done" : "NOT done",
                     now() - began);
             if (!done || once) {
                 return done ? 0 : 1;
@@ -134,10 +154,29 @@
         int freezes = 0;
         while (now() < until) {
             String id = String.format("j-%06d", 100 + jobs.size());
-            if (submit(id, 1 + random.nextInt(12))) {
+            boolean all = earlier == null || current.size() == count;
+            // Every other one waits for two before it, once no node runs an earlier version any more.
+            boolean waits = all && jobs.size() > 2 && jobs.size() % 2 == 0;
+            String[] needs = waits ? new String[] {jobs.get(jobs.size() - 1), jobs.get(random.nextInt(jobs.size()))}
+                    : new String[0];
+            int tasks = 1 + random.nextInt(12);
+            outside.run(() -> {
+                outside.world.specs.put(id, World.job(id, JobSpec.Shape.ARRAY, tasks, 1));
+                outside.world.needs.put(id, List.of(needs));
+            });
+            if (submit(id, tasks, needs)) {
                 jobs.add(id);
             }
             String node = "node-" + random.nextInt(count);
+            if (earlier != null && random.nextInt(3) == 0) {
+                renewed.add(node); // From its next end on.
+            }
+            if (all && outside.world.next != null) {
+                outside.run(() -> {
+                    outside.world.store.valueBytes = (int) (1024 * outside.world.next.valueKb());
+                    outside.world.store.txnOps = outside.world.next.txnOps();
+                });
+            }
             if (random.nextInt(3) == 0) {
                 freezes++;
                 long stillMs = 500 + random.nextInt(7000);
@@ -157,7 +196,12 @@
         }
         boolean done = until(MOST_S, () -> jobs.stream().allMatch(j -> "done".equals(status(j))));
         List<String> broken = new ArrayList<>();
-        outside.run(() -> broken.addAll(outside.world.broken));
+        outside.run(() -> {
+            broken.addAll(outside.world.broken);
+            if (outside.world.store.overLimits > 0) {
+                broken.add(outside.world.store.overLimits + " transactions over the state service's limits");
+            }
+        });
         // What is idle goes back, and nothing asked of the cloud stays on record.
         boolean clean = until(2 * MOST_S, () -> {
             boolean[] none = new boolean[1];
@@ -204,8 +248,13 @@
 
     private void start(String node) {
         try {
+            boolean now = earlier == null || renewed.contains(node);
+            String version = now ? System.getProperty("java.class.path") : earlier.toString();
+            if (now) {
+                current.add(node);
+            }
             processes.put(node, new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-Xmx64m",
-                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName(),
+                    "-XX:TieredStopAtLevel=1", "-cp", version, Main.class.getName(),
                     "--config", settings.get(node).toString())
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(dir.resolve(node + ".log").toFile())).start());
@@ -238,7 +287,8 @@
         m.put("facts", Map.of("zones", w.zones, "teams", List.of(Map.of("name", "red")),
                 "workers", Map.of("report_s", w.reportS, "lease_s", w.leaseS, "gang_wait_s", 30, "gang_peer_s", 5,
                         "cancel_s", 30),
-                "state", Map.of("rps", 1000, "write_rps", 500, "value_kb", 8, "txn_ops", 40),
+                "state", Map.of("rps", 1000, "write_rps", 500, "value_kb", 8, "txn_ops", 40, "next", w.next == null
+                        ? Map.of() : Map.of("value_kb", w.next.valueKb(), "txn_ops", w.next.txnOps())),
                 "cloud", Map.of("rps", 10, "list_lag_s", 2),
                 "limits", Map.of("cpu", 1, "ram_mb", 200, "sockets", 1000)));
         return m;
@@ -246,7 +296,7 @@
 
     // ---- as a user ------------------------------------------------------------------------------
 
-    private static Map<String, Object> job(String id, int tasks) {
+    private static Map<String, Object> job(String id, int tasks, String... needs) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("nameId", id);
         m.put("lane", "first");
@@ -268,6 +318,7 @@
         m.put("markEveryS", 0.0);
         m.put("markCostS", 0.0);
         m.put("dueS", null);
+        m.put("awaits", List.of(needs));
         return m;
     }
 
@@ -295,9 +346,9 @@
     }
 
     /** Asks one node after the other, as users do who got no answer. */
-    private boolean submit(String id, int tasks) throws InterruptedException {
+    private boolean submit(String id, int tasks, String... needs) throws InterruptedException {
         return until(MOST_S, () -> listens.stream().anyMatch(n ->
-                ask(n, "POST", "/submissions", Pack.bytes(job(id, tasks)), 200, 201) != null));
+                ask(n, "POST", "/submissions", Pack.bytes(job(id, tasks, needs)), 200, 201) != null));
     }
 
     private String status(String id) {
