--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -31,6 +31,8 @@
     private final Hopeless hopeless = new Hopeless();
     /** Whether the last search left out machines only because its image is elsewhere. */
     private boolean heldOut;
+    /** Whether it left out tasks because their parts' records are full. */
+    private boolean full;
     private List<Job> queued;
     private double queuedAt;
 
@@ -181,13 +183,16 @@
         }
         int placed = 0;
         heldOut = false;
+        full = false;
         if (!alike || !roomless.contains(job)) {
             placed = gang ? placeGang(job, open, now) : placeTasks(job, open, now, most);
         }
         // A gang that still has tasks on machines waits for those, whatever room there is.
         boolean wants = job.waiting() > 0 && placed < most && !block.failures().mistaken(job, now)
                 && block.teamUse().left(job.spec) >= (gang ? job.spec.tasks() : 1);
-        if (!wants) {
+        // Guards against a job whose records are full for now, although machines are idle, which speaks for all others
+        // that would fit there: hundreds of tasks waited behind it.
+        if (!wants || full) {
             return placed;
         }
         if (alike) {
@@ -257,6 +262,7 @@
         }
         for (int t = job.nextWaiting(0); t >= 0 && placed < n; t = job.nextWaiting(t + 1)) {
             if (!block.recordable(job, t)) {
+                full = true;
                 if (s.shape() == JobSpec.Shape.SERVICE) {
                     block.tooWide(job); // Nothing of it ends by itself.
                     break;
--- a/src/test/java/io/kitepath/core/LimitsTest.java
+++ b/src/test/java/io/kitepath/core/LimitsTest.java
@@ -61,6 +61,22 @@
         assertEquals(List.of(), w.broken);
     }
 
+    /** One job whose records are full says nothing about whether there is room for others. */
+    @Test
+    void aJobWhoseRecordsAreFullKeepsNobodyWaiting() {
+        w.next = LOW;
+        Node n = w.node("k0");
+        workers(250);
+        w.run(5);
+        w.runsFor = id -> id.equals("j-1") ? 1000 : 20;
+        w.submit(n, World.job("j-1", Shape.ARRAY, 256, 3));
+        w.run(10);
+        assertTrue(w.onMachines("j-1") < 200, "records take " + w.onMachines("j-1"));
+        w.submit(n, World.job("j-2", Shape.ARRAY, 30, 3));
+        w.run(5);
+        assertEquals(30, w.onMachines("j-2"));
+    }
+
     /** Written by a holder that knew nothing of lower limits, as production does. */
     @Test
     void whatWasWrittenBeforeIsGoneOnWith() {
