--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -471,9 +471,12 @@
         block.jobOver(job.id());
     }
 
-    /** Whether users are better off here: not if the store serves a sibling and not us. */
+    /**
+     * Whether users are better off here: not if the store serves a sibling and not us, nor if neither store nor siblings
+     * are to be reached, since then it is this node that is cut off.
+     */
     public boolean healthy() {
-        return served() || !views.someServed();
+        return served() || !views.someServed() && !views.alone();
     }
 
     /** What this node knows of the jobs as their holder; nothing if it does not hold them. */
--- a/src/main/java/io/kitepath/core/block/Attempt.java
+++ b/src/main/java/io/kitepath/core/block/Attempt.java
@@ -19,6 +19,8 @@
     boolean durable;
     /** Launched by us, or perhaps by a holder before us. */
     boolean launched;
+    /** Reports that should have shown it, since it was launched before, and did not. */
+    int missed;
     /** Whether a report of the current holder's time has shown it. */
     boolean seen;
     Report.State state;
--- a/src/main/java/io/kitepath/core/block/CheckIns.java
+++ b/src/main/java/io/kitepath/core/block/CheckIns.java
@@ -23,6 +23,9 @@
     /** Half of what a worker waits for an answer. */
     private static final double MAX_HOLD_S = 2;
 
+    /** Reports in a row that don't show a task which the answers before them launched. */
+    private static final int MOST_MISSED = 3;
+
     private final Block block;
     private long launches;
     private double launchDelayS;
@@ -52,6 +55,7 @@
         if (r.session() < m.session || r.session() == m.session && r.sequence() <= m.sequence) {
             return List.of(); // Late: a newer report has been read already.
         }
+        m.heard(r.session(), loaded && r.token() == block.token(), now, block.facts().workers().leaseS());
         m.session = r.session();
         m.sequence = r.sequence();
         m.type = r.type();
@@ -122,6 +126,7 @@
         if (!a.seen) {
             a.seen = true;
             a.machine.unconfirmed--;
+            a.machine.showsStart();
         }
         a.launched = true;
         if (t.state() != a.state) {
@@ -157,6 +162,13 @@
             block.end(a, Cause.PEERS, now);
         }
         // Otherwise it was never executed, and this very answer launches it (again).
+        if (!a.ended && a.launched && ++a.missed >= MOST_MISSED) {
+            // Nothing sent before this report can start it any more. Guards against tasks that stay placed for good on a
+            // machine whose reports arrive, but which no answer reaches.
+            LOG.warn("machine {} reports and does not start what it is told to", a.machine.id);
+            a.machine.deaf(now);
+            block.end(a, Cause.STOPPED, now);
+        }
     }
 
     /** The worker has a task that we have not placed there. */
--- a/src/main/java/io/kitepath/core/block/Machine.java
+++ b/src/main/java/io/kitepath/core/block/Machine.java
@@ -15,6 +15,9 @@
 
 /** A rented machine as the holder knows it: from the cloud's list, its worker's reports and the jobs' records. */
 public final class Machine {
+    /** In leases. */
+    private static final double HEARS_AGAIN = 1.5;
+
     public final String id;
     String type;
     String zone;
@@ -35,6 +38,11 @@
     long sequence;
     /** A report with our own token has come: nothing that an earlier holder sent can start here any more. */
     boolean proven;
+    /** When the first report of its session came, and the first one in it with our own token; NaN before. */
+    private double sessionAt = Double.NaN;
+    private double provenAt = Double.NaN;
+    /** Since when it is known to report without hearing what it is answered; NaN while it is not. */
+    private double deafSince = Double.NaN;
     /** NaN, or when the cloud takes the machine away. */
     double takenAt = Double.NaN;
     boolean releasing;
@@ -252,9 +260,51 @@
         return !Double.isNaN(lastReport);
     }
 
+    /**
+     * A report came, of that session. Guards against a machine whose reports arrive while no answer reaches it: it looks
+     * as well as any, but its lease runs out again and again. One that was answered for a whole lease and is in another
+     * session all the same hears nothing; one that stays in a session for longer than a lease hears again.
+     */
+    void heard(long itsSession, boolean ours, double now, double leaseS) {
+        if (itsSession > session) {
+            if (now - provenAt > leaseS && now - lastReport < leaseS / 2) {
+                deaf(now);
+            }
+            sessionAt = now;
+            provenAt = Double.NaN;
+        } else if (deafToAnswers() && now - sessionAt > HEARS_AGAIN * leaseS) {
+            deafSince = Double.NaN;
+        }
+        if (ours && Double.isNaN(provenAt)) {
+            provenAt = now;
+        }
+    }
+
+    /** What it was told does not reach it. */
+    void deaf(double now) {
+        if (!deafToAnswers()) {
+            deafSince = now;
+        }
+    }
+
+    /** Whether its reports arrive, but answers don't reach it. */
+    public boolean deafToAnswers() {
+        return !Double.isNaN(deafSince);
+    }
+
+    /** Seconds since that is known. */
+    public double deafS(double now) {
+        return deafToAnswers() ? now - deafSince : 0;
+    }
+
+    /** A task that it was told to start is there. */
+    void showsStart() {
+        deafSince = Double.NaN;
+    }
+
     /** Whether new tasks may be placed here. */
     public boolean open() {
-        return proven && !releasing && !gone && !setAside && !recalled() && strangers == 0;
+        return proven && !deafToAnswers() && !releasing && !gone && !setAside && !recalled() && strangers == 0;
     }
 
     public boolean fits(JobSpec s, MachineType t) {
--- a/src/main/java/io/kitepath/core/fleet/Presence.java
+++ b/src/main/java/io/kitepath/core/fleet/Presence.java
@@ -26,7 +26,7 @@
 
     /** Up or coming, and not on its way out. */
     static boolean usable(Machine m) {
-        return !m.releasing() && !m.gone() && !m.setAside() && !m.recalled();
+        return !m.releasing() && !m.gone() && !m.setAside() && !m.deafToAnswers() && !m.recalled();
     }
 
     /**
--- a/src/main/java/io/kitepath/core/fleet/Returns.java
+++ b/src/main/java/io/kitepath/core/fleet/Returns.java
@@ -17,6 +17,9 @@
 final class Returns {
     private static final Logger LOG = LoggerFactory.getLogger(Returns.class);
 
+    /** For how long a machine may report without hearing answers before it is given back. */
+    private static final double DEAF_LEASES = 3;
+
     private final Facts facts;
     private final Block block;
     private final Market market;
@@ -76,7 +79,7 @@
                     market.refused(m.kind(), now); // Where boots fail, others come first.
                 }
             } else if (m.proven() && !m.busy() && !m.awaitsRecords()) {
-                give |= m.setAside();
+                give |= m.setAside() || m.deafS(now) > DEAF_LEASES * lease;
                 give |= surplus && now - m.neededAt() > t.bootS() && (m.draining() || idleTooLong(m, t, now));
             }
             if (surplus && (give || m.draining())) {
@@ -85,6 +88,7 @@
             if (give) {
                 if (!m.releasing()) {
                     LOG.info("giving back {}: {}", m.id, mute.contains(m) ? "silent" : m.setAside() ? "set aside"
+                            : m.deafToAnswers() ? "no answer reaches it"
                             : m.reported() ? "idle" : "never came up");
                 }
                 m.release();
--- a/src/main/java/io/kitepath/core/lead/Views.java
+++ b/src/main/java/io/kitepath/core/lead/Views.java
@@ -56,6 +56,11 @@
         return siblings.stream().allMatch(s -> now - unserved.getOrDefault(s, -1e9) < FRESH_S);
     }
 
+    /** Whether there are siblings and none of them is heard. */
+    public boolean alone() {
+        return !siblings.isEmpty() && siblings.stream().allMatch(this::silent);
+    }
+
     /** Whether some sibling says that the store serves it. */
     public boolean someServed() {
         double now = timers.now();
--- a/src/main/java/io/kitepath/core/serve/Entitlement.java
+++ b/src/main/java/io/kitepath/core/serve/Entitlement.java
@@ -43,6 +43,7 @@
     /** For how long workers may be answered without word of cancellations: their leases still have to run out after. */
     private double marginS() {
         Facts.Workers w = facts.workers();
-        return Math.max(w.reportS(), w.cancelS() - w.leaseS() - 2 * w.reportS() - 1);
+        // Not longer than a lease of theirs: by then another node leads, which they would have to reach as well.
+        return Math.max(w.reportS(), Math.min(w.leaseS(), w.cancelS() - w.leaseS() - 2 * w.reportS() - 1));
     }
 }
--- a/src/main/java/io/kitepath/core/serve/Needs.java
+++ b/src/main/java/io/kitepath/core/serve/Needs.java
@@ -4,6 +4,7 @@
 import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobSpec.Shape;
 import io.kitepath.core.model.Malformed;
+import io.kitepath.core.model.Tree;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.Outcome;
 import io.kitepath.core.port.Store.Transaction;
@@ -22,11 +23,23 @@
  * accepted. What was accepted stays so, hence what was found once is not looked for again.
  */
 final class Needs {
-    /** What came of it: null if all were accepted, a reason if one never was or can't be waited for. */
+    /** What came of it: whether it could be found out; why not, if one was never accepted or can't be waited for. */
     interface Found {
         void is(boolean known, String wrong);
     }
 
+    /** Jobs that were cancelled, for ever. */
+    private final Cache<String, Boolean> cancelled = Caffeine.newBuilder().maximumSize(2000).build();
+
+    /** Whether one of them is known to be cancelled. */
+    boolean anyCancelled(List<String> ids) {
+        return ids.stream().anyMatch(id -> cancelled.getIfPresent(id) != null);
+    }
+
+    void cancelled(String id) {
+        cancelled.put(id, true);
+    }
+
     /** Read one by one up to that many, which also tells services; more are only compared, many at a time. */
     private static final int READ = 16;
 
@@ -98,6 +111,9 @@
     private String wrong(String id, Object record) {
         try {
             Shape shape = JobRecord.of(id, record).spec().shape();
+            if (Tree.of(record).textOr("status", "").equals("cancelled")) {
+                cancelled(id);
+            }
             accepted(id, shape);
             return shape == Shape.SERVICE ? "job " + id + " is a service, which is never done" : "";
         } catch (Malformed | IllegalArgumentException e) {
--- a/src/main/java/io/kitepath/core/serve/Registry.java
+++ b/src/main/java/io/kitepath/core/serve/Registry.java
@@ -95,6 +95,9 @@
     /** The store has the job's end, which never changes: a word of the node that wrote it saves a read. */
     public void ended(JobState s) {
         over.put(s.id(), s);
+        if (s.status().equals("cancelled")) {
+            needs.cancelled(s.id());
+        }
     }
 
     @Override
@@ -138,10 +141,22 @@
                     + (bytes - OVER_BYTES) + " bytes together"), answer);
             return;
         }
-        store.commit(new Transaction().when(Keys.OPEN + id, 0).when(Keys.OVER + id, 0)
-                .put(Keys.OPEN + id, record), c -> {
+        // One that names a cancelled job is accepted and cancelled in one write, and never called anything else.
+        JobState doomed = this.needs.anyCancelled(needs) ? new JobState(id, "cancelled", 0, 0) : null;
+        Transaction t = new Transaction().when(Keys.OPEN + id, 0).when(Keys.OVER + id, 0);
+        if (doomed == null) {
+            t.put(Keys.OPEN + id, record);
+        } else {
+            t.put(Keys.OVER + id, cancelled(id, record));
+        }
+        store.commit(t, c -> {
             switch (c.outcome()) {
                 case OK -> {
+                    if (doomed != null) {
+                        ended(doomed);
+                        answer.accept(new Answer(Verdict.CREATED, doomed));
+                        return;
+                    }
                     questions.accepted(id, needs.isEmpty());
                     this.needs.accepted(id, spec.shape());
                     answer.accept(new Answer(Verdict.CREATED, new JobState(id, "pending", 0, 0)));
@@ -165,7 +180,7 @@
             if (outcome == Outcome.OK) {
                 Tree t = Tree.of(entry.value());
                 JobState s = new JobState(id, t.text("status"), (int) t.count("done"), 0);
-                over.put(id, s);
+                ended(s);
                 answer.accept(new Answer(Verdict.KNOWN, s));
             } else {
                 answer.accept(outcome == Outcome.NO ? Answer.NOT_FOUND : Answer.LATER);
@@ -204,7 +219,7 @@
             store.commit(move, c -> {
                 if (c.outcome() == Outcome.OK) {
                     JobState s = new JobState(id, "cancelled", 0, 0);
-                    over.put(id, s);
+                    ended(s);
                     onCancelled.accept(s);
                     answer.accept(new Answer(Verdict.KNOWN, s));
                 } else if (c.outcome() == Outcome.NO && c.failed().contains(Keys.LENT + id)) {
