Largest jobs counted and helped to begin; stages wait for room while they have time; waiting jobs cost rounds little

The holder counts each class's largest jobs by themselves, over takeovers, and one of them that has waited two of its four minutes comes first.

--- a/src/main/java/io/kitepath/core/Figures.java
+++ b/src/main/java/io/kitepath/core/Figures.java
@@ -77,8 +77,10 @@
                 () -> placer.givingWay().forGuarantees()));
         f.put("attempts.evicted.for.large", Figure.total("and the ones that made room for gangs and large tasks",
                 () -> placer.givingWay().forGangs()));
-        f.put("served.least", Figure.now("the lowest share of jobs in time, of all classes and teams as of late",
+        f.put("served.least", Figure.now("the lowest share of jobs in time, of all classes, their largest jobs, and teams as of late",
                 () -> block.served().leastShare()));
+        f.put("served.least.largest", Figure.now("the lowest share of a class's largest jobs", () -> block.served().largest()
+                .values().stream().mapToDouble(Served.Group::share).min().orElse(1)));
         f.put("jobs.missed", Figure.total("jobs that were not done by the last time expected of them",
                 () -> block.served().classes().values().stream().mapToLong(Served.Group::missed).sum()));
         f.put("direct.commands", Figure.total("machines told directly to stop tasks", directCommands));
--- a/src/main/java/io/kitepath/core/block/Block.java
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -224,6 +224,7 @@
                 job.spec.cpus(), job.spec.image());
         changed = true;
         lately.came(job);
+        served.came(job.spec);
         if (!job.over) {
             pipelines.opened(job);
         }
--- a/src/main/java/io/kitepath/core/block/Job.java
+++ b/src/main/java/io/kitepath/core/block/Job.java
@@ -599,6 +599,11 @@
                 ran.before(now));
     }
 
+    /** Whether any of its tasks has run, or was seen on a machine, as far as this holder knows. */
+    public boolean begun() {
+        return ran.count > 0 || done.cardinality() > 0 || live.values().stream().anyMatch(a -> a.seen);
+    }
+
     /** Whether the store still has anything about its tasks. */
     public boolean recorded() {
         for (Part p : parts) {
--- a/src/main/java/io/kitepath/core/block/Served.java
+++ b/src/main/java/io/kitepath/core/block/Served.java
@@ -17,7 +17,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * How much of what each class and each team asked for was served: done within the most generous time that is expected
+ * How much of what each class, its largest jobs, and each team asked for was served: done within the most generous time that is expected
  * of it. Guards against an overload in which the number of jobs in time is as large as can be, and all that go without
  * are of one class or one team: a class of which less than half is served counts as an outage to its users, however
  * well the others do.
@@ -125,6 +125,9 @@
     private final Facts facts;
     private final Map<String, Group> classes = new LinkedHashMap<>();
     private final Map<String, Group> teams = new LinkedHashMap<>();
+    /** By class, its largest jobs alone: of a class that is served well, they may be the ones that go without. */
+    private final Map<String, Group> largest = new LinkedHashMap<>();
+    private final Sizes sizes = new Sizes();
     /** What was missed up to then, by the time of day, has been counted by an earlier holder. */
     private double countedUntilMs;
 
@@ -135,6 +138,7 @@
     void clear() {
         classes.clear();
         teams.clear();
+        largest.clear();
         countedUntilMs = 0;
     }
 
@@ -156,6 +160,20 @@
         if (t != null) {
             then.accept(t);
         }
+        Group l = sizes.largest(s) ? group(largest, "largest of", s.jobClass()) : null;
+        if (l != null) {
+            then.accept(l);
+        }
+    }
+
+    /** A job has become known. */
+    void came(JobSpec s) {
+        sizes.came(s);
+    }
+
+    /** Whether the job is one of the largest of its class, by those that came lately. */
+    public boolean largest(JobSpec s) {
+        return sizes.largest(s);
     }
 
     /**
@@ -204,6 +222,7 @@
     private List<Group> all() {
         List<Group> all = new ArrayList<>(classes.values());
         all.addAll(teams.values());
+        all.addAll(largest.values());
         return all;
     }
 
@@ -217,13 +236,15 @@
     }
 
     /**
-     * 1, or the share that the job's class or team gets, the lower one, if that is so little that others of its rank go
+     * 1, or the share that the job's class, its largest jobs, or its team get, the lowest one, if that is so little that others of its rank go
      * without before it.
      */
     public double standing(JobSpec s) {
         Group c = classes.get(s.jobClass());
         Group t = teams.get(s.team());
-        return Math.min(c == null ? 1 : c.standing(), t == null ? 1 : t.standing());
+        Group l = sizes.largest(s) ? largest.get(s.jobClass()) : null;
+        return Math.min(l == null ? 1 : l.standing(),
+                Math.min(c == null ? 1 : c.standing(), t == null ? 1 : t.standing()));
     }
 
     // ---- for the next holder ---------------------------------------------------------------------
@@ -235,9 +256,10 @@
     public Map<String, Object> record(double wallMs) {
         Map<String, Object> out = new LinkedHashMap<>();
         out.put("untilMs", wallMs);
-        double left = facts.store().valueKb() * 1024 * 0.45;
+        double left = facts.store().valueBytes() * 0.3;
         out.put("classes", records(classes, left));
         out.put("teams", records(teams, left));
+        out.put("largest", records(largest, left));
         return out;
     }
 
@@ -267,6 +289,7 @@
         countedUntilMs = t.number("untilMs", 0);
         restore(t, "classes", "class", classes);
         restore(t, "teams", "team", teams);
+        restore(t, "largest", "largest of", largest);
     }
 
     private static void restore(Tree record, String field, String kind, Map<String, Group> into) {
@@ -290,7 +313,9 @@
 
     /** For the log: by class and team, what was in time of what was decided, and what is open and endangered. */
     public String summary() {
-        StringBuilder b = new StringBuilder("served in time:");
+        StringBuilder b = new StringBuilder(String.format(Locale.ROOT,
+                "served least: class %.2f, team %.2f, largest jobs of a class %.2f; served in time:", least(classes),
+                least(teams), least(largest)));
         for (Group g : all()) {
             b.append(String.format(Locale.ROOT, " %s %d of %d, %d open, %d endangered;", g.name, g.inTime,
                     g.inTime + g.missed, g.undecided, g.endangered));
@@ -307,8 +332,16 @@
         return new TreeMap<>(teams);
     }
 
-    /** The lowest share of all classes and teams. */
+    public Map<String, Group> largest() {
+        return new TreeMap<>(largest);
+    }
+
+    /** The lowest share of all classes, their largest jobs, and teams. */
     public double leastShare() {
-        return all().stream().mapToDouble(Group::share).min().orElse(1);
+        return Math.min(least(largest), Math.min(least(classes), least(teams)));
+    }
+
+    private static double least(Map<String, Group> of) {
+        return of.values().stream().mapToDouble(Group::share).min().orElse(1);
     }
 }
--- a/src/main/java/io/kitepath/core/place/GivingWay.java
+++ b/src/main/java/io/kitepath/core/place/GivingWay.java
@@ -211,7 +211,14 @@
 
     /** Whether the job waits a little for room that comes free by itself. */
     boolean patient(Job job, double wallMs) {
-        return small(job.spec) && wallMs - job.sinceMs() < PATIENCE * 1000 * block.facts().workers().reportS();
+        if (!small(job.spec)) {
+            return false;
+        }
+        double reportMs = 1000 * block.facts().workers().reportS();
+        // Guards against work stopped half done for a stage that is only as urgent as the one behind it, and has time.
+        boolean early = job.priority() != job.spec.priority()
+                && wallMs + PATIENCE * reportMs + 1000 * block.leads().mostS(job.spec.jobClass()) < job.goalMs(0);
+        return early || wallMs - job.sinceMs() < PATIENCE * reportMs;
     }
 
     private boolean small(JobSpec s) {
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -21,6 +21,11 @@
 
 /** Rounds of placing: which of the waiting work goes where now, in which order, and what gives way to it. */
 public final class Placer {
+    /** Within which every job has to begin, however large. */
+    private static final double BEGIN_WITHIN_S = 240;
+    /** Of that, the part after which it is helped. */
+    private static final double PATIENT = 0.5;
+
     private final Block block;
     private final Placement placement;
     private final GivingWay givingWay;
@@ -72,8 +77,10 @@
     /** Unfinished jobs with work to place, in the order in which they are served. */
     public List<Job> queue(double now, double wallMs) {
         double began = spent.now();
-        block.served().look(block.jobs().values(), s -> block.leads().mostS(s.jobClass()), wallMs);
-        markGuaranteed();
+        // Guards against a round of which most goes into sorting thousands of jobs that wait for others.
+        List<Job> all = block.jobs().values().stream().filter(j -> !j.held()).toList();
+        block.served().look(all, s -> block.leads().mostS(s.jobClass()), wallMs);
+        markGuaranteed(all);
         Map<MachineKind, Integer> open = new HashMap<>();
         for (Machine m : block.machines().values()) {
             if (m.open() && block.types().containsKey(m.type())) {
@@ -83,11 +90,12 @@
         // A mistaken job is served last and takes nobody's time.
         List<Job> good = new ArrayList<>();
         List<Job> mistaken = new ArrayList<>();
-        for (Job j : block.jobs().values()) {
+        for (Job j : all) {
             (block.failures().mistaken(j, now) ? mistaken : good).add(j);
         }
         List<Job> order = new ServiceOrder(s -> capacity(s, open), s -> block.leads().mostS(s.jobClass()),
                 block.served()::standing, now, wallMs).of(good);
+        beginFirst(order, wallMs);
         mistaken.removeIf(j -> j.waiting() == 0);
         order.addAll(mistaken);
         queued = List.copyOf(order);
@@ -96,6 +104,22 @@
         return order;
     }
 
+    /**
+     * Guards against one of a class's largest jobs that is overtaken for ever: whoever asks for much at once is without
+     * whenever others go without by size or rank. Once it has used most of the time within which it has to begin, the one
+     * that waits longest comes first, and gets the room that comes free; it stops nothing that it might not stop anyway.
+     * One at a time: room is kept for it meanwhile.
+     */
+    private void beginFirst(List<Job> order, double wallMs) {
+        double since = wallMs - 1000 * BEGIN_WITHIN_S * PATIENT;
+        order.stream().filter(j -> (j.spec.gang() || j.spec.oneZone()) && j.sinceMs() < since && !j.begun()
+                        && block.served().largest(j.spec))
+                .min(Comparator.comparingDouble(Job::sinceMs)).ifPresent(j -> {
+                    order.remove(j);
+                    order.add(0, j);
+                });
+    }
+
     /** How many CPUs such jobs could use at once if these machines, counted by kind, were empty. */
     private double capacity(JobSpec s, Map<MachineKind, Integer> machines) {
         double cpus = 0;
@@ -108,13 +132,13 @@
     }
 
     /** A job is within its team's guarantee if it fits into it together with the jobs that claim it before. */
-    private void markGuaranteed() {
-        List<Job> jobs = new ArrayList<>(block.jobs().values());
+    private void markGuaranteed(List<Job> all) {
+        List<Job> jobs = new ArrayList<>(all);
         jobs.sort(Comparator.comparingDouble(Job::sinceMs));
         Map<String, double[]> claimed = new HashMap<>();
         for (Job j : jobs) {
             boolean fits = claim(j, claimed);
-            if (!j.claimed() && !j.held()) {
+            if (!j.claimed()) {
                 j.claims(fits);
             }
         }
@@ -138,7 +162,7 @@
     /** Adds what is left of the job to what its team has claimed; whether that is within the guarantee. */
     private boolean claim(Job j, Map<String, double[]> claimed) {
         Facts.Team t = block.facts().teams().get(j.spec.team());
-        if (j.over() || j.held() || t == null || t.cpus() == 0 && t.gpus() == 0) {
+        if (j.over() || t == null || t.cpus() == 0 && t.gpus() == 0) {
             return false;
         }
         double[] c = claimed.computeIfAbsent(t.name(), k -> new double[2]);
--- a/src/test/java/io/kitepath/core/PipelinesTest.java
+++ b/src/test/java/io/kitepath/core/PipelinesTest.java
@@ -3,8 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.model.Spent;
+import io.kitepath.core.place.Placer;
 import io.kitepath.core.serve.Registry.Verdict;
 import io.kitepath.core.state.Keys;
 import io.kitepath.standin.Node;
@@ -230,6 +236,67 @@
         holds();
     }
 
+    /** A chain and a fan of a thousand, at the write rate that is left once limits have fallen. */
+    @Test
+    void aThousandBehindOneAreCancelledWithinMinutesAndNobodyIsCalledPendingMeanwhile() {
+        for (boolean chain : new boolean[] {true, false}) {
+            PipelinesTest t = new PipelinesTest();
+            t.w.writeRps = 35;
+            t.w.next = new Facts.StoreLimits(150, 35, 2, 13);
+            t.w.store.txnOps = 13;
+            t.w.runsFor = id -> 10_000;
+            Node n = t.cluster(1);
+            t.w.submit(n, array("j-1", 1));
+            for (int i = 2; i <= 1001; i++) {
+                int id = i;
+                n.controller.registry().submit(array("j-" + id, 1), List.of(chain ? "j-" + (id - 1) : "j-1"), a -> { });
+                t.w.needs.put("j-" + id, List.of(chain ? "j-" + (id - 1) : "j-1"));
+                t.w.run(0.02);
+            }
+            t.w.cancel(n, "j-1");
+            double from = t.w.clock.now;
+            Random random = new Random(1);
+            while (t.w.store.keys.keySet().stream().anyMatch(k -> k.startsWith(Keys.OPEN)) && t.w.clock.now - from < 300) {
+                t.w.ask(n, "j-" + (2 + random.nextInt(1000)));
+                t.w.run(0.5);
+            }
+            double took = t.w.clock.now - from;
+            System.out.printf("a %s of 1,000 is cancelled in %.0f s%n", chain ? "chain" : "fan", took);
+            assertTrue(took < 130, "took " + took);
+            t.holds();
+        }
+    }
+
+    /** Ten thousand that wait: what one more costs, and what a round costs. */
+    @Test
+    void tenThousandThatWaitCostARoundLittle() {
+        Facts facts = w.facts("k0");
+        Block block = new Block(facts, m -> { });
+        long began = System.nanoTime();
+        for (int i = 0; i < 10_000; i++) {
+            JobSpec s = World.with(array("j-" + i, 10), "red", i % 100 == 99 ? JobSpec.Priority.HIGH : JobSpec.Priority.LOW,
+                    false);
+            // A hundred chains of a hundred.
+            block.addJob(Job.of(new JobRecord(s, i, i % 100 == 0 ? List.of() : List.of("j-" + (i - 1)), 0, 0), facts, "k" + i,
+                    1, 256));
+        }
+        double addedMs = (System.nanoTime() - began) / 1e6;
+        assertEquals(9900, block.pipelines().held());
+        assertEquals(JobSpec.Priority.HIGH, block.jobs().get("j-0").priority());
+        Placer placer = new Placer(block, new Random(1), new Spent(() -> 0));
+        placer.queue(0, 20_000);
+        began = System.nanoTime();
+        assertEquals(100, placer.queue(0, 20_000).size());
+        System.out.printf("10,000 jobs that wait: %.0f ms to add them all, %.1f ms for the order of service%n", addedMs,
+                (System.nanoTime() - began) / 1e6);
+        for (int i = 0; i < 100; i++) {
+            block.pipelines().ended("j-" + (100 * i), true, 30_000);
+        }
+        assertEquals(9800, block.pipelines().held());
+        block.pipelines().ended("j-101", false, 30_000);
+        assertEquals(98, block.pipelines().doomed().size());
+    }
+
     /** Neither a holder that is frozen nor a node that only reaches users makes them believe in a cancelled job. */
     @Test
     void aNodeThatCantAskTheHolderSaysNothingOldOfAJobThatWaits() {
@@ -259,7 +326,7 @@
 
     @Test
     void jobsThatWaitHoldNothingOfALimitOrGuaranteeAndAreNoDemand() {
-        w.teams.put("red", new io.kitepath.core.model.Facts.Team("red", 4, 4, 0, 0));
+        w.teams.put("red", new Facts.Team("red", 4, 4, 0, 0));
         Node n = cluster(3);
         w.submit(n, array("j-1", 1));
         w.submit(n, array("j-2", 400), "j-1");
--- a/src/test/java/io/kitepath/core/block/ServedTest.java
+++ b/src/test/java/io/kitepath/core/block/ServedTest.java
@@ -63,6 +63,27 @@
         assertEquals(1, served.standing(waiting[0].spec));
     }
 
+    /** The class as a whole does well, its largest jobs do not. */
+    @Test
+    void theLargestJobsOfAClassAreCountedByThemselves() {
+        JobSpec[] s = new JobSpec[40];
+        for (int i = 0; i < 40; i++) {
+            s[i] = new JobSpec("j-" + ++named, "tiles", "red", JobSpec.Shape.ARRAY, JobSpec.Priority.LOW,
+                    i % 4 == 0 ? 50 : 2, 1, 0, 1, null, null, false, false, false, "img", 1, 10, 0, 0, null);
+            served.came(s[i]);
+        }
+        for (JobSpec x : s) {
+            served.done(new Job(x, 0, facts.startWithinS(x), "k", 1, 256), x.tasks() == 50 ? 101_000 : 50_000);
+        }
+        look(102);
+        assertEquals(1, served.standing(s[1]));
+        assertEquals(0, served.standing(s[0]), 0.01);
+        assertEquals(0, served.largest().get("tiles").share(), 0.01);
+        Served next = new Served(facts);
+        next.restore(served.record(103_000));
+        assertEquals(10, next.largest().get("tiles").missed());
+    }
+
     @Test
     void theNextHolderGoesOnCountingWhereTheLastOneWas() {
         for (int i = 0; i < 4; i++) {
--- /dev/null
+++ b/src/test/java/io/kitepath/core/place/LargestTest.java
@@ -0,0 +1,43 @@
+package io.kitepath.core.place;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.World;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A class's largest jobs under floods of others. */
+class LargestTest {
+    /** A gang over the whole of a zone, while small jobs of its class and of one above come without an end. */
+    @Test
+    void theLargestGangBeginsWithinFourMinutesOfAFlood() {
+        for (JobSpec.Priority flood : List.of(JobSpec.Priority.NORMAL, JobSpec.Priority.HIGH)) {
+            World w = new World();
+            w.reportsChanges = true;
+            w.cloud.capacity = 0;
+            Node n = w.node("k0");
+            for (int i = 0; i < 8; i++) {
+                w.worker("i-" + i, i % 2 == 0 ? "a" : "b");
+            }
+            w.run(5);
+            double[] began = {0};
+            w.clock.starts = t -> began[0] = t.job.equals("j-99999") && began[0] == 0 ? w.clock.now : began[0];
+            double since = 0;
+            for (int i = 0; i < 400; i++) {
+                // Two gangs of a machine each a second, of 20 s: more than there is room for.
+                w.submit(n, World.with(World.job("j-" + (1000 + i), Shape.GANG, 1, 4), "red", flood, false));
+                if (i == 100) {
+                    since = w.clock.now;
+                    w.submit(n, World.with(World.job("j-99999", Shape.GANG, 4, 4), "red", JobSpec.Priority.NORMAL, true));
+                }
+                w.run(0.7);
+            }
+            assertTrue(began[0] > 0 && began[0] - since < 240, "took " + (began[0] - since) + " among " + flood);
+            assertEquals(List.of(), w.broken);
+        }
+    }
+}
