--- a/src/test/java/io/kitepath/core/LimitsTest.java
+++ b/src/test/java/io/kitepath/core/LimitsTest.java
@@ -26,7 +26,7 @@
 
     private void workers(int n) {
         for (int i = 0; i < n; i++) {
-            w.worker("i-" + String.format("%06d", i), "a");
+            w.worker("i-" + String.format("%06d", i), "a").runsFor = 20 + i % 9 * 5;
         }
     }
 
@@ -83,11 +83,12 @@
         Node old = w.node("k0");
         workers(400);
         w.run(5);
+        java.util.Random random = new java.util.Random(2);
+        w.runsFor = id -> id.equals("j-3") ? 10_000 : 20 + random.nextInt(40);
         w.submit(old, World.job("j-1", Shape.ARRAY, 250, 3));
         w.submit(old, World.job("j-3", Shape.SERVICE, 250, 0.5));
         w.run(5);
         assertTrue(Json.size(w.store.keys.get(Keys.part("j-1", 0)).value()) > 2048);
-        w.runsFor = id -> 60;
         old.crash();
         w.next = LOW;
         fall();
@@ -106,6 +107,7 @@
         assertEquals("done", w.status(n, "j-1"));
         assertEquals("done", w.status(n, "j-4"));
         assertEquals(List.of(), w.broken);
+        assertEquals(0, w.store.overLimits);
         // Takes over what it laid out anew.
         n.crash();
         Node next = w.node("k2");
@@ -216,12 +218,14 @@
         w.submit(old, World.job("j-1", Shape.ARRAY, 300, 1));
         w.run(5);
         assertEquals(300, w.onMachines("j-1"));
+        w.run(25); // Some of it is done by now.
         old.crash();
         w.valueKb = 2;
         fall();
         Node n = w.node("k1");
-        w.run(50);
+        w.run(100);
         assertEquals("done", w.status(n, "j-1"));
+        assertEquals(300, w.completed.get("j-1").size());
         assertEquals(List.of(), w.broken);
     }
 
