--- a/src/main/java/io/kitepath/core/block/CheckIns.java
+++ b/src/main/java/io/kitepath/core/block/CheckIns.java
@@ -154,7 +154,7 @@
         if (a.seen) {
             LOG.info("attempt {} lost with its session", a);
             block.lose(a, now);
-        } else if (a.durable && a.unwanted()) {
+        } else if (a.durable && (a.unwanted() || a.machine.releasing)) {
             block.end(a, Cause.STOPPED, now);
         } else if (a.launched && a.job.spec.gang()
                 && a.job.live.values().stream().anyMatch(x -> x.state == State.RUNNING || x.state == State.SAVING)) {
@@ -201,7 +201,8 @@
             }
             if (toStop(a)) {
                 orders.add(stopOrder(a));
-            } else if (mayStart && toStart(a)) {
+            } else if (mayStart && !m.releasing && toStart(a)) {
+                // Not on a machine that goes: one that was silent may be heard again just when it is given back.
                 if (!a.launched) {
                     launches++;
                     launchDelayS += now - a.placedAt;
--- a/src/main/java/io/kitepath/core/block/Machine.java
+++ b/src/main/java/io/kitepath/core/block/Machine.java
@@ -17,6 +17,7 @@
 public final class Machine {
     /** In leases. */
     private static final double HEARS_AGAIN = 1.5;
+    private static final int MOST_LOST = 2;
 
     public final String id;
     String type;
@@ -41,6 +42,8 @@
     /** When the first report of its session came, and the first one in it with our own token; NaN before. */
     private double sessionAt = Double.NaN;
     private double provenAt = Double.NaN;
+    /** Sessions in a row that ended although their reports were answered. */
+    private int lostInVain;
     /** Since when it is known to report without hearing what it is answered; NaN while it is not. */
     private double deafSince = Double.NaN;
     /** NaN, or when the cloud takes the machine away. */
@@ -263,17 +266,21 @@
     /**
      * A report came, of that session. Guards against a machine whose reports arrive while no answer reaches it: it looks
      * as well as any, but its lease runs out again and again. One that was answered for a whole lease and is in another
-     * session all the same hears nothing; one that stays in a session for longer than a lease hears again.
+     * session all the same, twice in a row, hears nothing (once may be a network that was slow for a while); one that
+     * stays in a session for longer than a lease hears again.
      */
     void heard(long itsSession, boolean ours, double now, double leaseS) {
         if (itsSession > session) {
-            if (now - provenAt > leaseS && now - lastReport < leaseS / 2) {
+            boolean answered = now - provenAt > leaseS / 2 && now - lastReport < leaseS / 2;
+            lostInVain = answered ? lostInVain + 1 : 0;
+            if (lostInVain >= MOST_LOST) {
                 deaf(now);
             }
             sessionAt = now;
             provenAt = Double.NaN;
-        } else if (deafToAnswers() && now - sessionAt > HEARS_AGAIN * leaseS) {
+        } else if (now - sessionAt > HEARS_AGAIN * leaseS) {
             deafSince = Double.NaN;
+            lostInVain = 0;
         }
         if (ours && Double.isNaN(provenAt)) {
             provenAt = now;
@@ -300,6 +307,7 @@
     /** A task that it was told to start is there. */
     void showsStart() {
         deafSince = Double.NaN;
+        lostInVain = 0;
     }
 
     /** Whether new tasks may be placed here. */
--- a/src/main/java/io/kitepath/core/block/Pipelines.java
+++ b/src/main/java/io/kitepath/core/block/Pipelines.java
@@ -26,6 +26,9 @@
     /** Ends that are remembered; what was forgotten is read again. */
     private static final int ENDS = 10_000;
 
+    /** Of those to be found out, how many are compared to find the most urgent: it is done anew after each answer. */
+    private static final int RANKED = 256;
+
     /** How a job ended, and when as far as its record says. */
     private record End(boolean done, double atMs) {}
 
@@ -166,7 +169,7 @@
 
     /** Jobs whose records have to say how they ended, so many at most; those that block the most urgent work first. */
     public List<String> unknown(int most, Set<String> but) {
-        return unknown.stream().filter(id -> !but.contains(id))
+        return unknown.stream().limit(RANKED).filter(id -> !but.contains(id))
                 .sorted(Comparator.comparingInt((String id) -> rankOf(waiting.getOrDefault(id, Set.of()))))
                 .limit(most).toList();
     }
--- a/src/test/java/io/kitepath/core/TroublesTest.java
+++ b/src/test/java/io/kitepath/core/TroublesTest.java
@@ -196,13 +196,21 @@
     /** Each accepted job by itself: how well the others fare does not count. */
     @Test
     void onceAllTroublesAreOverEveryAcceptedJobIsAnsweredAndEnds() {
-        for (long seed = 0; seed < 25; seed++) {
+        for (long seed = 0; seed < Integer.getInteger("kitepath.seeds", 25); seed++) {
             Mixed m = new Mixed(seed);
             m.play();
             m.check();
         }
     }
 
+    /** Silent for as long as it takes to give it back, and heard again in the moment in which that is put down. */
+    @Test
+    void aMachineThatIsHeardAgainAsItIsGivenBackStartsNothing() {
+        Mixed m = new Mixed(46);
+        m.play();
+        m.check();
+    }
+
     /** All troubles in any order, with pipelines, old jobs and limits that fall in the middle. */
     static final class Mixed {
         final World w = settled(3, 8);
@@ -214,6 +222,7 @@
         Mixed(long seed) {
             this.seed = seed;
             random = new Random(seed);
+            w.cloud.capacity = 20;
             w.next = new io.kitepath.core.model.Facts.StoreLimits(1000, 200, 2, 13);
             w.nodes.keySet().stream().toList().forEach(k -> {
                 w.nodes.get(k).crash();
@@ -326,9 +335,8 @@
             }
             w.run(400);
             for (String id : accepted) {
-                String status = w.status(w.leader(), id);
-                boolean behind = behind(id);
-                assertEquals(behind ? "cancelled" : "done", status, at + ": " + id);
+                var a = w.ask(w.leader(), id);
+                assertEquals(behind(id) ? "cancelled" : "done", a.state().status(), at + ": " + a);
             }
             assertEquals(List.of(), w.broken, at);
         }
