--- a/src/test/java/io/kitepath/core/LimitsTest.java
+++ b/src/test/java/io/kitepath/core/LimitsTest.java
@@ -152,11 +152,13 @@
         w.next = LOW;
         Node n = w.node("k0");
         workers(60);
+        w.runsFor = id -> 20;
         w.run(5);
         w.store.txnOps = 5;
         w.store.valueBytes = 900;
         for (int i = 0; i < 30; i++) {
-            w.submit(n, World.job("j-" + (100 + i), Shape.ARRAY, 4, 1));
+            // All at once, so that there is much to write in one transaction.
+            n.controller.registry().submit(World.job("j-" + (100 + i), Shape.ARRAY, 4, 1), a -> { });
         }
         w.run(60);
         for (int i = 0; i < 30; i++) {
--- /dev/null
+++ b/src/test/java/io/kitepath/core/block/CheckInsTest.java
@@ -0,0 +1,57 @@
+package io.kitepath.core.block;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.model.Report;
+import io.kitepath.standin.World;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What a report proves. */
+class CheckInsTest {
+    private final Facts facts = new World().facts("k1");
+    private final Block block = new Block(facts, m -> { });
+    private final CheckIns checkIns = new CheckIns(block);
+    private final Job job = new Job(World.job("j-1", Shape.ARRAY, 1, 1), 0, new double[] {60}, "jobs/open/j-1", 1, 256);
+
+    private static Report report(long sequence, long token) {
+        return new Report("i-1", "a", "m4", "a", false, 1, sequence, token, null, List.of());
+    }
+
+    /**
+     * An earlier holder wrote the placing and launched it in an answer that is still on its way; then the job is
+     * cancelled. The worker's report from before it knew us does not show the task, and proves nothing.
+     */
+    @Test
+    void onlyAReportThatCarriesOurTokenProvesWhatIsNotThere() {
+        block.hold(5);
+        block.addJob(job);
+        block.adopt(job, 0, Map.of("next", 2L, "done", "", "live", Map.of("i-1", List.of(0L, 1L))), 7, 0);
+        block.jobOver("j-1");
+        for (int i = 1; i <= 5; i++) {
+            checkIns.checkIn(report(i, 4), true, i);
+        }
+        assertEquals(1, job.live().size());
+        assertFalse(block.machines().get("i-1").proven());
+        checkIns.checkIn(report(6, 5), true, 6);
+        assertEquals(0, job.live().size());
+    }
+
+    /** A copy of a report that was read already, or of an older one, neither ends nor proves anything. */
+    @Test
+    void anOlderReportIsNotRead() {
+        block.hold(5);
+        block.addJob(job);
+        checkIns.checkIn(report(9, 4), true, 1);
+        block.adopt(job, 0, Map.of("next", 2L, "done", "", "live", Map.of("i-1", List.of(0L, 1L))), 7, 0);
+        block.jobOver("j-1");
+        checkIns.checkIn(report(8, 5), true, 2);
+        checkIns.checkIn(report(9, 5), true, 3);
+        assertEquals(1, job.live().size());
+        assertEquals(1, block.machines().get("i-1").lastReport());
+    }
+}
