--- a/src/test/java/io/kitepath/core/PipelinesTest.java
+++ b/src/test/java/io/kitepath/core/PipelinesTest.java
@@ -339,6 +339,34 @@
         holds();
     }
 
+    @Test
+    void jobsThatWaitAreNobodysEarlierUnfinishedJobs() {
+        w.teams.put("red", new Facts.Team("red", 4, 0, 0, 0));
+        Node n = cluster(3);
+        w.submit(n, array("j-1", 1));
+        w.submit(n, array("j-2", 3), "j-1");
+        w.submit(n, array("j-3", 3));
+        w.run(3);
+        var jobs = n.controller.block.jobs();
+        assertTrue(jobs.get("j-1").guaranteed() && jobs.get("j-3").guaranteed());
+        holds();
+    }
+
+    /** Some of its tasks ran under the last holder, so all that it needs is done; the others are placed as ever. */
+    @Test
+    void aJobThatHasBegunGoesOnUnderTheNextHolder() {
+        Node n = cluster(1);
+        Node other = w.node("k1");
+        w.submit(n, array("j-1", 1));
+        w.submit(n, array("j-2", 10), "j-1");
+        w.run(30);
+        assertEquals(4, w.onMachines("j-2"));
+        n.crash();
+        w.run(100);
+        assertEquals("done", told(other, "j-2"));
+        holds();
+    }
+
     @Test
     void whatAnUrgentJobNeedsIsAsUrgent() {
         Node n = cluster(0);
