--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -10,9 +10,12 @@
 import io.kitepath.core.duty.Sweep;
 import io.kitepath.core.fleet.Fleet;
 import io.kitepath.core.fleet.Rentals;
+import io.kitepath.core.lead.CancellationLog;
 import io.kitepath.core.lead.Incarnation;
+import io.kitepath.core.lead.KnownCancellations;
 import io.kitepath.core.lead.Leadership;
 import io.kitepath.core.lead.Views;
+import io.kitepath.core.model.CancellationDigest;
 import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.Directory;
 import io.kitepath.core.model.Facts;
@@ -37,6 +40,7 @@
 import io.kitepath.core.serve.Questions;
 import io.kitepath.core.serve.Registry;
 import io.kitepath.core.serve.RetryPace;
+import io.kitepath.core.state.CancellationProof;
 import io.kitepath.core.state.ImageRecords;
 import io.kitepath.core.state.Keeper;
 import io.kitepath.core.state.Keys;
@@ -44,6 +48,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -68,6 +73,9 @@
     final Leadership leadership;
     final Keeper keeper;
     private final Views views;
+    private final CancellationLog cancellations;
+    final KnownCancellations known;
+    private final CancellationProof proof;
     private final Spent spent;
     private final Takeover takeover;
     private final Rentals rentals;
@@ -128,14 +136,20 @@
         this.sweep = new Sweep(facts, store, timers);
         this.duties = new Duties(facts, store, timers, random, incarnation, leadership.lifeS(),
                 List.of(carrier, sweep));
-        this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, siblings, timers, spent, this::soon);
+        this.cancellations = new CancellationLog(facts, timers);
+        this.known = new KnownCancellations(facts, timers);
+        this.proof = new CancellationProof(store, timers, new Random(facts.node().hashCode()), block, this::holds, new Proof());
+        this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, known, siblings, timers, spent, this::soon);
         this.retries = new RetryPace(facts, timers);
         registry.onCancelled(job -> {
             block.pipelines().ended(job.id(), false, timers.wallMs());
-            block.jobOver(job.id());
             soon();
             siblings.over(job);
         });
+        registry.onKnownCancelled(id -> {
+            cancellations.learned(id);
+            cancelled(id);
+        });
     }
 
     public void start() {
@@ -216,7 +230,7 @@
     }
 
     public Map<String, Figure> figures() {
-        Map<String, Figure> all = new Figures(timers, block, checkIns, placer, leadership, keeper, views, desk)
+        Map<String, Figure> all = new Figures(timers, block, checkIns, placer, leadership, keeper, views, known, desk)
                 .all(() -> roundS, () -> directCommands);
         if (cells != null) {
             cells.figures(all);
@@ -256,11 +270,13 @@
         @Override
         public void won(long token, long leaseId, long blockRevision) {
             block.hold(token);
+            known.begin();
             rentals.hold(leaseId);
             tell();
             takeover.begins(timers.now());
             launchesBefore = checkIns.launches();
             keeper.start(Keys.BLOCKS + "all", blockRevision, Controller.this::soon);
+            proof.start();
             if (!ticking) {
                 ticking = true;
                 tick();
@@ -277,6 +293,7 @@
         public void lost(String why) {
             LOG.info(block.served().summary());
             keeper.stop();
+            proof.stop();
             placer.forget();
             block.yield();
             desk.releaseAll();
@@ -309,6 +326,17 @@
             intents.changed(act);
         }
 
+        @Override
+        public void read(double sinceMs) {
+            known.proven(sinceMs);
+            desk.leaderKnown();
+        }
+
+        @Override
+        public Set<String> cancelledMeanwhile() {
+            return known.told();
+        }
+
         /** Reads everything again, under the same token. */
         @Override
         public void outOfStep(String why) {
@@ -319,6 +347,19 @@
         }
     }
 
+    private final class Proof implements CancellationProof.Listener {
+        @Override
+        public void closed(String job) {
+            block.jobOver(job);
+            soon();
+        }
+
+        @Override
+        public void proven(double atMs) {
+            known.proven(atMs);
+        }
+    }
+
     /** What the desk for other cells has to know of this node. */
     private final class InCells implements CellDesk.Node {
         /** In here, so that nothing about other cells is loaded where there are none. */
@@ -457,6 +498,19 @@
     private void tell() {
         siblings.tell(leadership.leading() ? block.token() : leadership.highest(),
                 leadership.leading() ? facts.node() : null, served());
+        siblings.digest(cancellations.digest());
+    }
+
+    /** A sibling's word on cancellations. */
+    public void told(CancellationDigest digest) {
+        digest.jobs().forEach(this::cancelled);
+        known.word(digest);
+        soon();
+    }
+
+    private void cancelled(String id) {
+        known.told(id);
+        block.jobOver(id);
     }
 
     /** A sibling's view of itself. */
@@ -469,6 +523,7 @@
     public void toldOver(JobState job) {
         registry.ended(job);
         block.jobOver(job.id());
+        soon();
     }
 
     /**
--- a/src/main/java/io/kitepath/core/Figures.java
+++ b/src/main/java/io/kitepath/core/Figures.java
@@ -5,6 +5,7 @@
 import io.kitepath.core.block.Job;
 import io.kitepath.core.block.Machine;
 import io.kitepath.core.block.Served;
+import io.kitepath.core.lead.KnownCancellations;
 import io.kitepath.core.lead.Leadership;
 import io.kitepath.core.lead.Views;
 import io.kitepath.core.model.Figure;
@@ -27,10 +28,12 @@
     private final Leadership leadership;
     private final Keeper keeper;
     private final Views views;
+    private final KnownCancellations known;
     private final CheckInDesk desk;
 
     Figures(Timers timers, Block block, CheckIns checkIns, Placer placer, Leadership leadership, Keeper keeper,
-            Views views, CheckInDesk desk) {
+            Views views, KnownCancellations known, CheckInDesk desk) {
+        this.known = known;
         this.timers = timers;
         this.block = block;
         this.checkIns = checkIns;
@@ -46,6 +49,8 @@
         f.put("leading", Figure.now("1 while this node leads", () -> leadership.leading() ? 1 : 0));
         f.put("token", Figure.now("highest token known", leadership::highest));
         f.put("store.unserved", Figure.now("seconds since the state service answered", leadership::unservedS));
+        f.put("cancellations.known.age", Figure.now("seconds ago until when the holder knows what was cancelled; NaN"
+                + " while this node does not lead", () -> leadership.leading() ? known.ageS() : Double.NaN));
         f.put("jobs", Figure.now("jobs in the holder's memory", () -> block.jobs().size()));
         f.put("tasks.waiting", Figure.now("tasks without a machine",
                 () -> block.jobs().values().stream().mapToInt(Job::waiting).sum()));
--- a/src/main/java/io/kitepath/core/block/CheckIns.java
+++ b/src/main/java/io/kitepath/core/block/CheckIns.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,10 +45,11 @@
     }
 
     /**
-     * Takes in a report; {@code loaded} is false until the jobs are known. Answers what to do about tasks that are
-     * not ours, or no longer; {@link #commands} has the rest.
+     * Takes in a report; {@code loaded} is false until the jobs are known, {@code mayRun} says of which something may be
+     * on machines even before. Answers what to do about tasks that are not ours, or no longer; {@link #commands} has the
+     * rest.
      */
-    public List<Order> checkIn(Report r, boolean loaded, double now) {
+    public List<Order> checkIn(Report r, boolean loaded, Predicate<String> mayRun, double now) {
         if (block.buried(r.machine())) {
             return List.of();
         }
@@ -80,7 +82,7 @@
         // Guards against a report that was sent before the worker knew us: an earlier holder's launch might still
         // have been on its way to it then. Only a report that carries our token proves what is not on the machine.
         if (!loaded || r.token() != block.token()) {
-            return List.of();
+            return stops(r, mayRun);
         }
         boolean open = m.open();
         if (!m.proven) {
@@ -94,6 +96,26 @@
         return orders;
     }
 
+    /**
+     * A report that this holder may not answer: the machine is there, and that is all that is taken from it. Guards
+     * against a holder that gives back its whole fleet as silent, once the store is back, since it answered nobody.
+     */
+    public void unanswered(Report r, double now) {
+        Machine m = block.machines().get(r.machine());
+        if (m != null && r.session() >= m.session && (r.session() > m.session || r.sequence() > m.sequence)) {
+            m.unanswered(now);
+        }
+    }
+
+    /**
+     * Of jobs that are over nothing has to go on, whatever else is known. Guards against an answer that keeps the lease
+     * of a cancelled job's task because the machine has not shown our token yet.
+     */
+    private static List<Order> stops(Report r, Predicate<String> mayRun) {
+        return r.tasks().stream().filter(t -> t.state() != State.ENDED && !mayRun.test(t.job())).limit(MAX_ORDERS)
+                .map(t -> new Order(Order.Verb.STOP, t.job(), t.task(), t.attempt(), 0)).toList();
+    }
+
     private List<Order> reconcile(Machine m, Report r, double now) {
         List<Order> orders = new ArrayList<>();
         List<TaskReport> strays = new ArrayList<>();
--- a/src/main/java/io/kitepath/core/block/Machine.java
+++ b/src/main/java/io/kitepath/core/block/Machine.java
@@ -287,6 +287,14 @@
         }
     }
 
+    /** A report came that was not answered: it is there, and may lose its session for want of answers. */
+    void unanswered(double now) {
+        if (reported()) {
+            lastReport = now;
+            provenAt = Double.NaN;
+        }
+    }
+
     /** What it was told does not reach it. */
     void deaf(double now) {
         if (!deafToAnswers()) {
--- /dev/null
+++ b/src/main/java/io/kitepath/core/lead/KnownCancellations.java
@@ -0,0 +1,93 @@
+package io.kitepath.core.lead;
+
+import io.kitepath.core.model.CancellationDigest;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.port.Timers;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Until when the holder knows every cancellation that anybody may have confirmed to a user. Whatever keeps a worker's
+ * lease, or starts a task, asks it. Two sources only:
+ *
+ * <ul>
+ * <li>the store: all that was confirmed before a request was <em>sent</em> whose answer shows that the jobs of all
+ * attempts are open ({@code core.state.CancellationProof}), or from which the open jobs were read;
+ * <li>every sibling's own word, as only controllers confirm: a digest that begins before the moment until which that
+ * sibling's confirmations are known, and so carries that moment on to when it was said. A sibling that is silent, whose
+ * version has no such word, or that was started after that moment (it knows nothing of what the process before it
+ * confirmed) leaves it where it is.
+ * </ul>
+ *
+ * <p>That the store is out for a sibling now is no source: it says nothing of what that one confirmed before. Moments
+ * are times of day, which on all nodes are right to within the settings' clock error.
+ */
+public final class KnownCancellations {
+    /** Told of by others and not seen in the store yet; with more than that, digests count for nothing. */
+    private static final int MOST_TOLD = 5000;
+
+    private final List<String> siblings;
+    private final Timers timers;
+    /** Two clocks may be apart by that. */
+    private final double apartMs;
+    private double storeMs = Double.NEGATIVE_INFINITY;
+    private final Map<String, Double> wordMs = new HashMap<>();
+    /** Jobs that others said are cancelled, and when they said so, by our clock. */
+    private final Map<String, Double> told = new LinkedHashMap<>();
+
+    public KnownCancellations(Facts facts, Timers timers) {
+        this.siblings = facts.siblings();
+        this.timers = timers;
+        this.apartMs = 2 * facts.clockErrorMs();
+    }
+
+    /** A new holder knows nothing before it has read what is open. */
+    public void begin() {
+        storeMs = Double.NEGATIVE_INFINITY;
+        wordMs.clear();
+    }
+
+    /** By the store the holder knows all that was confirmed before that moment, in milliseconds of our time of day. */
+    public void proven(double atMs) {
+        storeMs = Math.max(storeMs, atMs);
+        told.values().removeIf(t -> t < storeMs);
+    }
+
+    /** Somebody, or the store, said just now that the job is cancelled, which stays so. */
+    public void told(String job) {
+        if (told.size() < MOST_TOLD) {
+            told.putIfAbsent(job, timers.wallMs());
+        }
+    }
+
+    /** Cancelled, but what was read from the store may still show them open. */
+    public Set<String> told() {
+        return told.keySet();
+    }
+
+    /** A sibling's word; what it names has been taken in already. */
+    public void word(CancellationDigest d) {
+        double until = Math.max(storeMs, wordMs.getOrDefault(d.by(), Double.NEGATIVE_INFINITY));
+        if (siblings.contains(d.by()) && told.size() < MOST_TOLD && d.sinceMs() + apartMs <= until) {
+            wordMs.merge(d.by(), Math.min(timers.wallMs(), d.untilMs()) - apartMs, Math::max);
+        }
+    }
+
+    /** For how long it has not been known what may have been confirmed, in seconds; infinite at first. */
+    public double ageS() {
+        double now = timers.wallMs();
+        return (now - siblings.stream().mapToDouble(this::untilMs).min().orElse(now)) / 1000;
+    }
+
+    private double untilMs(String sibling) {
+        return Math.max(storeMs, wordMs.getOrDefault(sibling, Double.NEGATIVE_INFINITY));
+    }
+
+    /** The sibling of whose confirmations the least is known, null if there are none. */
+    public String leastKnown() {
+        return siblings.stream().min((a, b) -> Double.compare(untilMs(a), untilMs(b))).orElse(null);
+    }
+}
--- a/src/main/java/io/kitepath/core/lead/Views.java
+++ b/src/main/java/io/kitepath/core/lead/Views.java
@@ -20,9 +20,8 @@
     private final Timers timers;
     /** When a sibling was last heard from. */
     private final Map<String, Double> heard = new HashMap<>();
-    /** When a sibling last said that the store serves it, or that it does not. */
+    /** When a sibling last said that the store serves it, unless it has said that it does not since. */
     private final Map<String, Double> served = new HashMap<>();
-    private final Map<String, Double> unserved = new HashMap<>();
     private final Set<String> said = new HashSet<>();
 
     public Views(Facts facts, Timers timers) {
@@ -32,8 +31,11 @@
 
     public void told(String by, boolean isServed) {
         heard.put(by, timers.now());
-        (isServed ? served : unserved).put(by, timers.now());
-        (isServed ? unserved : served).remove(by);
+        if (isServed) {
+            served.put(by, timers.now());
+        } else {
+            served.remove(by);
+        }
     }
 
     /** Guards against waiting for a silent sibling's answer again and again: views come every second. */
@@ -50,12 +52,6 @@
         return siblings.stream().filter(this::silent).count();
     }
 
-    /** Whether every sibling says that the store is out for it too. */
-    public boolean allUnserved() {
-        double now = timers.now();
-        return siblings.stream().allMatch(s -> now - unserved.getOrDefault(s, -1e9) < FRESH_S);
-    }
-
     /** Whether there are siblings and none of them is heard. */
     public boolean alone() {
         return !siblings.isEmpty() && siblings.stream().allMatch(this::silent);
--- a/src/main/java/io/kitepath/core/model/Facts.java
+++ b/src/main/java/io/kitepath/core/model/Facts.java
@@ -24,7 +24,19 @@
     /** {@code times}: of a job's own deadline; 1 unless that is what the objective is about. */
     public record Objective(String kind, String jobClass, double withinS, double times, double share) {}
 
-    public record Workers(double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
+    public record Workers(double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {
+        /**
+         * For how long workers may be answered without knowing what was cancelled, in seconds: their lease has to run
+         * out after the last answer, in {@code cancelS} altogether. Two report intervals and a second are left for what
+         * comes on top: clocks apart and drifting, an attempt found by report that no proof has covered yet. Not under
+         * one report interval, which only matters where {@code cancelS} is hardly longer than the lease, so that no way
+         * of answering keeps the rule for a machine that falls silent.
+         */
+        public double marginS() {
+            // Not longer than a lease of theirs: by then another node leads, which they would have to reach as well.
+            return Math.max(reportS, Math.min(leaseS, cancelS - leaseS - 2 * reportS - 1));
+        }
+    }
 
     /**
      * What the state service takes, and will take after limits of its that are announced have fallen: whoever writes
--- a/src/main/java/io/kitepath/core/port/Siblings.java
+++ b/src/main/java/io/kitepath/core/port/Siblings.java
@@ -1,5 +1,6 @@
 package io.kitepath.core.port;
 
+import io.kitepath.core.model.CancellationDigest;
 import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.Progress;
@@ -21,6 +22,9 @@
     /** To all: the store has it that this job is over. */
     void over(JobState job);
 
+    /** To all that can read it: what this node knows to be cancelled. */
+    void digest(CancellationDigest digest);
+
     /** Asks the leader how far jobs are; answers an empty list if that can't be had soon. */
     void progress(String leader, List<String> jobs, Consumer<List<Progress>> answer);
 
--- a/src/main/java/io/kitepath/core/serve/CheckInDesk.java
+++ b/src/main/java/io/kitepath/core/serve/CheckInDesk.java
@@ -2,6 +2,7 @@
 
 import io.kitepath.core.block.Block;
 import io.kitepath.core.block.CheckIns;
+import io.kitepath.core.lead.KnownCancellations;
 import io.kitepath.core.lead.Leadership;
 import io.kitepath.core.lead.Views;
 import io.kitepath.core.model.CheckIn;
@@ -52,8 +53,8 @@
     private long relayed;
 
     /**
-     * A check-in that waits for a leader: while nobody was known to lead ({@code asked} null), or for one's answer.
-     * {@code token}: the highest that was known then.
+     * A check-in that waits for a leader, or for this one to know which jobs may run ({@code asked} null), or for the
+     * answer of the one asked. {@code token}: the highest that was known then.
      */
     private record Parked(Report report, String asked, long token, Consumer<CheckIn> answer) {}
 
@@ -62,14 +63,14 @@
 
     /** {@code changed} runs when a report may let work be placed. */
     public CheckInDesk(Block block, CheckIns checkIns, Leadership leadership, Keeper keeper, Views views,
-            Siblings siblings, Timers timers, Spent spent, Runnable changed) {
+            KnownCancellations known, Siblings siblings, Timers timers, Spent spent, Runnable changed) {
         this.facts = block.facts();
         this.block = block;
         this.checkIns = checkIns;
         this.leadership = leadership;
         this.keeper = keeper;
         this.views = views;
-        this.entitlement = new Entitlement(block, leadership, keeper, views);
+        this.entitlement = new Entitlement(block, leadership, known);
         this.siblings = siblings;
         this.timers = timers;
         this.spent = spent;
@@ -90,6 +91,11 @@
         if (report.token() > leadership.highest()) {
             leadership.outbid(report.token(), null);
         }
+        if (leadership.leading() && !keeper.knowsRunning()) {
+            // A new holder does not know yet what was cancelled, also shortly before it began.
+            park(report, null, answer);
+            return;
+        }
         if (leadership.leading()) {
             double began = spent.now();
             answer(report, answer);
@@ -203,10 +209,12 @@
 
     /** The holder's answer to a report that a sibling asks about: at once, for the worker's time is running. */
     private CheckIn answer(Report report) {
-        if (!entitlement.toAnswer(report)) {
+        if (!keeper.knowsRunning() || !entitlement.toAnswer(report)) {
+            checkIns.unanswered(report, timers.now());
             return CheckIn.elsewhere(leadership.leading() ? null : leadership.leader());
         }
-        List<Order> orders = new ArrayList<>(checkIns.checkIn(report, keeper.loaded(), timers.now()));
+        List<Order> orders = new ArrayList<>(checkIns.checkIn(report, keeper.loaded(), keeper::mayRun,
+                timers.now()));
         orders.addAll(checkIns.commands(report.machine(), leadership.inTouch(), timers.now()));
         if (block.changed()) {
             changed.run();
@@ -239,8 +247,9 @@
         if (h == null) {
             return false;
         }
-        if (!leadership.leading() || block.token() != h.token) {
-            h.answer.accept(CheckIn.elsewhere(leadership.leader()));
+        // What was true when the report came need not be when the answer goes.
+        if (!leadership.leading() || block.token() != h.token || !entitlement.knowsCancellations()) {
+            h.answer.accept(CheckIn.elsewhere(leadership.leading() ? null : leadership.leader()));
             return true;
         }
         List<Order> orders = new ArrayList<>(h.orders);
--- a/src/main/java/io/kitepath/core/serve/Entitlement.java
+++ b/src/main/java/io/kitepath/core/serve/Entitlement.java
@@ -1,49 +1,55 @@
 package io.kitepath.core.serve;
 
 import io.kitepath.core.block.Block;
+import io.kitepath.core.lead.KnownCancellations;
 import io.kitepath.core.lead.Leadership;
-import io.kitepath.core.lead.Views;
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.Report;
-import io.kitepath.core.state.Keeper;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** Whether this node may answer workers with its token, and so keep their tasks alive. */
+/**
+ * Whether this node may answer workers with its token, and so keep their tasks alive.
+ *
+ * <p>An answer sent at time a keeps tasks until a + {@code lease_s} at most. Every cancellation confirmed before k =
+ * {@link KnownCancellations} is known, and each answer says what to stop for it. One that is not known was confirmed
+ * after k, so that its tasks are gone {@code a - k + lease_s} after it at the latest: that has to stay under
+ * {@code cancel_s}.
+ */
 final class Entitlement {
+    private static final Logger LOG = LoggerFactory.getLogger(Entitlement.class);
+
     private final Facts facts;
     private final Block block;
     private final Leadership leadership;
-    private final Keeper keeper;
-    private final Views views;
+    private final KnownCancellations known;
+    private boolean refusing;
 
-    Entitlement(Block block, Leadership leadership, Keeper keeper, Views views) {
+    Entitlement(Block block, Leadership leadership, KnownCancellations known) {
         this.facts = block.facts();
         this.block = block;
         this.leadership = leadership;
-        this.keeper = keeper;
-        this.views = views;
+        this.known = known;
     }
 
     boolean toAnswer(Report report) {
-        return leadership.leading() && report.token() <= block.token() && hearsOfCancellations();
+        return leadership.leading() && report.token() <= block.token() && knowsCancellations();
     }
 
-    /**
-     * Guards against a holder that is cut off from the store and its siblings but not from workers: jobs may be
-     * cancelled behind its back, while its answers keep their tasks alive. It goes on for as long as a cancellation
-     * leaves time beyond the workers' lease, and longer only while every sibling says that the store is out for it too.
-     */
-    private boolean hearsOfCancellations() {
-        // One that has not read the jobs yet does not know what was cancelled, also shortly before it began.
-        if (keeper.unloadedS() > Math.max(facts.workers().reportS(), marginS() - 2 * leadership.lifeS())) {
-            return false;
+    /** Guards against a holder that keeps tasks alive whose jobs were cancelled behind its back. */
+    boolean knowsCancellations() {
+        double age = known.ageS();
+        boolean knows = age < facts.workers().marginS();
+        if (refusing == knows) {
+            refusing = !knows;
+            if (knows) {
+                LOG.info("all cancellations are known again: workers are answered");
+            } else {
+                LOG.warn("workers are not answered any more: which jobs were cancelled is known until {} s ago; last"
+                        + " answer of the state service {} s ago, least is known of {}", Math.round(age),
+                        Math.round(leadership.unservedS()), known.leastKnown());
+            }
         }
-        return leadership.unservedS() < marginS() || views.allUnserved();
-    }
-
-    /** For how long workers may be answered without word of cancellations: their leases still have to run out after. */
-    private double marginS() {
-        Facts.Workers w = facts.workers();
-        // Not longer than a lease of theirs: by then another node leads, which they would have to reach as well.
-        return Math.max(w.reportS(), Math.min(w.leaseS(), w.cancelS() - w.leaseS() - 2 * w.reportS() - 1));
+        return knows;
     }
 }
--- a/src/main/java/io/kitepath/core/serve/Registry.java
+++ b/src/main/java/io/kitepath/core/serve/Registry.java
@@ -57,6 +57,7 @@
     /** Whether tasks may be lent to other cells. */
     private final boolean cells;
     private Consumer<JobState> onCancelled = job -> {};
+    private Consumer<String> knownCancelled = id -> {};
     /**
      * Whether the store answers this node. Guards against requests that wait for their time-out, one behind the other,
      * when it is known that they can't be answered: users are told at once when to come back.
@@ -79,6 +80,11 @@
         onCancelled = listener;
     }
 
+    /** Is told of every job that this node knows to be cancelled, before any user is. */
+    public void onKnownCancelled(Consumer<String> listener) {
+        knownCancelled = listener;
+    }
+
     /** Answers what needs no look into the store: a final state, or that the store can't be asked now. */
     private boolean answeredAtOnce(String id, Consumer<Answer> answer) {
         JobState known = over.getIfPresent(id);
@@ -97,6 +103,7 @@
         over.put(s.id(), s);
         if (s.status().equals("cancelled")) {
             needs.cancelled(s.id());
+            knownCancelled.accept(s.id());
         }
     }
 
--- a/src/main/java/io/kitepath/core/state/Keeper.java
+++ b/src/main/java/io/kitepath/core/state/Keeper.java
@@ -12,8 +12,10 @@
 import io.kitepath.core.port.Store.Outcome;
 import io.kitepath.core.port.Store.Transaction;
 import io.kitepath.core.port.Timers;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,7 +42,8 @@
     private long epoch;
     private long blockRevision;
     private boolean loaded;
-    private double loadingSince;
+    /** While the jobs are not known: ids of those of which something may run; null before that is known. */
+    private Set<String> running;
     /** How often in a row what was read did not fit together. */
     private int misfits;
     /** What an earlier holder counted as served, if that was read in time. */
@@ -59,6 +62,12 @@
         /** One of these records has changed. */
         void acted(Entry act);
 
+        /** It is known which jobs may run, by what was read from that moment on, in milliseconds of our time of day. */
+        void read(double sinceMs);
+
+        /** Jobs that others say are cancelled, which what is read from the store may not show yet. */
+        Set<String> cancelledMeanwhile();
+
         /** The memory and the store may differ. */
         void outOfStep(String why);
     }
@@ -120,9 +129,21 @@
         return loaded;
     }
 
-    /** For how long the jobs have not been known. */
-    public double unloadedS() {
-        return loaded ? 0 : timers.now() - loadingSince;
+    /** Whether it is known of which jobs something may run, if not yet all about them. */
+    public boolean knowsRunning() {
+        return loaded || running != null;
+    }
+
+    /**
+     * Whether a task of that job may be on a machine. Guards against an answer that keeps the lease of a cancelled
+     * job's task since the jobs are still being read, or the machine has not shown our token yet.
+     */
+    public boolean mayRun(String id) {
+        if (loaded) {
+            Job job = block.jobs().get(id);
+            return job != null && !job.over();
+        }
+        return running != null && running.contains(id) && !listener.cancelledMeanwhile().contains(id);
     }
 
     public long blockRevision() {
@@ -136,6 +157,7 @@
     public void stop() {
         epoch++;
         loaded = false;
+        running = null;
         writes.stop();
         images.forget();
         ends.stop();
@@ -151,7 +173,11 @@
     public void start(String key, long revision, Runnable ready) {
         blockRevision = revision;
         writes.under(key, revision);
-        loadingSince = timers.now();
+        if (loaded) {
+            // What is known of them stays known while they are read once more.
+            running = new HashSet<>();
+            block.jobs().values().stream().filter(j -> !j.over()).forEach(j -> running.add(j.spec.id()));
+        }
         load(++epoch, ready);
     }
 
@@ -171,7 +197,11 @@
                 servedBefore = entry.value();
             }
         });
-        new Reading(store, timers, elsewhere != null, () -> e != epoch).read(found -> {
+        double readingMs = timers.wallMs();
+        new Reading(store, timers, elsewhere != null, () -> e != epoch, ids -> {
+            running = ids;
+            listener.read(readingMs);
+        }).read(found -> {
             if (found != null && adopt(found)) {
                 layOut(found.layout());
                 readImages(e);
@@ -276,6 +306,8 @@
         }
         misfits = 0;
         loaded = true;
+        // Guards against what was read before a cancellation that others told us of meanwhile.
+        List.copyOf(listener.cancelledMeanwhile()).forEach(block::jobOver);
         LOG.info("loaded {} jobs, {} parts", block.jobs().size(), found.parts().size());
         return true;
     }
--- a/src/main/java/io/kitepath/core/state/Reading.java
+++ b/src/main/java/io/kitepath/core/state/Reading.java
@@ -55,6 +55,8 @@
     private final BooleanSupplier stale;
     /** Whether there are other cells. */
     private final boolean cells;
+    /** Is told of the ids of all jobs of which something may run, before anything else of them is read. */
+    private final Consumer<Set<String>> running;
     private Consumer<Found> answer;
     private List<Entry> lent = List.of();
     private List<Entry> guests = List.of();
@@ -69,7 +71,8 @@
     private final Map<String, Entry> over = new HashMap<>();
     private int missing;
 
-    Reading(Store store, Timers timers, boolean cells, BooleanSupplier stale) {
+    Reading(Store store, Timers timers, boolean cells, BooleanSupplier stale, Consumer<Set<String>> running) {
+        this.running = running;
         this.cells = cells;
         this.store = store;
         this.timers = timers;
@@ -105,11 +108,18 @@
             if (cells) {
                 readElsewhere(open);
             } else {
+                running.accept(ids(open));
                 pages(Keys.PART, parts -> readClosed(open, parts));
             }
         });
     }
 
+    private static Set<String> ids(Listing open) {
+        Set<String> ids = new HashSet<>();
+        open.entries().forEach(x -> ids.add(x.key().substring(Keys.OPEN.length())));
+        return ids;
+    }
+
     private void joined() {
         if (jobsRead != null && acts != null) {
             jobsRead.run();
@@ -121,6 +131,9 @@
             lent = l.entries();
             pages(Keys.GUEST, g -> {
                 guests = g.entries();
+                Set<String> all = ids(open);
+                guests.forEach(x -> all.add(Tree.of(x.value()).textOr("job", "")));
+                running.accept(all);
                 pages(Keys.LEAVE, x -> {
                     leaving = x.entries();
                     pages(Keys.VOID, v -> {
@@ -149,11 +162,9 @@
     }
 
     private void readClosed(Listing open, Listing parts) {
-        Set<String> known = new HashSet<>();
-        open.entries().forEach(x -> known.add(x.key().substring(Keys.OPEN.length())));
         Set<String> ids = new LinkedHashSet<>();
         parts.entries().forEach(x -> ids.add(Keys.jobOfPart(x.key())));
-        ids.removeAll(known);
+        ids.removeAll(ids(open));
         // Of what other cells lent to us, nothing is over here that is not over in the loan's own record.
         guests.forEach(g -> ids.remove(Tree.of(g.value()).textOr("job", "")));
         closed.addAll(ids);
--- a/src/main/java/io/kitepath/peers/Messages.java
+++ b/src/main/java/io/kitepath/peers/Messages.java
@@ -39,6 +39,17 @@
 
     record AnswerCell(long number, CellMessage message) {}
 
+    /** What a node knows to be cancelled; only for those that said that they can read it. */
+    record Digest(String by, double sinceMs, double untilMs, List<String> jobs) {}
+
+    /**
+     * A node says that way that it reads {@link Digest}: an answer to a question that nobody asked, which the version in
+     * production drops, so that it may be sent to anybody. Questions are numbered from 1.
+     */
+    static final long READS_DIGESTS = Long.MIN_VALUE;
+
+    private static final int FIRST_NEW_ID = 100;
+
     private final Kryo kryo = new Kryo();
     private final Output output = new Output(1024, MAX_FRAME);
 
@@ -62,6 +73,8 @@
                 kryo.register(c, id++);
             }
         }
+        // Past all that production knows, with cells or without.
+        kryo.register(Digest.class, FIRST_NEW_ID);
     }
 
     byte[] bytes(Object message) {
@@ -87,6 +100,9 @@
         if (message instanceof AnswerProgress a) {
             return new AnswerProgress(a.number, new ArrayList<>(a.progress));
         }
+        if (message instanceof Digest d) {
+            return new Digest(d.by, d.sinceMs, d.untilMs, new ArrayList<>(d.jobs));
+        }
         return message instanceof AskCell || message instanceof AnswerCell ? CellWords.plain(message) : message;
     }
 
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -1,6 +1,7 @@
 package io.kitepath.peers;
 
 import io.kitepath.core.Controller;
+import io.kitepath.core.model.CancellationDigest;
 import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.Malformed;
@@ -25,6 +26,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.HashMap;
@@ -47,6 +49,9 @@
     /** A user waits 2 s for an answer; what the holder knows is worth a part of that. */
     private static final long PROGRESS_MS = 500;
 
+    /** Set on connections whose other side reads digests. */
+    private static final AttributeKey<Boolean> READS = AttributeKey.valueOf("reads.digests");
+
     private final EventLoopGroup loop;
     private final Messages messages;
     private final String node;
@@ -139,6 +144,24 @@
 
     private Messages.View view;
 
+    /**
+     * Not to all: production would end the connection at a message that it does not know. Whoever reads it says so on
+     * each connection, so that one that went back to that version is not sent any more.
+     */
+    @Override
+    public void digest(CancellationDigest d) {
+        Object message = new Messages.Digest(d.by(), d.sinceMs(), d.untilMs(), d.jobs());
+        toAll(channels.values(), ch -> {
+            if (ch.hasAttr(READS)) {
+                send(ch, message);
+            }
+        });
+    }
+
+    private void sayWhatWeRead(Channel ch) {
+        send(ch, new Messages.AnswerProgress(Messages.READS_DIGESTS, List.of()));
+    }
+
     @Override
     public void over(JobState job) {
         toAll(channels.values(), ch -> send(ch, new Messages.Over(job)));
@@ -203,6 +226,7 @@
                 if (!channels.containsValue(ctx.channel()) && view != null) {
                     // Answer on the connection it came by, so that the other side sees that it lives.
                     send(ctx.channel(), view);
+                    sayWhatWeRead(ctx.channel());
                 }
             } else if (message instanceof Messages.Over o) {
                 controller.toldOver(o.job());
@@ -213,6 +237,10 @@
                 settle(asks, a.number(), a.checkIn());
             } else if (message instanceof Messages.AskProgress a) {
                 send(ctx.channel(), new Messages.AnswerProgress(a.number(), controller.progress(a.jobs())));
+            } else if (message instanceof Messages.Digest d) {
+                controller.told(new CancellationDigest(d.by(), d.sinceMs(), d.untilMs(), d.jobs()));
+            } else if (message instanceof Messages.AnswerProgress a && a.number() == Messages.READS_DIGESTS) {
+                ctx.channel().attr(READS).set(true);
             } else if (message instanceof Messages.AnswerProgress a) {
                 settle(progressAsks, a.number(), a.progress());
             } else if (message instanceof Messages.AskCell a && controller.cells() != null) {
--- a/src/main/java/io/kitepath/standin/MemoryStore.java
+++ b/src/main/java/io/kitepath/standin/MemoryStore.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntPredicate;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 /** The state service: keys, leases, follows; can refuse, or lose an answer, or execute late. */
 public final class MemoryStore {
@@ -28,6 +29,8 @@
     public long revision = 1;
     public long nextLease = 1;
     public boolean out;
+    /** What every request takes longer to get there than usual. */
+    public double slowS;
     private final World w;
     /** Watches that wait for changes. */
     private final List<Watch> watches = new ArrayList<>();
@@ -43,6 +46,10 @@
     public Predicate<Store.Transaction> withheld = t -> false;
     /** Transactions that are executed, but nobody hears of it. */
     public Predicate<Store.Transaction> unheard = t -> false;
+    /** How late a transaction that gets no answer is carried out, after newer ones of the same node; 0: it is not late. */
+    public ToDoubleFunction<Store.Transaction> late = t -> 0;
+    /** Nodes whose watches hang: they see nothing, and end without having seen anything, while all else is served. */
+    public Predicate<Caller> hangs = n -> false;
     /** Sees every transaction that was executed and changed something, and by whom. */
     public BiConsumer<Caller, Store.Transaction> written = (n, t) -> { };
     public long changes;
@@ -111,7 +118,7 @@
 
         /** Looks after some changes; while the store does not serve the node, nothing is seen. */
         private boolean served(boolean last) {
-            boolean no = out || node.refused();
+            boolean no = out || node.refused() || hangs.test(node);
             List<Store.Entry> events = new ArrayList<>();
             if (!no && (touched || last)) {
                 for (int i = log.size() - 1; i >= 0 && log.get(i).revision() > after; i--) {
--- a/src/main/java/io/kitepath/standin/Node.java
+++ b/src/main/java/io/kitepath/standin/Node.java
@@ -1,6 +1,7 @@
 package io.kitepath.standin;
 
 import io.kitepath.core.Controller;
+import io.kitepath.core.model.CancellationDigest;
 import io.kitepath.core.model.CellMessage;
 import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.JobState;
@@ -21,6 +22,12 @@
     public final Controller controller;
     public boolean alive = true;
     public double frozenUntil;
+    /** How far its time of day is ahead of the true one, in milliseconds. */
+    public double clockOffMs;
+    /** Of a version that neither sends digests nor reads them. */
+    public boolean old;
+    /** What it tells the others of jobs that are over gets lost. */
+    public boolean losesWord;
     /** Cut off from the store, as is what it sent there unless it is delivered late. */
     public boolean cutFromStore;
     /** Siblings that it can't reach, nor they it. */
@@ -97,7 +104,7 @@
 
     @Override
     public double wallMs() {
-        return w.clock.now * 1000;
+        return w.clock.now * 1000 + clockOffMs;
     }
 
     @Override
@@ -120,8 +127,19 @@
                 n.after(0.001, () -> n.controller.told(name, token, leader != null, served)));
     }
 
+    @Override
+    public void digest(CancellationDigest digest) {
+        if (!old) {
+            w.nodes.values().stream().filter(n -> n != this && n.alive && !n.old && reaches(n)).forEach(n ->
+                    n.after(0.001, () -> n.controller.told(digest)));
+        }
+    }
+
     @Override
     public void over(JobState job) {
+        if (losesWord) {
+            return;
+        }
         w.nodes.values().stream().filter(n -> n != this && n.alive && reaches(n)).forEach(n ->
                 n.after(0.001, () -> n.controller.toldOver(job)));
     }
--- a/src/main/java/io/kitepath/standin/StoreLink.java
+++ b/src/main/java/io/kitepath/standin/StoreLink.java
@@ -21,7 +21,7 @@
     private void exchange(Runnable served, Runnable refused) {
         node.asks();
         node.sends();
-        w.after(w.takes(0.002), () -> {
+        w.after(w.takes(0.002) + store.slowS, () -> {
             store.expire();
             boolean no = store.out || node.refused();
             (no ? refused : served).run();
@@ -66,11 +66,17 @@
                 node.after(0.5, () -> answer.accept(new Committed(Outcome.UNKNOWN, 0, List.of(), false)));
                 return;
             }
-            Committed c = store.execute(t);
-            if (c.outcome() == Outcome.OK && !t.writes().isEmpty()) {
-                store.changes += t.writes().size();
-                store.written.accept(node, t);
+            double late = t.writes().isEmpty() ? 0 : store.late.applyAsDouble(t);
+            if (late > 0) {
+                w.after(late, () -> {
+                    if (!store.out) {
+                        carryOut(t);
+                    }
+                });
+                node.after(0.5, () -> answer.accept(new Committed(Outcome.UNKNOWN, 0, List.of(), false)));
+                return;
             }
+            Committed c = carryOut(t);
             if (job && store.swallow > 0 || store.unheard.test(t) || w.losesAnswer.getAsBoolean()) {
                 store.swallow -= job && store.swallow > 0 ? 1 : 0;
                 node.after(0.5, () -> answer.accept(new Committed(Outcome.UNKNOWN, 0, List.of(), false)));
@@ -80,6 +86,15 @@
         }, () -> back(() -> answer.accept(new Committed(Outcome.REFUSED, 0, List.of(), false))));
     }
 
+    private Committed carryOut(Transaction t) {
+        Committed c = store.execute(t);
+        if (c.outcome() == Outcome.OK && !t.writes().isEmpty()) {
+            store.changes += t.writes().size();
+            store.written.accept(node, t);
+        }
+        return c;
+    }
+
     @Override
     public void grant(long lifeMs, BiConsumer<Outcome, Long> answer) {
         exchange(() -> {
--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -100,11 +100,7 @@
         }
         inFlight = true;
         sentAt = w.clock.now;
-        if (w.clock.now - answered > w.leaseS) {
-            tasks.clear();
-            session++;
-            answered = w.clock.now;
-        }
+        expire();
         String to = target();
         long mySession = session;
         double sent = w.clock.now;
@@ -127,6 +123,16 @@
         });
     }
 
+    /** Its lease is over once the last answered report was sent too long ago; what it had on it is gone then. */
+    private void expire() {
+        if (up && w.clock.now - answered > w.leaseS) {
+            tasks.clear();
+            session++;
+            answered = w.clock.now;
+            changed();
+        }
+    }
+
     private void hear(CheckIn c, double sent) {
         inFlight = false;
         if (c.token() == 0) {
@@ -136,7 +142,8 @@
         }
         if (c.token() >= token) {
             token = c.token();
-            answered = sent;
+            answered = Math.max(answered, sent);
+            w.after(answered + w.leaseS - w.clock.now + 0.001, this::expire);
             c.orders().forEach(this::execute);
         }
         reportIn(Math.max(0.5, w.reportS - (w.clock.now - sent)));
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -28,6 +28,8 @@
  */
 public final class World {
     private static final double CANCEL_S = 30;
+    /** Users wait so long for an answer about a job; what comes later is told to nobody. */
+    private static final double USER_WAITS_S = 2;
 
     /** Seconds between a worker's reports, and those of its lease. */
     public double reportS = 1;
@@ -150,7 +152,7 @@
     public final Set<String> toldDone = new HashSet<>();
 
     public Facts facts(String node) {
-        return new Facts(node, "a", siblings, zones, teams, objectives,
+        return new Facts(node, "a", siblings.stream().filter(s -> !s.equals(node)).toList(), zones, teams, objectives,
                 new Facts.Workers(reportS, leaseS, 30, 5, CANCEL_S), next == null ? limits() : limits().andLater(next),
                 new Facts.CloudLimits(10, Math.max(2, cloud.listLagS)), new Facts.Limits(1, 200, 1000), 5);
     }
@@ -218,17 +220,24 @@
     }
 
     public Registry.Answer cancel(Node n, String id) {
-        Registry.Answer[] got = new Registry.Answer[1];
-        n.controller.registry().cancel(id, a -> got[0] = a);
-        run(0.1);
-        return heard(id, got[0]);
+        return told(id, answer -> n.controller.registry().cancel(id, answer));
     }
 
     public Registry.Answer ask(Node n, String id) {
+        return told(id, answer -> n.controller.registry().status(id, answer));
+    }
+
+    /** What a user hears counts from the moment in which it does, also if that is later than the caller waits here. */
+    private Registry.Answer told(String id, Consumer<Consumer<Registry.Answer>> question) {
         Registry.Answer[] got = new Registry.Answer[1];
-        n.controller.registry().status(id, a -> got[0] = a);
+        double asked = clock.now;
+        question.accept(a -> {
+            if (clock.now - asked <= USER_WAITS_S) {
+                got[0] = heard(id, a);
+            }
+        });
         run(0.1);
-        return heard(id, got[0]);
+        return got[0];
     }
 
     /** What a user is told, against the rules about what users are told. */
@@ -244,13 +253,26 @@
         if (status.equals("done")) {
             toldDone.add(id);
         } else if (status.equals("cancelled")) {
-            toldCancelled.putIfAbsent(id, clock.now);
+            if (toldCancelled.putIfAbsent(id, clock.now) == null) {
+                // A moment more than the rule's, for what is due in the same moment.
+                after(CANCEL_S + 0.01, () -> hasGone(id));
+            }
         } else if (before(id).stream().anyMatch(n -> clock.now > Math.max(accepted.getOrDefault(id, 0.0), toldCancelled.getOrDefault(n, 1e18)) + CANCEL_S)) {
             broken.add("orphaned: " + id + " is called " + status);
         }
         return a;
     }
 
+    /** Whether a user was told longer ago than tasks of a cancelled job may take to go. */
+    private boolean longCancelled(String id) {
+        return clock.now - toldCancelled.getOrDefault(id, Double.POSITIVE_INFINITY) > CANCEL_S;
+    }
+
+    private void hasGone(String id) {
+        workers.values().forEach(x -> x.tasks.values().stream().filter(t -> t.job.equals(id) && t.on()).forEach(t ->
+                broken.add("ran cancelled: " + t.key() + " is still on " + x.id)));
+    }
+
     /** All jobs that have to be done before that one, directly or through others. */
     private Set<String> before(String id) {
         Set<String> all = new HashSet<>();
@@ -266,6 +288,9 @@
 
     /** A task starts, against the rule that all jobs before it are done. */
     void starts(String id) {
+        if (longCancelled(id)) {
+            broken.add("ran cancelled: " + id + " starts");
+        }
         for (String n : before(id)) {
             JobSpec s = specs.get(n);
             int done = completed.getOrDefault(n, Set.of()).size();
--- /dev/null
+++ b/src/test/java/io/kitepath/core/CancellationGapTest.java
@@ -0,0 +1,409 @@
+package io.kitepath.core;
+
+import static io.kitepath.standin.World.job;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.model.Report;
+import io.kitepath.core.serve.Registry.Verdict;
+import io.kitepath.core.state.Keys;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.Worker;
+import io.kitepath.standin.World;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The gap: the store refuses the holder alone, another node confirms cancellations, then the store is out for all for
+ * longer than cancel_s, while workers keep reporting to the old holder. The world's checker says what is still on a
+ * machine cancel_s after any user was told.
+ */
+class CancellationGapTest {
+    private World w;
+
+    private Node settled(int nodes) {
+        w = new World();
+        w.reportS = 2;
+        w.leaseS = 10;
+        w.reportsChanges = true;
+        w.runsFor = id -> 400;
+        for (int i = 0; i < nodes; i++) {
+            w.siblings.add("k" + i);
+        }
+        w.siblings.forEach(w::node);
+        for (int i = 0; i < 4; i++) {
+            w.worker(String.format("i-%06d", i), i % 2 == 0 ? "a" : "b");
+        }
+        w.run(12);
+        // The clocks of the nodes are apart as far as they may be.
+        w.nodes.get("k0").clockOffMs = 5;
+        w.nodes.get("k" + (nodes - 1)).clockOffMs = -5;
+        Node holder = w.leader();
+        // Two to be cancelled, and one that goes on.
+        w.submit(holder, job("j-1", Shape.ARRAY, 6, 1));
+        w.submit(holder, job("j-2", Shape.GANG, 3, 1));
+        w.submit(holder, job("j-3", Shape.ARRAY, 4, 1));
+        w.run(6);
+        assertEquals(6, w.onMachines("j-1"));
+        assertEquals(3, w.onMachines("j-2"));
+        assertEquals(4, w.onMachines("j-3"));
+        return holder;
+    }
+
+    private Node other(Node than) {
+        return w.nodes.values().stream().filter(n -> n != than && n.alive).findFirst().orElseThrow();
+    }
+
+    private void cancelled(Node at, String id) {
+        var a = w.cancel(at, id);
+        assertEquals("cancelled", a.state().status());
+    }
+
+    private void refuse(Node n, double seconds) {
+        n.cutFromStore = true;
+        w.after(seconds, () -> n.cutFromStore = false);
+    }
+
+    private long sessions() {
+        return w.workers.values().stream().mapToLong(x -> x.session).sum();
+    }
+
+    /** Nothing of the cancelled job was on a machine too late, and all others go on, or again. */
+    private void kept(String... gone) {
+        assertEquals(List.of(), w.broken);
+        for (String id : gone) {
+            assertEquals(0, w.onMachines(id), id);
+        }
+    }
+
+    private void kept(long sessions) {
+        assertEquals(sessions, sessions(), "sessions of workers ended");
+        assertEquals(4, w.onMachines("j-3"));
+        kept("j-1");
+    }
+
+    @Test
+    void whatASiblingConfirmedIsGoneInTimeAndNothingElse() {
+        Node holder = settled(3);
+        long before = sessions();
+        refuse(holder, 9);
+        w.run(0.5);
+        cancelled(other(holder), "j-1");
+        w.store.outage(50);
+        w.run(45);
+        kept(before);
+    }
+
+    @Test
+    void theWordThatIsLostIsRepeated() {
+        Node holder = settled(3);
+        long before = sessions();
+        Node sibling = other(holder);
+        sibling.losesWord = true;
+        refuse(holder, 9);
+        w.run(0.5);
+        sibling.cutFrom.add(holder.name);
+        cancelled(sibling, "j-1");
+        w.store.outage(50);
+        w.run(4);
+        sibling.cutFrom.clear();
+        w.run(41);
+        kept(before);
+    }
+
+    @Test
+    void oneThatNeverHearsOfItStopsAnsweringInTime() {
+        Node holder = settled(3);
+        Node sibling = other(holder);
+        refuse(holder, 9);
+        sibling.cutFrom.add(holder.name);
+        w.run(0.5);
+        cancelled(sibling, "j-1");
+        w.store.outage(70);
+        w.run(65);
+        kept("j-1");
+        // Nobody can tell which tasks are cancelled, so all go.
+        assertEquals(0, w.onMachines("j-3"));
+        sibling.cutFrom.clear();
+        w.run(60);
+        assertEquals(4, w.onMachines("j-3"));
+    }
+
+    @Test
+    void aConfirmingNodeThatEndsAndIsBackVouchesForNothingOfBefore() {
+        Node holder = settled(3);
+        Node sibling = other(holder);
+        sibling.losesWord = true;
+        refuse(holder, 9);
+        w.run(0.5);
+        sibling.cutFrom.add(holder.name);
+        cancelled(sibling, "j-1");
+        sibling.crash();
+        w.store.outage(70);
+        w.run(0.3);
+        w.node(sibling.name);
+        w.run(60);
+        kept("j-1");
+        w.run(60);
+        assertEquals(4, w.onMachines("j-3"));
+    }
+
+    @Test
+    void twoNodesThatConfirmAreBothHeard() {
+        Node holder = settled(3);
+        long before = sessions();
+        List<Node> others = w.nodes.values().stream().filter(n -> n != holder).toList();
+        others.forEach(n -> n.losesWord = true);
+        refuse(holder, 9);
+        w.run(0.5);
+        cancelled(others.get(0), "j-1");
+        cancelled(others.get(1), "j-2");
+        w.store.outage(50);
+        w.run(45);
+        kept(before);
+        kept("j-2");
+    }
+
+    @Test
+    void withAThirdThatIsSilentTheMarginAloneCounts() {
+        Node holder = settled(3);
+        List<Node> others = w.nodes.values().stream().filter(n -> n != holder).toList();
+        others.get(0).losesWord = true;
+        others.get(1).crash();
+        refuse(holder, 9);
+        w.run(0.5);
+        cancelled(others.get(0), "j-1");
+        w.store.outage(70);
+        w.run(60);
+        kept("j-1");
+        assertEquals(0, w.onMachines("j-3"));
+    }
+
+    /** What the silent one confirmed is not what those say who are heard. */
+    @Test
+    void whatTheSilentOneConfirmedIsGoneInTimeToo() {
+        Node holder = settled(3);
+        Node sibling = other(holder);
+        sibling.losesWord = true;
+        refuse(holder, 9);
+        w.run(0.5);
+        sibling.frozenUntil = w.clock.now + 0.2;
+        sibling.cutFrom.add(holder.name);
+        w.run(0.2);
+        cancelled(sibling, "j-1");
+        sibling.frozenUntil = w.clock.now + 80;
+        w.store.outage(75);
+        w.run(65);
+        kept("j-1");
+    }
+
+    @Test
+    void twoGapsInARow() {
+        Node holder = settled(3);
+        long before = sessions();
+        w.nodes.values().forEach(n -> n.losesWord = true);
+        refuse(holder, 6);
+        w.run(0.5);
+        cancelled(other(holder), "j-1");
+        w.store.outage(40);
+        w.run(44);
+        Node next = w.leader();
+        refuse(next, 6);
+        w.run(0.5);
+        cancelled(other(next), "j-2");
+        w.store.outage(40);
+        w.run(44);
+        kept(before);
+        kept("j-2");
+    }
+
+    @Test
+    void aHolderThatStoodStillInBetweenAnswersNothingFromBefore() {
+        for (double stands = 1; stands < 40; stands += 3) {
+            Node holder = settled(3);
+            Node sibling = other(holder);
+            sibling.losesWord = true;
+            refuse(holder, 9);
+            w.run(0.5);
+            sibling.cutFrom.add(holder.name);
+            cancelled(sibling, "j-1");
+            holder.frozenUntil = w.clock.now + stands;
+            w.store.outage(70);
+            w.run(65);
+            kept("j-1");
+        }
+    }
+
+    @Test
+    void theStoreIsSlowInsteadOfOut() {
+        for (double slow : new double[] {0.5, 2, 5, 20}) {
+            Node holder = settled(3);
+            Node sibling = other(holder);
+            sibling.losesWord = true;
+            w.run(0.5);
+            w.store.hangs = n -> n == holder;
+            sibling.cutFrom.add(holder.name);
+            cancelled(sibling, "j-1");
+            w.store.slowS = slow;
+            w.run(65);
+            kept("j-1");
+            w.store.slowS = 0;
+            w.store.hangs = n -> false;
+            sibling.cutFrom.clear();
+            w.run(60);
+            assertEquals(4, w.onMachines("j-3"));
+        }
+    }
+
+    /** Renewals go through, so the holder stays one; that its watch says nothing proves nothing. */
+    @Test
+    void aWatchThatHangsHidesNoCancellation() {
+        Node holder = settled(3);
+        long before = sessions();
+        Node sibling = other(holder);
+        sibling.losesWord = true;
+        w.store.hangs = n -> n == holder;
+        sibling.cutFrom.add(holder.name);
+        cancelled(sibling, "j-1");
+        w.run(31);
+        kept(before);
+        assertTrue(holder.controller.holds());
+    }
+
+    @Test
+    void theHolderChangedJustBefore() {
+        for (double ago = 0; ago < 6; ago += 0.2) {
+            Node first = settled(3);
+            first.crash();
+            w.run(1 + ago);
+            Node sibling = other(first);
+            sibling.losesWord = true;
+            var a = w.cancel(sibling, "j-1");
+            w.store.outage(70);
+            w.run(0.4);
+            w.node(first.name);
+            w.run(60);
+            assertEquals(List.of(), w.broken, "after " + ago);
+            if (a != null && a.verdict() == Verdict.KNOWN) {
+                assertEquals(0, w.onMachines("j-1"), "after " + ago);
+            }
+        }
+    }
+
+    /** Told while the jobs are being read: what was read before must not bring it back. */
+    @Test
+    void whatIsToldWhileJobsAreReadCounts() {
+        int told = 0;
+        for (int page = 1; page < 8; page++) {
+            Node first = settled(3);
+            Node sibling = w.siblings.stream().map(w.nodes::get).filter(n -> n != first).findFirst().orElseThrow();
+            int from = w.store.pages + page;
+            boolean[] once = {true};
+            w.store.refusePage = n -> {
+                if (n == from && once[0]) {
+                    once[0] = false;
+                    w.after(0, () -> sibling.controller.registry().cancel("j-1", a -> { }));
+                    w.after(0.008, () -> w.store.outage(60));
+                }
+                return false;
+            };
+            first.crash();
+            w.run(8);
+            w.ask(sibling, "j-1");
+            told += w.toldCancelled.containsKey("j-1") ? 1 : 0;
+            w.run(60);
+            assertEquals(List.of(), w.broken, "page " + page);
+        }
+        assertTrue(told > 1, "told: " + told);
+    }
+
+    /** The transaction is carried out late, another node's user is told by a poll, and its holder's watch hangs. */
+    @Test
+    void whoIsToldByAPollIsToldToo() {
+        Node holder = settled(3);
+        Node sibling = other(holder);
+        Node third = w.nodes.values().stream().filter(n -> n != holder && n != sibling).findFirst().orElseThrow();
+        w.nodes.values().forEach(n -> n.losesWord = true);
+        w.store.hangs = n -> n == holder;
+        refuse(holder, 9);
+        w.store.late = t -> t.writes().stream().anyMatch(x -> x.key().equals(Keys.OVER + "j-1")) ? 1 : 0;
+        assertEquals(null, w.cancel(sibling, "j-1"));
+        sibling.crash();
+        w.run(1.2);
+        assertEquals("cancelled", w.ask(third, "j-1").state().status());
+        w.store.outage(70);
+        w.node(sibling.name);
+        w.run(65);
+        kept("j-1");
+    }
+
+    /** Its own user is told by a poll: the holder knows it then, whatever its watch says. */
+    @Test
+    void whatTheHolderItselfSaysItKnows() {
+        Node holder = settled(1);
+        long before = sessions();
+        w.store.hangs = n -> true;
+        w.store.late = t -> t.writes().stream().anyMatch(x -> x.key().equals(Keys.OVER + "j-1")) ? 0.7 : 0;
+        w.cancel(holder, "j-1");
+        w.run(1);
+        w.ask(holder, "j-1");
+        assertTrue(w.toldCancelled.containsKey("j-1"));
+        w.store.outage(60);
+        w.run(45);
+        kept(before);
+    }
+
+    @Test
+    void anOldReportOfACancelledTaskKeepsNothingAlive() {
+        Node holder = settled(3);
+        long before = sessions();
+        Worker x = w.workers.values().stream().filter(y -> y.tasks.keySet().stream().anyMatch(k -> k.startsWith("j-1/")))
+                .findFirst().orElseThrow();
+        Report old = x.message();
+        refuse(holder, 9);
+        w.run(0.5);
+        cancelled(other(holder), "j-1");
+        w.store.outage(60);
+        for (int i = 0; i < 40; i++) {
+            w.run(1);
+            w.nodes.values().forEach(n -> n.controller.checkIn(old, c -> { }));
+        }
+        kept(before);
+    }
+
+    /** An outage alone kills nothing, however long, as long as all give their word. */
+    @Test
+    void anOutageAloneEndsNothing() {
+        Node holder = settled(3);
+        long before = sessions();
+        w.store.outage(200);
+        w.run(195);
+        assertEquals(before, sessions());
+        assertEquals(6, w.onMachines("j-1"));
+        w.run(30);
+        assertEquals(before, sessions());
+        assertEquals(6, w.onMachines("j-1"));
+        assertFalse(holder.controller.known.ageS() > 5);
+    }
+
+    /** Those of a version without such a word, on either side: the margin alone counts. */
+    @Test
+    void oldSiblingsAndOldHolders() {
+        for (int olds = 1; olds < 8; olds++) {
+            Node holder = settled(3);
+            for (int i = 0; i < 3; i++) {
+                w.nodes.get("k" + i).old = (olds >> i & 1) == 1;
+            }
+            w.run(3);
+            w.nodes.values().forEach(n -> n.losesWord = true);
+            refuse(holder, 9);
+            w.run(0.5);
+            cancelled(other(holder), "j-1");
+            w.store.outage(70);
+            w.run(65);
+            kept("j-1");
+        }
+    }
+}
--- a/src/test/java/io/kitepath/core/block/CheckInsTest.java
+++ b/src/test/java/io/kitepath/core/block/CheckInsTest.java
@@ -33,11 +33,11 @@
         block.adopt(job, 0, Map.of("next", 2L, "done", "", "live", Map.of("i-1", List.of(0L, 1L))), 7, 0);
         block.jobOver("j-1");
         for (int i = 1; i <= 5; i++) {
-            checkIns.checkIn(report(i, 4), true, i);
+            checkIns.checkIn(report(i, 4), true, id -> true, i);
         }
         assertEquals(1, job.live().size());
         assertFalse(block.machines().get("i-1").proven());
-        checkIns.checkIn(report(6, 5), true, 6);
+        checkIns.checkIn(report(6, 5), true, id -> true, 6);
         assertEquals(0, job.live().size());
     }
 
@@ -46,11 +46,11 @@
     void anOlderReportIsNotRead() {
         block.hold(5);
         block.addJob(job);
-        checkIns.checkIn(report(9, 4), true, 1);
+        checkIns.checkIn(report(9, 4), true, id -> true, 1);
         block.adopt(job, 0, Map.of("next", 2L, "done", "", "live", Map.of("i-1", List.of(0L, 1L))), 7, 0);
         block.jobOver("j-1");
-        checkIns.checkIn(report(8, 5), true, 2);
-        checkIns.checkIn(report(9, 5), true, 3);
+        checkIns.checkIn(report(8, 5), true, id -> true, 2);
+        checkIns.checkIn(report(9, 5), true, id -> true, 3);
         assertEquals(1, job.live().size());
         assertEquals(1, block.machines().get("i-1").lastReport());
     }
