--- a/src/test/java/io/kitepath/peers/PeersTest.java
+++ b/src/test/java/io/kitepath/peers/PeersTest.java
@@ -1,13 +1,29 @@
 package io.kitepath.peers;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
+import io.kitepath.core.Controller;
+import io.kitepath.core.model.CancellationDigest;
+import io.kitepath.core.model.Facts;
+import io.kitepath.net.LoopTimers;
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** The nodes' own channel, where connections break. */
@@ -30,4 +46,77 @@
         assertEquals(3, told.size());
         assertEquals(2, channels.size());
     }
+
+    /** A sibling that is played here, on a connection to it or from it. */
+    private static final class Played implements AutoCloseable {
+        private final Socket socket;
+        private final Messages messages = new Messages();
+
+        Played(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(5000);
+        }
+
+        void says(Object message) throws IOException {
+            byte[] frame = messages.bytes(message);
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            out.writeInt(frame.length);
+            out.write(frame);
+        }
+
+        Object hears() throws IOException {
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            byte[] frame = new byte[in.readInt()];
+            in.readFully(frame);
+            return messages.value(frame);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** Production ends a connection at a message that it does not know, so that nothing would be said any more at all. */
+    @Test
+    void digestsGoOnlyToThoseThatSaidThatTheyReadThem() throws Exception {
+        InetAddress here = InetAddress.getLoopbackAddress();
+        NioEventLoopGroup group = new NioEventLoopGroup(1);
+        try (ServerSocket old = new ServerSocket(0, 4, here); ServerSocket fresh = new ServerSocket(0, 4, here);
+                ServerSocket free = new ServerSocket(0, 1, here)) {
+            InetSocketAddress at = new InetSocketAddress(here, free.getLocalPort());
+            free.close();
+            EventLoop loop = group.next();
+            Peers peers = new Peers(group, "k0", Map.of("old", new InetSocketAddress(here, old.getLocalPort()),
+                    "fresh", new InetSocketAddress(here, fresh.getLocalPort())), false);
+            Facts facts = new Facts("k0", "a", List.of("old", "fresh"), List.of("a"), Map.of(), List.of(),
+                    new Facts.Workers(1, 10, 30, 5, 30), new Facts.StoreLimits(100, 100, 8, 40),
+                    new Facts.CloudLimits(1, 1), new Facts.Limits(1, 200, 1000), 5);
+            loop.submit(() -> peers.start(new Controller(facts, new RefusingStore(), null, null, new LoopTimers(loop),
+                    peers, new Random(1)), at)).get().sync();
+            CancellationDigest said = new CancellationDigest("k0", 1, 2, List.of("j-1", "j-2"));
+            loop.scheduleAtFixedRate(() -> {
+                peers.tell(7, null, true);
+                peers.digest(said);
+            }, 0, 20, TimeUnit.MILLISECONDS);
+            try (Played o = new Played(old.accept()); Played f = new Played(fresh.accept());
+                    Played from = new Played(new Socket(here, at.getPort()))) {
+                f.says(new Messages.AnswerProgress(Messages.READS_DIGESTS, List.of()));
+                Object heard = f.hears();
+                while (!(heard instanceof Messages.Digest)) {
+                    heard = f.hears();
+                }
+                assertEquals(new Messages.Digest("k0", 1, 2, new ArrayList<>(said.jobs())), heard);
+                for (int i = 0; i < 20; i++) {
+                    assertInstanceOf(Messages.View.class, o.hears());
+                }
+                // Whoever tells its view hears what is read here, in the form of an answer that production drops.
+                from.says(new Messages.View("old", 7, false, true));
+                assertInstanceOf(Messages.View.class, from.hears());
+                assertEquals(new Messages.AnswerProgress(Messages.READS_DIGESTS, List.of()), from.hears());
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
 }
