--- a/src/main/java/io/kitepath/core/serve/CheckInDesk.java
+++ b/src/main/java/io/kitepath/core/serve/CheckInDesk.java
@@ -102,6 +102,11 @@
             spent.on(On.CHECK_INS, began);
             return;
         }
+        if (cutOff()) {
+            // Guards against a worker that waits here, its lease running, for a leader that others hear and we don't.
+            answer.accept(CheckIn.elsewhere(null));
+            return;
+        }
         String leader = leadership.leader();
         if (leader == null || leader.equals(facts.node())) {
             park(report, null, answer);
@@ -130,6 +135,11 @@
         }
     }
 
+    /** Neither the store nor any sibling is heard: whoever leads, it is not to be known here, nor to be asked. */
+    private boolean cutOff() {
+        return views.alone() && leadership.unservedS() > leadership.lifeS() + 1;
+    }
+
     // ---- for siblings ---------------------------------------------------------------------------
 
     /**
--- a/src/main/java/io/kitepath/standin/Node.java
+++ b/src/main/java/io/kitepath/standin/Node.java
@@ -50,7 +50,16 @@
 
     private void direct(String address, long token, long session, List<Order> orders, Consumer<Report> answer) {
         Worker x = w.workers.get(address);
-        if (x == null || x.cut || x.deaf || !x.up || w.refuseDirect) {
+        if (x == null || x.cut || x.deaf || !x.up || w.refuseDirect || x.hangs()) {
+            if (x != null && x.hangs() && !w.refuseDirect) {
+                x.goesOn(() -> x.directly(token, session, orders)); // What is sent to it waits there.
+            }
+            after(0.5, () -> answer.accept(null));
+            return;
+        }
+        double held = w.directHeldS.getAsDouble();
+        if (held > 0) {
+            w.after(held, () -> x.goesOn(() -> x.directly(token, session, orders)));
             after(0.5, () -> answer.accept(null));
             return;
         }
@@ -68,6 +77,12 @@
         alive = false;
     }
 
+    /** Its process is killed, and what waits for its answers is told so by a reset. */
+    public void kill() {
+        crash();
+        w.workers.values().forEach(x -> x.resetBy(name));
+    }
+
     /** Ends once it has sent that many more requests to the store or the cloud. */
     public void endAfter(int more, Runnable then) {
         endsAfter = sent + more;
--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -29,6 +29,8 @@
     public boolean up = true;
     /** What is sent to it gets lost: answers to its reports, and commands. */
     public boolean deaf;
+    /** It stands still until then; what is sent to it waits, and its lease runs. */
+    public double hangsUntil;
     /** Its packets get lost. */
     public boolean cut;
     public boolean fails;
@@ -40,6 +42,10 @@
     private double sentAt = Double.NEGATIVE_INFINITY;
     private boolean inFlight;
     private String node;
+    /** Gives up the report that waits for its answer. */
+    private Runnable givenUp = () -> { };
+    /** Nodes that it has tried one after the other. */
+    private int tries;
     public int started;
 
     public Worker(World w, String id, String zone) {
@@ -72,8 +78,13 @@
 
     private String target() {
         List<String> up = w.reach.up();
-        if (node == null || !up.contains(node)) {
-            node = up.isEmpty() ? null : up.get((int) (sequence % up.size()));
+        if (up.isEmpty()) {
+            node = null;
+        } else if (node == null) {
+            tries++;
+            node = up.get(tries % up.size());
+        } else if (!up.contains(node)) {
+            node = up.get(tries % up.size());
         }
         return node;
     }
@@ -94,10 +105,37 @@
         }
     }
 
+    /** The connection to that node is reset. */
+    void resetBy(String itsNode) {
+        if (inFlight && itsNode.equals(node)) {
+            w.after(0.002, givenUp);
+        }
+    }
+
+    boolean hangs() {
+        return w.clock.now < hangsUntil;
+    }
+
+    /** Runs that as soon as the machine goes on. */
+    void goesOn(Runnable then) {
+        if (!up) {
+            return;
+        }
+        if (hangs()) {
+            w.after(hangsUntil - w.clock.now, () -> goesOn(then));
+        } else {
+            then.run();
+        }
+    }
+
     public void report() {
         if (!up) {
             return;
         }
+        if (hangs()) {
+            goesOn(this::report);
+            return;
+        }
         inFlight = true;
         sentAt = w.clock.now;
         expire();
@@ -113,19 +151,23 @@
                 }
             });
         }
-        w.after(4, () -> {
+        givenUp = () -> {
             if (!heard[0] && up) {
                 heard[0] = true;
                 inFlight = false;
                 node = null;
                 reportIn(0.2);
             }
-        });
+        };
+        // Where nothing listens, that is known at once, and the next node is tried a second later.
+        w.after(to == null ? 0.8 : 4, givenUp);
     }
 
     /** Its lease is over once the last answered report was sent too long ago; what it had on it is gone then. */
     private void expire() {
-        if (up && w.clock.now - answered > w.leaseS) {
+        if (hangs()) {
+            goesOn(this::expire);
+        } else if (up && w.clock.now - answered > w.leaseS) {
             tasks.clear();
             session++;
             answered = w.clock.now;
@@ -134,6 +176,18 @@
     }
 
     private void hear(CheckIn c, double sent) {
+        if (hangs()) {
+            goesOn(() -> {
+                // Answers are dropped after 4 s, and those to an earlier session.
+                if (w.clock.now - sent < 4 && w.clock.now - answered <= w.leaseS) {
+                    hear(c, sent);
+                } else {
+                    inFlight = false;
+                    reportIn(0.2);
+                }
+            });
+            return;
+        }
         inFlight = false;
         if (c.token() == 0) {
             node = c.anchor();
@@ -146,6 +200,9 @@
             w.after(answered + w.leaseS - w.clock.now + 0.001, this::expire);
             c.orders().forEach(this::execute);
         }
+        if (c.token() < token) {
+            w.dropped++;
+        }
         reportIn(Math.max(0.5, w.reportS - (w.clock.now - sent)));
     }
 
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -97,6 +97,10 @@
     public boolean refuseDirect;
     /** How late they come. */
     public double directDelayS = 0.002;
+    /** How late the next one comes on a connection that its sender has given up by then; 0: it is not held up. */
+    public DoubleSupplier directHeldS = () -> 0;
+    /** Answers that workers had to drop, as their token was lower than one that they had seen. */
+    public int dropped;
     /**
      * How long a machine fetches an image that it does not have, by its name; with this set, the tasks of a gang wait
      * for each other, and give up after the settings' time.
@@ -255,6 +259,11 @@
             broken.add("went back: " + id + " is called " + status);
         }
         if (status.equals("done")) {
+            JobSpec s = specs.get(id);
+            int ended = completed.getOrDefault(id, Set.of()).size();
+            if (s != null && (s.gang() ? ended == 0 : ended < s.tasks())) {
+                broken.add("not done: " + id + " is called done after " + ended + " of " + s.tasks());
+            }
             toldDone.add(id);
             doneAt.putIfAbsent(id, clock.now);
         } else if (status.equals("cancelled")) {
