--- a/src/test/java/io/kitepath/core/CancellationGapTest.java
+++ b/src/test/java/io/kitepath/core/CancellationGapTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.JobSpec.Shape;
 import io.kitepath.core.model.Report;
 import io.kitepath.core.serve.Registry.Verdict;
@@ -406,4 +407,40 @@
             kept("j-1");
         }
     }
+
+    /** An answer that is held for a moment is entitled when it goes, not when the report came. */
+    @Test
+    void aHeldAnswerIsLookedAtOnceMoreWhenItGoes() {
+        Node holder = settled(2);
+        w.worker("i-000009", "a");
+        w.run(6);
+        w.nodes.values().forEach(n -> n.cutFrom.addAll(w.siblings));
+        // Its lease is renewed all the while, but no comparison is answered.
+        w.store.withheld = t -> t.writes().isEmpty();
+        while (holder.controller.known.ageS() < holder.controller.facts.workers().marginS() - 0.6) {
+            w.run(0.1);
+        }
+        Worker idle = w.workers.get("i-000009");
+        CheckIn[] got = new CheckIn[1];
+        holder.controller.checkIn(idle.message(), c -> got[0] = c);
+        assertEquals(null, got[0]);
+        w.run(2.1);
+        assertEquals(0, got[0].token());
+    }
+
+    /** A new holder that has not read the jobs leaves workers waiting for a moment, and costs none its session. */
+    @Test
+    void aNewHolderAnswersOnlyOnceItKnowsWhatIsOpen() {
+        Node first = settled(3);
+        long before = sessions();
+        long starts = w.workers.values().stream().mapToInt(x -> x.started).sum();
+        first.kill();
+        w.run(2.2);
+        cancelled(other(first), "j-1");
+        int from = w.store.pages;
+        w.store.refusePage = n -> n - from < 9;
+        w.run(40);
+        kept(before);
+        assertEquals(starts, w.workers.values().stream().mapToInt(x -> x.started).sum());
+    }
 }
--- a/src/test/java/io/kitepath/core/block/CheckInsTest.java
+++ b/src/test/java/io/kitepath/core/block/CheckInsTest.java
@@ -9,6 +9,7 @@
 import io.kitepath.standin.World;
 import java.util.List;
 import java.util.Map;
+import io.kitepath.core.model.Order;
 import org.junit.jupiter.api.Test;
 
 /** What a report proves. */
@@ -54,4 +55,17 @@
         assertEquals(1, job.live().size());
         assertEquals(1, block.machines().get("i-1").lastReport());
     }
+
+    /** Whatever this holder knows of the machine: no answer keeps a task alive whose job is over. */
+    @Test
+    void aMachineThatHasNotShownOurTokenIsToldToStopWhatIsOver() {
+        Report r = new Report("i-1", "i-1", "m4", "a", false, 1, 7, 4, null, List.of(
+                new Report.TaskReport("j-1", 0, 3, Report.State.RUNNING, null),
+                new Report.TaskReport("j-2", 1, 4, Report.State.RUNNING, null),
+                new Report.TaskReport("j-2", 2, 4, Report.State.ENDED, Report.Cause.DONE)));
+        List<Order> stop = List.of(new Order(Order.Verb.STOP, "j-2", 1, 4, 0));
+        assertEquals(stop, checkIns.checkIn(r, false, "j-1"::equals, 1));
+        Report next = new Report("i-1", "i-1", "m4", "a", false, 1, 8, 4, null, r.tasks());
+        assertEquals(stop, checkIns.checkIn(next, true, "j-1"::equals, 2));
+    }
 }
--- /dev/null
+++ b/src/test/java/io/kitepath/core/state/CancellationProofTest.java
@@ -0,0 +1,166 @@
+package io.kitepath.core.state;
+
+import static io.kitepath.standin.World.job;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.JobRecord;
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.port.Store;
+import io.kitepath.core.port.Store.Committed;
+import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.port.Timers;
+import io.kitepath.standin.World;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+class CancellationProofTest {
+    private final World w = new World();
+    private final Timers timers = new Timers() {
+        @Override
+        public double now() {
+            return w.clock.now;
+        }
+
+        @Override
+        public double wallMs() {
+            return w.clock.now * 1000;
+        }
+
+        @Override
+        public void after(double seconds, Runnable run) {
+            w.after(seconds, run);
+        }
+    };
+    private final Block block = new Block(w.facts("k0"), m -> { });
+    /** What it sent, and when. */
+    private final List<Store.Transaction> sent = new ArrayList<>();
+    private final List<Double> sentAt = new ArrayList<>();
+    private final List<Double> proven = new ArrayList<>();
+    private final List<String> closed = new ArrayList<>();
+    /** Keys that are gone. */
+    private final List<String> gone = new ArrayList<>();
+    private Outcome otherwise = Outcome.OK;
+    private double answerTakesS = 0.01;
+    private boolean holding = true;
+
+    /** Answers comparisons a while after they arrived. */
+    private final Store store = new Store() {
+        @Override
+        public void get(String key, BiConsumer<Outcome, Entry> answer) {
+            w.after(answerTakesS, () -> answer.accept(gone.contains(key) ? Outcome.NO : Outcome.OK, null));
+        }
+
+        @Override
+        public void commit(Transaction t, Consumer<Committed> answer) {
+            assertTrue(t.writes().isEmpty());
+            assertTrue(t.conditions().size() <= 160);
+            sent.add(t);
+            sentAt.add(w.clock.now);
+            List<String> failed = t.conditions().stream().map(Condition::key).filter(gone::contains).toList();
+            Outcome o = failed.isEmpty() ? otherwise : Outcome.NO;
+            w.after(answerTakesS, () -> answer.accept(new Committed(o, 0, failed, false)));
+        }
+
+        @Override
+        public void page(String prefix, String from, int limit, Consumer<Listing> answer) { }
+
+        @Override
+        public void grant(long lifeMs, BiConsumer<Outcome, Long> answer) { }
+
+        @Override
+        public void renew(long lease, Consumer<Outcome> answer) { }
+
+        @Override
+        public void revoke(long lease) { }
+
+        @Override
+        public void follow(String prefix, long after, long holdMs, Consumer<Changes> answer) { }
+    };
+    private final CancellationProof proof = new CancellationProof(store, timers, new Random(1), block, () -> holding,
+            new CancellationProof.Listener() {
+                @Override
+                public void closed(String job) {
+                    closed.add(job);
+                    block.jobOver(job);
+                }
+
+                @Override
+                public void proven(double atMs) {
+                    proven.add(atMs);
+                }
+            });
+
+    /** Each has a task on a machine, by its record. */
+    private void jobs(int n) {
+        for (int i = 0; i < n; i++) {
+            JobSpec s = job("j-" + i, Shape.ARRAY, 1, 1);
+            Job j = Job.of(new JobRecord(s, 0, List.of(), 0, 0), block.facts(), Keys.OPEN + s.id(), 7, 256);
+            block.addJob(j);
+            block.adopt(j, 0, Map.of("next", 2L, "done", "", "live", Map.of("i-1", List.of(0L, 1L))), 8, 0);
+        }
+    }
+
+    @Test
+    void allJobsOfWhichSomethingMayRunAreCompared() {
+        jobs(400);
+        proof.start();
+        w.run(1);
+        assertEquals(400, sent.stream().mapToInt(t -> t.conditions().size()).sum());
+        assertEquals(3, sent.size());
+        assertEquals(List.of(1000 * sentAt.get(0)), proven);
+    }
+
+    /** Nothing is proven of the time while the answer was under way. */
+    @Test
+    void whatIsProvenCountsFromWhenItWasAsked() {
+        jobs(3);
+        answerTakesS = 6;
+        proof.start();
+        w.run(7);
+        assertEquals(1, proven.size());
+        assertEquals(1000 * sentAt.get(0), proven.get(0));
+    }
+
+    @Test
+    void whatIsGoneIsSaidBeforeAnythingIsProven() {
+        jobs(3);
+        gone.add(Keys.OPEN + "j-1");
+        proof.start();
+        w.run(0.015);
+        assertEquals(List.of(), proven);
+        w.run(0.02);
+        assertEquals(List.of("j-1"), closed);
+        assertEquals(1, proven.size());
+        w.run(3);
+        assertTrue(sent.get(sent.size() - 1).conditions().stream().noneMatch(c -> c.key().endsWith("j-1")));
+    }
+
+    @Test
+    void refusalsAndUnknownAnswersProveNothingAndAreTriedAgain() {
+        jobs(1);
+        for (Outcome o : List.of(Outcome.REFUSED, Outcome.UNKNOWN, Outcome.INVALID)) {
+            otherwise = o;
+            proof.start();
+            w.run(5);
+            assertEquals(List.of(), proven, o.toString());
+        }
+        assertTrue(sent.size() > 20);
+        otherwise = Outcome.OK;
+        w.run(1);
+        assertEquals(1, proven.size());
+        holding = false;
+        int before = sent.size();
+        w.run(10);
+        assertEquals(before, sent.size());
+        proof.stop();
+    }
+}
