--- a/src/main/java/io/kitepath/standin/MemoryStore.java
+++ b/src/main/java/io/kitepath/standin/MemoryStore.java
@@ -37,6 +37,8 @@
     /** Pages asked for, and which of them are refused. */
     public int pages;
     public IntPredicate refusePage = n -> false;
+    /** Prefixes under which no page is to be had. */
+    public Predicate<String> refusePrefix = p -> false;
     /** The next transactions are executed, but nobody hears of it. */
     public int swallow;
     /** The next transactions get no answer, and are kept to be executed late. */
--- a/src/main/java/io/kitepath/standin/StoreLink.java
+++ b/src/main/java/io/kitepath/standin/StoreLink.java
@@ -44,7 +44,7 @@
     public void page(String prefix, String from, int limit, Consumer<Listing> answer) {
         exchange(() -> {
             store.pages++;
-            if (store.refusePage.test(store.pages)) {
+            if (store.refusePage.test(store.pages) || store.refusePrefix.test(prefix)) {
                 back(() -> answer.accept(new Listing(Outcome.REFUSED, List.of(), 0, false)));
                 return;
             }
--- a/src/test/java/io/kitepath/core/CancellationGapTest.java
+++ b/src/test/java/io/kitepath/core/CancellationGapTest.java
@@ -443,4 +443,48 @@
         kept(before);
         assertEquals(starts, w.workers.values().stream().mapToInt(x -> x.started).sum());
     }
+
+    /**
+     * Told after the list of open jobs was read and before their parts were: the list still has it. The store is out
+     * from then on, or from the moment on in which all is read, so that no watch ever corrects it.
+     */
+    @Test
+    void whatIsToldBetweenTheListAndThePartsIsNotBroughtBackByTheList() {
+        for (boolean outBeforeAllIsRead : new boolean[] {true, false}) {
+            Node first = settled(3);
+            first.kill();
+            w.node(first.name);
+            Node next = null;
+            while (next == null) {
+                w.run(0.01);
+                next = w.nodes.values().stream().filter(n -> n.alive && n.controller.leadership.leading()).findFirst()
+                        .orElse(null);
+            }
+            w.store.refusePrefix = Keys.PART::equals;
+            while (!next.controller.keeper.knowsRunning()) {
+                w.run(0.001);
+            }
+            assertFalse(next.controller.keeper.loaded());
+            Node holder = next;
+            Node sibling = w.nodes.values().stream().filter(n -> n != holder && n.alive).findFirst().orElseThrow();
+            sibling.controller.registry().cancel("j-1", a -> { });
+            w.run(0.02);
+            w.ask(sibling, "j-1");
+            assertTrue(w.toldCancelled.containsKey("j-1"));
+            if (outBeforeAllIsRead) {
+                w.store.out = true;
+                w.run(1);
+                assertFalse(holder.controller.keeper.loaded());
+            } else {
+                w.store.refusePrefix = prefix -> false;
+                while (!holder.controller.keeper.loaded()) {
+                    w.run(0.0005);
+                }
+            }
+            w.store.outage(60);
+            w.run(40);
+            kept("j-1");
+            assertTrue(holder.controller.known.ageS() < 5, "age " + holder.controller.known.ageS());
+        }
+    }
 }
