--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -10,7 +10,6 @@
 import io.kitepath.core.duty.Sweep;
 import io.kitepath.core.fleet.Fleet;
 import io.kitepath.core.fleet.Rentals;
-import io.kitepath.core.lead.CancellationLog;
 import io.kitepath.core.lead.Incarnation;
 import io.kitepath.core.lead.KnownCancellations;
 import io.kitepath.core.lead.Leadership;
@@ -37,7 +36,6 @@
 import io.kitepath.core.port.Timers;
 import io.kitepath.core.serve.CheckInDesk;
 import io.kitepath.core.serve.Jobs;
-import io.kitepath.core.serve.Questions;
 import io.kitepath.core.serve.Registry;
 import io.kitepath.core.serve.RetryPace;
 import io.kitepath.core.state.CancellationProof;
@@ -45,7 +43,6 @@
 import io.kitepath.core.state.Keeper;
 import io.kitepath.core.state.Keys;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -65,7 +62,7 @@
 
     final Facts facts;
     private final Timers timers;
-    private final DirectCommands direct;
+    private final DirectStops stops;
     private final Siblings siblings;
     final Block block;
     final CheckIns checkIns;
@@ -73,7 +70,7 @@
     final Leadership leadership;
     final Keeper keeper;
     private final Views views;
-    private final CancellationLog cancellations;
+    private final Gossip gossip;
     final KnownCancellations known;
     private final CancellationProof proof;
     private final Spent spent;
@@ -99,8 +96,6 @@
     private double roundTook;
     private double roundEnded;
     private boolean soonAsked;
-    private int commandsUnderWay;
-    private long directCommands;
 
     /** A node of the only cell there is. */
     public Controller(Facts facts, Store store, Cloud cloud, DirectCommands direct, Timers timers, Siblings siblings,
@@ -114,7 +109,6 @@
         this.whole = settings;
         this.directory = directory;
         this.facts = directory == null ? settings : settings.withTeams(directory.here().teams());
-        this.direct = direct;
         this.timers = timers;
         this.siblings = siblings;
         this.spent = new Spent(timers::now);
@@ -126,7 +120,10 @@
         this.views = new Views(facts, timers);
         Incarnation incarnation = new Incarnation(facts.node(), timers.wallMs(), random);
         this.leadership = new Leadership(facts, store, timers, random, incarnation, new Leading());
-        this.registry = new Registry(facts, store, timers, this::served, new Holder(), directory != null);
+        this.known = new KnownCancellations(facts, timers);
+        this.gossip = new Gossip(timers, siblings, leadership, views, block, known, this::holds,
+                this::ended, this::soon);
+        this.registry = new Registry(facts, store, timers, this.gossip::served, this.gossip, directory != null);
         this.cells = directory == null ? null : new InCells().desk(store, others, random);
         this.keeper = new Keeper(store, timers, block, images, new Keeping(), cells);
         this.intents = new Intents(block, timers, this::ride);
@@ -136,20 +133,16 @@
         this.sweep = new Sweep(facts, store, timers);
         this.duties = new Duties(facts, store, timers, random, incarnation, leadership.lifeS(),
                 List.of(carrier, sweep));
-        this.cancellations = new CancellationLog(facts, timers);
-        this.known = new KnownCancellations(facts, timers);
         this.proof = new CancellationProof(store, timers, new Random(facts.node().hashCode()), block, this::holds, new Proof());
         this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, known, siblings, timers, spent, this::soon);
+        this.stops = new DirectStops(block, checkIns, desk, leadership, direct, timers, this::soon);
         this.retries = new RetryPace(facts, timers);
         registry.onCancelled(job -> {
             block.pipelines().ended(job.id(), false, timers.wallMs());
             soon();
             siblings.over(job);
         });
-        registry.onKnownCancelled(id -> {
-            cancellations.learned(id);
-            cancelled(id);
-        });
+        registry.onKnownCancelled(gossip::learned);
     }
 
     public void start() {
@@ -159,7 +152,7 @@
         if (cells != null) {
             cells.start();
         }
-        gossip();
+        gossip.start();
     }
 
     /** Hands over what it leads and holds: the node is being stopped on purpose. */
@@ -214,6 +207,35 @@
         return retries.refuse();
     }
 
+    private void ended(JobState job) {
+        registry.ended(job);
+    }
+
+    /** A sibling's view of itself. */
+    public void told(String by, long token, boolean leads, boolean served) {
+        gossip.told(by, token, leads, served);
+    }
+
+    /** A sibling's word that the store has the job's end, which never changes. */
+    public void toldOver(JobState job) {
+        gossip.toldOver(job);
+    }
+
+    /** A sibling's word on cancellations. */
+    public void told(CancellationDigest digest) {
+        gossip.told(digest);
+    }
+
+    /** Whether users are better off here than at a sibling, as far as known. */
+    public boolean healthy() {
+        return gossip.healthy();
+    }
+
+    /** What this node knows of the jobs as their holder; nothing if it does not hold them. */
+    public List<Progress> progress(List<String> jobs) {
+        return gossip.progress(jobs);
+    }
+
     /** The token that it leads with, 0 if it does not lead. */
     public long leadsWith() {
         return leadership.leading() ? leadership.token() : 0;
@@ -231,36 +253,11 @@
 
     public Map<String, Figure> figures() {
         Map<String, Figure> all = new Figures(timers, block, checkIns, placer, leadership, keeper, views, known, desk)
-                .all(() -> roundS, () -> directCommands);
+                .all(() -> roundS, stops::sent);
+        new DutyFigures(intents, carrier, sweep, duties, takeover, spent).addTo(all);
         if (cells != null) {
             cells.figures(all);
         }
-        all.put("intents.asked", Figure.total("rentals and returns put down by this node", intents::asked));
-        all.put("intents.taken.over", Figure.total("and those that it took over from earlier holders",
-                intents::takenOver));
-        all.put("intents.backlog", Figure.now("rentals and returns that the cloud has not settled", intents::backlog));
-        all.put("duty.cloud.calls", Figure.total("rentals and returns asked of the cloud by this node",
-                carrier::called));
-        all.put("duty.cloud.failed", Figure.total("of those, refused or not answered", carrier::failed));
-        all.put("duty.fenced", Figure.total("times that nothing was done since the lease of duties was not certain",
-                duties::fenced));
-        all.put("cleanup.looks", Figure.total("times that this node looked through the state service", sweep::looks));
-        all.put("cleanup.removed", Figure.total("records that it removed there", sweep::removed));
-        all.put("cleanup.strange", Figure.now("records that should not be, by its last look", sweep::strange));
-        for (Duties.Seat d : duties.seats()) {
-            all.put("duty." + d.name() + ".here", Figure.now("whether this node has the duty", () -> d.mine() ? 1 : 0));
-            all.put("duty." + d.name() + ".token", Figure.now("the token of whoever has it", d::token));
-            all.put("duty." + d.name() + ".hand.overs", Figure.total("times that it was seen to change hands",
-                    d::handOvers));
-        }
-        all.put("takeover.read", Figure.now("seconds from winning the lease until the jobs were read",
-                takeover::readS));
-        all.put("takeover.reported", Figure.now("seconds from winning the lease until nearly all machines had reported",
-                takeover::mostS));
-        for (On on : On.values()) {
-            all.put("time." + on.name().toLowerCase(Locale.ROOT).replace('_', '.'),
-                    Figure.total("seconds of the event loop, by activity", () -> spent.seconds(on)));
-        }
         return all;
     }
 
@@ -272,7 +269,7 @@
             block.hold(token);
             known.begin();
             rentals.hold(leaseId);
-            tell();
+            gossip.tell();
             takeover.begins(timers.now());
             launchesBefore = checkIns.launches();
             keeper.start(Keys.BLOCKS + "all", blockRevision, Controller.this::soon);
@@ -297,7 +294,7 @@
             placer.forget();
             block.yield();
             desk.releaseAll();
-            tell();
+            gossip.tell();
         }
     }
 
@@ -450,7 +447,7 @@
         keeper.write(this::written);
         double wrote = timers.now();
         spent.on(On.WRITING, placed);
-        stopDirectly();
+        stops.send();
         spent.on(On.STOPPING, wrote);
         roundEnded = timers.now();
         roundTook = roundEnded - began;
@@ -461,111 +458,4 @@
         desk.written();
         soon();
     }
-
-    private void stopDirectly() {
-        long mine = block.token();
-        int most = facts.limits().sockets() / 10 - commandsUnderWay;
-        checkIns.stops(most, timers.now()).forEach((m, orders) -> {
-            if (desk.release(m.id)) {
-                return; // Its worker hears of it in the answer that was held.
-            }
-            m.commanded(true);
-            commandsUnderWay++;
-            directCommands++;
-            direct.send(m.address(), mine, m.session(), orders, report -> {
-                m.commanded(false);
-                commandsUnderWay--;
-                if (report != null && leadership.leading() && block.token() == mine) {
-                    checkIns.answered(m, report, timers.now());
-                    soon();
-                }
-            });
-        });
-    }
-
-    // ---- siblings -------------------------------------------------------------------------------
-
-    private void gossip() {
-        tell();
-        views.watch(leadership.leader());
-        timers.after(1, this::gossip);
-    }
-
-    private boolean served() {
-        return leadership.unservedS() < leadership.lifeS() + 1;
-    }
-
-    private void tell() {
-        siblings.tell(leadership.leading() ? block.token() : leadership.highest(),
-                leadership.leading() ? facts.node() : null, served());
-        siblings.digest(cancellations.digest());
-    }
-
-    /** A sibling's word on cancellations. */
-    public void told(CancellationDigest digest) {
-        digest.jobs().forEach(this::cancelled);
-        known.word(digest);
-        soon();
-    }
-
-    private void cancelled(String id) {
-        known.told(id);
-        block.jobOver(id);
-    }
-
-    /** A sibling's view of itself. */
-    public void told(String by, long token, boolean leads, boolean served) {
-        views.told(by, served);
-        leadership.outbid(token, leads ? by : null);
-    }
-
-    /** A sibling's word that the store has the job's end, which never changes. */
-    public void toldOver(JobState job) {
-        registry.ended(job);
-        block.jobOver(job.id());
-        soon();
-    }
-
-    /**
-     * Whether users are better off here: not if the store serves a sibling and not us, nor if neither store nor siblings
-     * are to be reached, since then it is this node that is cut off.
-     */
-    public boolean healthy() {
-        return served() || !views.someServed() && !views.alone();
-    }
-
-    /** What this node knows of the jobs as their holder; nothing if it does not hold them. */
-    public List<Progress> progress(List<String> jobs) {
-        return leadership.leading() && keeper.loaded() ? block.progress(jobs, timers.now()) : List.of();
-    }
-
-    /** Who places tasks now, for users' questions. */
-    private final class Holder implements Questions.Holder {
-        @Override
-        public void progress(List<String> jobs, Consumer<List<Progress>> answer) {
-            String leader = leadership.leader();
-            if (leadership.leading()) {
-                answer.accept(Controller.this.progress(jobs));
-            } else if (leader == null || leader.equals(facts.node()) || views.silent(leader)) {
-                answer.accept(List.of());
-            } else {
-                siblings.progress(leader, jobs, answer);
-            }
-        }
-
-        @Override
-        public String silence() {
-            String leader = leadership.leader();
-            if (leader == null) {
-                return "no node leads at the moment";
-            }
-            if (leadership.leading()) {
-                return "this node has just begun to lead and reads the jobs";
-            }
-            double silentS = views.silentS(leader);
-            return "node " + leader + ", which places tasks, does not answer"
-                    + (views.silent(leader) && !Double.isNaN(silentS)
-                            ? " and was last heard " + Math.round(silentS) + " s ago" : "");
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/io/kitepath/core/DirectStops.java
@@ -0,0 +1,59 @@
+package io.kitepath.core;
+
+import io.kitepath.core.block.Block;
+import io.kitepath.core.block.CheckIns;
+import io.kitepath.core.lead.Leadership;
+import io.kitepath.core.port.DirectCommands;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.serve.CheckInDesk;
+
+/** Stops that go straight to machines, as these ask only once in a report interval; so many at once. */
+final class DirectStops {
+    private final Block block;
+    private final CheckIns checkIns;
+    private final CheckInDesk desk;
+    private final Leadership leadership;
+    private final DirectCommands direct;
+    private final Timers timers;
+    private final Runnable changed;
+    private int underWay;
+    private long sent;
+
+    /** {@code changed} runs when a machine's answer may let work be placed. */
+    DirectStops(Block block, CheckIns checkIns, CheckInDesk desk, Leadership leadership, DirectCommands direct,
+            Timers timers, Runnable changed) {
+        this.block = block;
+        this.checkIns = checkIns;
+        this.desk = desk;
+        this.leadership = leadership;
+        this.direct = direct;
+        this.timers = timers;
+        this.changed = changed;
+    }
+
+    long sent() {
+        return sent;
+    }
+
+    /** Tells machines what is to stop on them and was not told them yet. */
+    void send() {
+        long mine = block.token();
+        int most = block.facts().limits().sockets() / 10 - underWay;
+        checkIns.stops(most, timers.now()).forEach((m, orders) -> {
+            if (desk.release(m.id)) {
+                return; // Its worker hears of it in the answer that was held.
+            }
+            m.commanded(true);
+            underWay++;
+            sent++;
+            direct.send(m.address(), mine, m.session(), orders, report -> {
+                m.commanded(false);
+                underWay--;
+                if (report != null && leadership.leading() && block.token() == mine) {
+                    checkIns.answered(m, report, timers.now());
+                    changed.run();
+                }
+            });
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/kitepath/core/Gossip.java
@@ -0,0 +1,145 @@
+package io.kitepath.core;
+
+import io.kitepath.core.block.Block;
+import io.kitepath.core.lead.CancellationLog;
+import io.kitepath.core.lead.KnownCancellations;
+import io.kitepath.core.lead.Leadership;
+import io.kitepath.core.lead.Views;
+import io.kitepath.core.model.CancellationDigest;
+import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Progress;
+import io.kitepath.core.port.Siblings;
+import io.kitepath.core.port.Timers;
+import io.kitepath.core.serve.Questions;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** What this node and its siblings tell each other, and what follows from it. */
+final class Gossip implements Questions.Holder {
+    private static final double EVERY_S = 1;
+
+    private final Facts facts;
+    private final Timers timers;
+    private final Siblings siblings;
+    private final Leadership leadership;
+    private final Views views;
+    private final Block block;
+    private final KnownCancellations known;
+    private final CancellationLog cancellations;
+    /** Whether this node holds the block and knows the jobs. */
+    private final BooleanSupplier holds;
+    private final Consumer<JobState> ended;
+    private final Runnable changed;
+
+    /**
+     * @param holds whether this node holds the block and knows the jobs
+     * @param ended takes a job's end, which never changes
+     * @param changed runs when something may be placed or stopped
+     */
+    Gossip(Timers timers, Siblings siblings, Leadership leadership, Views views, Block block, KnownCancellations known,
+            BooleanSupplier holds, Consumer<JobState> ended, Runnable changed) {
+        this.facts = block.facts();
+        this.timers = timers;
+        this.siblings = siblings;
+        this.leadership = leadership;
+        this.views = views;
+        this.block = block;
+        this.known = known;
+        this.cancellations = new CancellationLog(facts, timers);
+        this.holds = holds;
+        this.ended = ended;
+        this.changed = changed;
+    }
+
+    void start() {
+        tell();
+        views.watch(leadership.leader());
+        timers.after(EVERY_S, this::start);
+    }
+
+    /** Whether the store answers this node. */
+    boolean served() {
+        return leadership.unservedS() < leadership.lifeS() + 1;
+    }
+
+    void tell() {
+        siblings.tell(leadership.leading() ? block.token() : leadership.highest(),
+                leadership.leading() ? facts.node() : null, served());
+        siblings.digest(cancellations.digest());
+    }
+
+    /** This node knows that the job is cancelled, and may tell users so from now on. */
+    void learned(String job) {
+        cancellations.learned(job);
+        cancelled(job);
+    }
+
+    private void cancelled(String job) {
+        known.told(job);
+        block.jobOver(job);
+    }
+
+    /** A sibling's word on cancellations. */
+    void told(CancellationDigest digest) {
+        digest.jobs().forEach(this::cancelled);
+        known.word(digest);
+        changed.run();
+    }
+
+    /** A sibling's view of itself. */
+    void told(String by, long token, boolean leads, boolean isServed) {
+        views.told(by, isServed);
+        leadership.outbid(token, leads ? by : null);
+    }
+
+    /** A sibling's word that the store has the job's end, which never changes. */
+    void toldOver(JobState job) {
+        ended.accept(job);
+        block.jobOver(job.id());
+        changed.run();
+    }
+
+    /**
+     * Whether users are better off here: not if the store serves a sibling and not us, nor if neither store nor siblings
+     * are to be reached, since then it is this node that is cut off.
+     */
+    boolean healthy() {
+        return served() || !views.someServed() && !views.alone();
+    }
+
+    /** What this node knows of the jobs as their holder; nothing if it does not hold them. */
+    List<Progress> progress(List<String> jobs) {
+        return holds.getAsBoolean() ? block.progress(jobs, timers.now()) : List.of();
+    }
+
+    // ---- for users' questions: who places tasks now ----------------------------------------------
+
+    @Override
+    public void progress(List<String> jobs, Consumer<List<Progress>> answer) {
+        String leader = leadership.leader();
+        if (leadership.leading()) {
+            answer.accept(progress(jobs));
+        } else if (leader == null || leader.equals(facts.node()) || views.silent(leader)) {
+            answer.accept(List.of());
+        } else {
+            siblings.progress(leader, jobs, answer);
+        }
+    }
+
+    @Override
+    public String silence() {
+        String leader = leadership.leader();
+        if (leader == null) {
+            return "no node leads at the moment";
+        }
+        if (leadership.leading()) {
+            return "this node has just begun to lead and reads the jobs";
+        }
+        double silentS = views.silentS(leader);
+        return "node " + leader + ", which places tasks, does not answer"
+                + (views.silent(leader) && !Double.isNaN(silentS)
+                        ? " and was last heard " + Math.round(silentS) + " s ago" : "");
+    }
+}
--- a/src/test/java/io/kitepath/core/CancellationGapTest.java
+++ b/src/test/java/io/kitepath/core/CancellationGapTest.java
@@ -487,4 +487,22 @@
             assertTrue(holder.controller.known.ageS() < 5, "age " + holder.controller.known.ageS());
         }
     }
+
+    /** What is read counts from when it was asked for, not from when it came. */
+    @Test
+    void theReadOfOpenJobsCountsFromWhenItWasAskedFor() {
+        Node first = settled(3);
+        first.kill();
+        Node next = null;
+        while (next == null) {
+            w.run(0.01);
+            next = w.nodes.values().stream().filter(n -> n.alive && n.controller.leadership.leading()).findFirst()
+                    .orElse(null);
+        }
+        w.store.slowS = 0.8;
+        while (!next.controller.keeper.knowsRunning()) {
+            w.run(0.01);
+        }
+        assertTrue(next.controller.known.ageS() > 0.8, "age " + next.controller.known.ageS());
+    }
 }
