--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -1,7 +1,7 @@
 package io.kitepath.core;
 
 import io.kitepath.core.block.Block;
-import io.kitepath.core.block.CheckIns;
+import io.kitepath.core.block.Heartbeats;
 import io.kitepath.core.block.Job;
 import io.kitepath.core.cell.CellDesk;
 import io.kitepath.core.duty.Carrier;
@@ -15,10 +15,10 @@
 import io.kitepath.core.lead.Leadership;
 import io.kitepath.core.lead.Views;
 import io.kitepath.core.model.CancellationDigest;
-import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.Directory;
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.model.Figure;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.MachineType;
@@ -34,7 +34,7 @@
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.Entry;
 import io.kitepath.core.port.Timers;
-import io.kitepath.core.serve.CheckInDesk;
+import io.kitepath.core.serve.HeartbeatDesk;
 import io.kitepath.core.serve.Jobs;
 import io.kitepath.core.serve.Registry;
 import io.kitepath.core.serve.RetryPace;
@@ -65,7 +65,7 @@
     private final DirectStops stops;
     private final Siblings siblings;
     final Block block;
-    final CheckIns checkIns;
+    final Heartbeats heartbeats;
     final Placer placer;
     final Leadership leadership;
     final Keeper keeper;
@@ -86,7 +86,7 @@
     /** What the settings say before this cell's part of it is taken. */
     private final Facts whole;
     private final Directory directory;
-    private final CheckInDesk desk;
+    private final HeartbeatDesk desk;
     private final RetryPace retries;
     private boolean ticking;
     private long ticks;
@@ -114,7 +114,7 @@
         this.spent = new Spent(timers::now);
         ImageRecords images = new ImageRecords(facts);
         this.block = new Block(facts, images::recall);
-        this.checkIns = new CheckIns(block);
+        this.heartbeats = new Heartbeats(block);
         this.takeover = new Takeover(block);
         this.placer = new Placer(block, random, spent);
         this.views = new Views(facts, timers);
@@ -134,8 +134,8 @@
         this.duties = new Duties(facts, store, timers, random, incarnation, leadership.lifeS(),
                 List.of(carrier, sweep));
         this.proof = new CancellationProof(store, timers, new Random(facts.node().hashCode()), block, this::holds, new Proof());
-        this.desk = new CheckInDesk(block, checkIns, leadership, keeper, views, known, siblings, timers, spent, this::soon);
-        this.stops = new DirectStops(block, checkIns, desk, leadership, direct, timers, this::soon);
+        this.desk = new HeartbeatDesk(block, heartbeats, leadership, keeper, views, known, siblings, timers, spent, this::soon);
+        this.stops = new DirectStops(block, heartbeats, desk, leadership, direct, timers, this::soon);
         this.retries = new RetryPace(facts, timers);
         registry.onCancelled(job -> {
             block.pipelines().ended(job.id(), false, timers.wallMs());
@@ -193,12 +193,12 @@
     }
 
     /** A worker's report. */
-    public void checkIn(Report report, Consumer<CheckIn> answer) {
-        desk.checkIn(report, answer);
+    public void heartbeat(Report report, Consumer<HeartbeatAnswer> answer) {
+        desk.heartbeat(report, answer);
     }
 
     /** A report that a sibling asks about; {@code passOn}: the leader may be asked in turn. */
-    public void answerFor(Report report, boolean passOn, Consumer<CheckIn> answer) {
+    public void answerFor(Report report, boolean passOn, Consumer<HeartbeatAnswer> answer) {
         desk.answerFor(report, passOn, answer);
     }
 
@@ -252,7 +252,7 @@
     }
 
     public Map<String, Figure> figures() {
-        Map<String, Figure> all = new Figures(timers, block, checkIns, placer, leadership, keeper, views, known, desk)
+        Map<String, Figure> all = new Figures(timers, block, heartbeats, placer, leadership, keeper, views, known, desk)
                 .all(() -> roundS, stops::sent);
         new DutyFigures(intents, carrier, sweep, duties, takeover, spent).addTo(all);
         if (cells != null) {
@@ -271,7 +271,7 @@
             rentals.hold(leaseId);
             gossip.tell();
             takeover.begins(timers.now());
-            launchesBefore = checkIns.launches();
+            launchesBefore = heartbeats.launches();
             keeper.start(Keys.BLOCKS + "all", blockRevision, Controller.this::soon);
             proof.start();
             if (!ticking) {
@@ -416,7 +416,7 @@
         }
         if (keeper.loaded()) {
             takeover.read(timers.now());
-            takeover.look(timers.now(), checkIns.launches() - launchesBefore);
+            takeover.look(timers.now(), heartbeats.launches() - launchesBefore);
         }
         if (cells != null && keeper.loaded() && leadership.inTouch()) {
             cells.tend();
@@ -429,7 +429,7 @@
             LOG.info(block.served().summary());
         }
         if (ticks % SUMMARY_TICKS == 0 || LOG.isDebugEnabled() && ticks % 20 == 0) {
-            LOG.info("{} rounds={} writes={} checkins={} busy={}", Figures.summary(block, checkIns, placer),
+            LOG.info("{} rounds={} writes={} checkins={} busy={}", Figures.summary(block, heartbeats, placer),
                     keeper.rounds(), keeper.written(), desk.received(), String.format("%.1f", roundS) + spent);
         }
         timers.after(TICK_S, this::tick);
--- a/src/main/java/io/kitepath/core/DirectStops.java
+++ b/src/main/java/io/kitepath/core/DirectStops.java
@@ -1,17 +1,17 @@
 package io.kitepath.core;
 
 import io.kitepath.core.block.Block;
-import io.kitepath.core.block.CheckIns;
+import io.kitepath.core.block.Heartbeats;
 import io.kitepath.core.lead.Leadership;
 import io.kitepath.core.port.DirectCommands;
 import io.kitepath.core.port.Timers;
-import io.kitepath.core.serve.CheckInDesk;
+import io.kitepath.core.serve.HeartbeatDesk;
 
 /** Stops that go straight to machines, as these ask only once in a report interval; so many at once. */
 final class DirectStops {
     private final Block block;
-    private final CheckIns checkIns;
-    private final CheckInDesk desk;
+    private final Heartbeats heartbeats;
+    private final HeartbeatDesk desk;
     private final Leadership leadership;
     private final DirectCommands direct;
     private final Timers timers;
@@ -20,10 +20,10 @@
     private long sent;
 
     /** {@code changed} runs when a machine's answer may let work be placed. */
-    DirectStops(Block block, CheckIns checkIns, CheckInDesk desk, Leadership leadership, DirectCommands direct,
+    DirectStops(Block block, Heartbeats heartbeats, HeartbeatDesk desk, Leadership leadership, DirectCommands direct,
             Timers timers, Runnable changed) {
         this.block = block;
-        this.checkIns = checkIns;
+        this.heartbeats = heartbeats;
         this.desk = desk;
         this.leadership = leadership;
         this.direct = direct;
@@ -39,7 +39,7 @@
     void send() {
         long mine = block.token();
         int most = block.facts().limits().sockets() / 10 - underWay;
-        checkIns.stops(most, timers.now()).forEach((m, orders) -> {
+        heartbeats.stops(most, timers.now()).forEach((m, orders) -> {
             if (desk.release(m.id)) {
                 return; // Its worker hears of it in the answer that was held.
             }
@@ -50,7 +50,7 @@
                 m.commanded(false);
                 underWay--;
                 if (report != null && leadership.leading() && block.token() == mine) {
-                    checkIns.answered(m, report, timers.now());
+                    heartbeats.answered(m, report, timers.now());
                     changed.run();
                 }
             });
--- a/src/main/java/io/kitepath/core/Figures.java
+++ b/src/main/java/io/kitepath/core/Figures.java
@@ -1,7 +1,7 @@
 package io.kitepath.core;
 
 import io.kitepath.core.block.Block;
-import io.kitepath.core.block.CheckIns;
+import io.kitepath.core.block.Heartbeats;
 import io.kitepath.core.block.Job;
 import io.kitepath.core.block.Machine;
 import io.kitepath.core.block.Served;
@@ -11,7 +11,7 @@
 import io.kitepath.core.model.Figure;
 import io.kitepath.core.place.Placer;
 import io.kitepath.core.port.Timers;
-import io.kitepath.core.serve.CheckInDesk;
+import io.kitepath.core.serve.HeartbeatDesk;
 import io.kitepath.core.state.Keeper;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -23,20 +23,20 @@
 final class Figures {
     private final Timers timers;
     private final Block block;
-    private final CheckIns checkIns;
+    private final Heartbeats heartbeats;
     private final Placer placer;
     private final Leadership leadership;
     private final Keeper keeper;
     private final Views views;
     private final KnownCancellations known;
-    private final CheckInDesk desk;
+    private final HeartbeatDesk desk;
 
-    Figures(Timers timers, Block block, CheckIns checkIns, Placer placer, Leadership leadership, Keeper keeper,
-            Views views, KnownCancellations known, CheckInDesk desk) {
+    Figures(Timers timers, Block block, Heartbeats heartbeats, Placer placer, Leadership leadership, Keeper keeper,
+            Views views, KnownCancellations known, HeartbeatDesk desk) {
         this.known = known;
         this.timers = timers;
         this.block = block;
-        this.checkIns = checkIns;
+        this.heartbeats = heartbeats;
         this.placer = placer;
         this.leadership = leadership;
         this.keeper = keeper;
@@ -77,11 +77,11 @@
         f.put("attempts.ended", Figure.total("attempts proven over", block::ends));
         f.put("attempts.lost", Figure.total("attempts lost with machine or session", block::lost));
         f.put("attempts.evicted", Figure.total("attempts stopped for work of more right",
-                () -> placer.givingWay().evictions()));
+                () -> placer.preemption().evictions()));
         f.put("attempts.evicted.for.guarantees", Figure.total("of those, the ones that a guarantee was the reason for",
-                () -> placer.givingWay().forGuarantees()));
+                () -> placer.preemption().forGuarantees()));
         f.put("attempts.evicted.for.large", Figure.total("and the ones that made room for gangs and large tasks",
-                () -> placer.givingWay().forGangs()));
+                () -> placer.preemption().forGangs()));
         f.put("served.least", Figure.now("the lowest share of jobs in time, of all classes, their largest jobs, and teams as of late",
                 () -> block.served().leastShare()));
         f.put("served.least.largest", Figure.now("the lowest share of a class's largest jobs", () -> block.served().largest()
@@ -92,9 +92,9 @@
         f.put("probes", Figure.total("machines probed", () -> placer.placement().probes()));
         f.put("probes.passed", Figure.total("probes that passed", () -> placer.placement().passed()));
         f.put("scans", Figure.total("scans of the block", () -> placer.placement().scans()));
-        f.put("attempts.launched", Figure.total("launch orders given", checkIns::launches));
+        f.put("attempts.launched", Figure.total("launch orders given", heartbeats::launches));
         f.put("attempts.launch.delay", Figure.total("seconds from placings to their launch orders, added up",
-                checkIns::launchDelayS));
+                heartbeats::launchDelayS));
         f.put("rounds.time", Figure.total("seconds spent in placing and writing down", roundS));
         f.put("store.records", Figure.total("records written by the holder", keeper::written));
         f.put("store.rounds", Figure.total("transactions written by the holder", keeper::rounds));
@@ -106,7 +106,7 @@
     }
 
     /** One line for the log that sums up the block. */
-    static String summary(Block block, CheckIns checkIns, Placer placer) {
+    static String summary(Block block, Heartbeats heartbeats, Placer placer) {
         Map<String, int[]> classes = new TreeMap<>();
         for (Job j : block.jobs().values()) {
             int[] c = classes.computeIfAbsent(j.spec.jobClass(), k -> new int[3]);
@@ -132,10 +132,10 @@
         return b.append(" machines ordinary=").append(n[0]).append(" spot=").append(n[1]).append(" unproven=")
                 .append(n[2]).append(" aside=").append(n[3]).append(" idle=").append(n[4]).append(" reserved=")
                 .append(n[5]).append(" cpus=").append(Math.round(used)).append(" evicted=")
-                .append(placer.givingWay().evictions()).append('/').append(placer.givingWay().forGuarantees())
-                .append('/').append(placer.givingWay().forGangs())
+                .append(placer.preemption().evictions()).append('/').append(placer.preemption().forGuarantees())
+                .append('/').append(placer.preemption().forGangs())
                 .append(" lost=").append(block.lost()).append(" launched=")
-                .append(checkIns.launches()).append(" after=")
-                .append(String.format("%.2f", checkIns.launchDelayS() / Math.max(1, checkIns.launches()))).toString();
+                .append(heartbeats.launches()).append(" after=")
+                .append(String.format("%.2f", heartbeats.launchDelayS() / Math.max(1, heartbeats.launches()))).toString();
     }
 }
--- a/src/main/java/io/kitepath/core/block/CheckIns.java
+++ b/src/main/java/io/kitepath/core/block/Heartbeats.java
@@ -17,8 +17,8 @@
  * What workers report, taken into the block, and what they are told. Only here an attempt is proven over by a report,
  * and only {@link #commands} launches: what is written and not launched before, in the answer to a check-in.
  */
-public final class CheckIns {
-    private static final Logger LOG = LoggerFactory.getLogger(CheckIns.class);
+public final class Heartbeats {
+    private static final Logger LOG = LoggerFactory.getLogger(Heartbeats.class);
     /** Commands in one answer; keeps it far below the 64 KiB limit. */
     private static final int MAX_ORDERS = 300;
     /** Half of what a worker waits for an answer. */
@@ -31,7 +31,7 @@
     private long launches;
     private double launchDelayS;
 
-    public CheckIns(Block block) {
+    public Heartbeats(Block block) {
         this.block = block;
     }
 
@@ -49,7 +49,7 @@
      * on machines even before. Answers what to do about tasks that are not ours, or no longer; {@link #commands} has the
      * rest.
      */
-    public List<Order> checkIn(Report r, boolean loaded, Predicate<String> mayRun, double now) {
+    public List<Order> heartbeat(Report r, boolean loaded, Predicate<String> mayRun, double now) {
         if (block.buried(r.machine())) {
             return List.of();
         }
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -28,7 +28,7 @@
 
     private final Block block;
     private final Placement placement;
-    private final GivingWay givingWay;
+    private final Preemption preemption;
     private final Spent spent;
     private final Standby standby;
     /** What found no room in this round, and that for which none can be made either. */
@@ -46,7 +46,7 @@
         this.block = block;
         this.spent = spent;
         this.placement = new Placement(random, block.types());
-        this.givingWay = new GivingWay(block, placement);
+        this.preemption = new Preemption(block, placement);
         this.standby = new Standby(block, placement);
     }
 
@@ -54,8 +54,8 @@
         return placement;
     }
 
-    public GivingWay givingWay() {
-        return givingWay;
+    public Preemption preemption() {
+        return preemption;
     }
 
     /**
@@ -174,7 +174,7 @@
     /** Places what it can, at most {@code most} tasks; the placings take effect once they are written. */
     public int place(double now, double wallMs, int most) {
         block.beginRound(now);
-        givingWay.beginRound();
+        preemption.beginRound();
         List<Machine> open = block.machines().values().stream().filter(Machine::open).toList();
         standby.choose(open, wallMs);
         roomless.clear();
@@ -201,7 +201,7 @@
         // Of a job that has to look at where its other tasks are, or failed, nothing follows for others, nor from them.
         boolean alike = job.failedOn().isEmpty() && !expected
                 && (gang ? job.live().isEmpty() : !job.spec.oneZone() && !job.spec.spread());
-        boolean patient = givingWay.patient(job, wallMs);
+        boolean patient = preemption.patient(job, wallMs);
         if (alike && (hopeless.contains(job) || patient && roomless.contains(job))) {
             return 0;
         }
@@ -238,7 +238,7 @@
 
     private boolean makeRoom(Job job, List<Machine> open, double now) {
         double began = spent.now();
-        boolean made = givingWay.makeRoom(job, open, now);
+        boolean made = preemption.makeRoom(job, open, now);
         spent.on(On.GIVING_WAY, began);
         return made;
     }
@@ -252,7 +252,7 @@
                 ? job.live().get(job.live().firstKey()).machine.zone() : null;
         for (Machine m : open) {
             Job heir = m.reservedFor();
-            if ((heir == null || heir == job || m.kept() && (givingWay.yields(job, heir) || m.keptFree(job, now)))
+            if ((heir == null || heir == job || m.kept() && (preemption.yields(job, heir) || m.keptFree(job, now)))
                     && placement.allowed(m, s)
                     && (onlyZone == null || onlyZone.equals(m.zone())) && !(m.draining() && s.spot())
                     && !standby.keepsFrom(m, job)) {
--- a/src/main/java/io/kitepath/core/place/GivingWay.java
+++ b/src/main/java/io/kitepath/core/place/Preemption.java
@@ -18,7 +18,7 @@
 import java.util.Set;
 
 /** Whose work gives way to whose, where the least is lost by it, and what room is held or kept for a job. */
-public final class GivingWay {
+public final class Preemption {
     /**
      * Report intervals for which small tasks wait for room that comes free by itself, before others are stopped for
      * them. Guards against work that is stopped by the ten thousand on a full fleet, half done, for tasks that would
@@ -40,7 +40,7 @@
      */
     private boolean searchedForSmall;
 
-    GivingWay(Block block, Placement placement) {
+    Preemption(Block block, Placement placement) {
         this.block = block;
         this.placement = placement;
     }
--- a/src/main/java/io/kitepath/core/port/Siblings.java
+++ b/src/main/java/io/kitepath/core/port/Siblings.java
@@ -1,7 +1,7 @@
 package io.kitepath.core.port;
 
 import io.kitepath.core.model.CancellationDigest;
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.Progress;
 import io.kitepath.core.model.Report;
@@ -29,5 +29,5 @@
     void progress(String leader, List<String> jobs, Consumer<List<Progress>> answer);
 
     /** Has a sibling answer a check-in, or pass it on to the leader if it may; false if it can't be asked now. */
-    boolean relay(String sibling, Report report, boolean passOn, Consumer<CheckIn> answer);
+    boolean relay(String sibling, Report report, boolean passOn, Consumer<HeartbeatAnswer> answer);
 }
--- a/src/main/java/io/kitepath/core/serve/Needs.java
+++ b/src/main/java/io/kitepath/core/serve/Dependencies.java
@@ -22,7 +22,7 @@
  * are and then where those over are, so that one on its way from one to the other is never taken for one that was never
  * accepted. What was accepted stays so, hence what was found once is not looked for again.
  */
-final class Needs {
+final class Dependencies {
     /** What came of it: whether it could be found out; why not, if one was never accepted or can't be waited for. */
     interface Found {
         void is(boolean known, String wrong);
@@ -49,7 +49,7 @@
     /** Jobs that were accepted and are no services. */
     private final Cache<String, Boolean> accepted = Caffeine.newBuilder().maximumSize(5000).build();
 
-    Needs(Facts facts, Store store) {
+    Dependencies(Facts facts, Store store) {
         this.store = store;
         this.most = 2 * facts.store().txnOps();
     }
--- a/src/main/java/io/kitepath/core/serve/CheckInDesk.java
+++ b/src/main/java/io/kitepath/core/serve/HeartbeatDesk.java
@@ -1,12 +1,12 @@
 package io.kitepath.core.serve;
 
 import io.kitepath.core.block.Block;
-import io.kitepath.core.block.CheckIns;
+import io.kitepath.core.block.Heartbeats;
 import io.kitepath.core.lead.KnownCancellations;
 import io.kitepath.core.lead.Leadership;
 import io.kitepath.core.lead.Views;
-import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.Order;
 import io.kitepath.core.model.Report;
 import io.kitepath.core.model.Spent;
@@ -24,14 +24,14 @@
  * Where workers' reports arrive, at any node: answered by the holder, sent or relayed to it by others, or kept waiting
  * a moment for a leader, or for work that is about to be placed.
  */
-public final class CheckInDesk {
+public final class HeartbeatDesk {
     /** Of the 4 s after which a worker drops an answer. */
     private static final double MAX_PARK_S = 3;
     private static final int SENT_AWAY = 2000;
 
     private final Facts facts;
     private final Block block;
-    private final CheckIns checkIns;
+    private final Heartbeats heartbeats;
     private final Leadership leadership;
     private final Keeper keeper;
     private final Views views;
@@ -56,17 +56,17 @@
      * A check-in that waits for a leader, or for this one to know which jobs may run ({@code asked} null), or for the
      * answer of the one asked. {@code token}: the highest that was known then.
      */
-    private record Parked(Report report, String asked, long token, Consumer<CheckIn> answer) {}
+    private record Parked(Report report, String asked, long token, Consumer<HeartbeatAnswer> answer) {}
 
     /** A check-in whose answer waits a moment, so that work placed meanwhile starts at once. */
-    private record Held(Consumer<CheckIn> answer, List<Order> orders, long token) {}
+    private record Held(Consumer<HeartbeatAnswer> answer, List<Order> orders, long token) {}
 
     /** {@code changed} runs when a report may let work be placed. */
-    public CheckInDesk(Block block, CheckIns checkIns, Leadership leadership, Keeper keeper, Views views,
+    public HeartbeatDesk(Block block, Heartbeats heartbeats, Leadership leadership, Keeper keeper, Views views,
             KnownCancellations known, Siblings siblings, Timers timers, Spent spent, Runnable changed) {
         this.facts = block.facts();
         this.block = block;
-        this.checkIns = checkIns;
+        this.heartbeats = heartbeats;
         this.leadership = leadership;
         this.keeper = keeper;
         this.views = views;
@@ -86,7 +86,7 @@
     }
 
     /** A worker's report. */
-    public void checkIn(Report report, Consumer<CheckIn> answer) {
+    public void heartbeat(Report report, Consumer<HeartbeatAnswer> answer) {
         received++;
         if (report.token() > leadership.highest()) {
             leadership.outbid(report.token(), null);
@@ -104,7 +104,7 @@
         }
         if (cutOff()) {
             // Guards against a worker that waits here, its lease running, for a leader that others hear and we don't.
-            answer.accept(CheckIn.elsewhere(null));
+            answer.accept(HeartbeatAnswer.elsewhere(null));
             return;
         }
         String leader = leadership.leader();
@@ -123,7 +123,7 @@
                 && (report.token() == leadership.highest() || !report.tasks().isEmpty());
         if (!back && !lost) {
             sentAway.put(report.machine(), now);
-            answer.accept(CheckIn.elsewhere(leader));
+            answer.accept(HeartbeatAnswer.elsewhere(leader));
             return;
         }
         sentAway.putIfAbsent(report.machine(), now);
@@ -131,7 +131,7 @@
         Parked p = park(report, leader, answer);
         if (p != null && !relay(leader, p) && report.tasks().isEmpty()) {
             // One without tasks has nothing to lose; the others wait for another leader, who may come soon.
-            settle(p, CheckIn.elsewhere(back ? null : leader));
+            settle(p, HeartbeatAnswer.elsewhere(back ? null : leader));
         }
     }
 
@@ -163,7 +163,7 @@
     }
 
     /** A check-in that a sibling asks about. */
-    public void answerFor(Report report, boolean passOn, Consumer<CheckIn> answer) {
+    public void answerFor(Report report, boolean passOn, Consumer<HeartbeatAnswer> answer) {
         String leader = leadership.leader();
         if (!passOn || leadership.leading() || leader == null || leader.equals(facts.node()) || views.silent(leader)
                 || !siblings.relay(leader, report, false, answer)) {
@@ -179,22 +179,22 @@
      * takes less. So it waits here until a leader is known: one with tasks for as long as it may, any other for as long
      * as it would have waited before its next try.
      */
-    private Parked park(Report report, String asked, Consumer<CheckIn> answer) {
+    private Parked park(Report report, String asked, Consumer<HeartbeatAnswer> answer) {
         if (parked.size() >= facts.limits().sockets() / 2) {
-            answer.accept(CheckIn.elsewhere(null));
+            answer.accept(HeartbeatAnswer.elsewhere(null));
             return null;
         }
         Parked p = new Parked(report, asked, leadership.highest(), answer);
         Parked older = parked.put(report.machine(), p);
         if (older != null) {
-            older.answer.accept(CheckIn.elsewhere(null));
+            older.answer.accept(HeartbeatAnswer.elsewhere(null));
         }
-        timers.after(report.tasks().isEmpty() ? 1 : MAX_PARK_S, () -> settle(p, CheckIn.elsewhere(null)));
+        timers.after(report.tasks().isEmpty() ? 1 : MAX_PARK_S, () -> settle(p, HeartbeatAnswer.elsewhere(null)));
         return p;
     }
 
     /** Answers a check-in that waits; nothing happens if it has been answered already. */
-    private void settle(Parked p, CheckIn a) {
+    private void settle(Parked p, HeartbeatAnswer a) {
         if (parked.get(p.report.machine()) == p) {
             parked.remove(p.report.machine());
             p.answer.accept(a);
@@ -210,7 +210,7 @@
         for (Parked p : new ArrayList<>(parked.values())) {
             if (p.asked == null || !p.asked.equals(leader) || p.token < leadership.highest()) {
                 parked.remove(p.report.machine(), p);
-                checkIn(p.report, p.answer);
+                heartbeat(p.report, p.answer);
             }
         }
     }
@@ -218,26 +218,26 @@
     // ---- the holder's answers -------------------------------------------------------------------
 
     /** The holder's answer to a report that a sibling asks about: at once, for the worker's time is running. */
-    private CheckIn answer(Report report) {
+    private HeartbeatAnswer answer(Report report) {
         if (!keeper.knowsRunning() || !entitlement.toAnswer(report)) {
-            checkIns.unanswered(report, timers.now());
-            return CheckIn.elsewhere(leadership.leading() ? null : leadership.leader());
+            heartbeats.unanswered(report, timers.now());
+            return HeartbeatAnswer.elsewhere(leadership.leading() ? null : leadership.leader());
         }
-        List<Order> orders = new ArrayList<>(checkIns.checkIn(report, keeper.loaded(), keeper::mayRun,
+        List<Order> orders = new ArrayList<>(heartbeats.heartbeat(report, keeper.loaded(), keeper::mayRun,
                 timers.now()));
-        orders.addAll(checkIns.commands(report.machine(), leadership.inTouch(), timers.now()));
+        orders.addAll(heartbeats.commands(report.machine(), leadership.inTouch(), timers.now()));
         if (block.changed()) {
             changed.run();
         }
-        return new CheckIn(block.token(), orders, null);
+        return new HeartbeatAnswer(block.token(), orders, null);
     }
 
-    private void answer(Report report, Consumer<CheckIn> answer) {
+    private void answer(Report report, Consumer<HeartbeatAnswer> answer) {
         String machine = report.machine();
         release(machine);
-        CheckIn now = answer(report);
+        HeartbeatAnswer now = answer(report);
         boolean idle = now.token() > 0 && now.orders().stream().allMatch(o -> o.verb() == Order.Verb.FORGET);
-        double patience = idle && keeper.loaded() && leadership.inTouch() ? checkIns.patience(machine) : 0;
+        double patience = idle && keeper.loaded() && leadership.inTouch() ? heartbeats.patience(machine) : 0;
         if (patience == 0) {
             answer.accept(now);
             return;
@@ -259,12 +259,12 @@
         }
         // What was true when the report came need not be when the answer goes.
         if (!leadership.leading() || block.token() != h.token || !entitlement.knowsCancellations()) {
-            h.answer.accept(CheckIn.elsewhere(leadership.leading() ? null : leadership.leader()));
+            h.answer.accept(HeartbeatAnswer.elsewhere(leadership.leading() ? null : leadership.leader()));
             return true;
         }
         List<Order> orders = new ArrayList<>(h.orders);
-        orders.addAll(checkIns.commands(machine, leadership.inTouch(), timers.now()));
-        h.answer.accept(new CheckIn(h.token, orders, null));
+        orders.addAll(heartbeats.commands(machine, leadership.inTouch(), timers.now()));
+        h.answer.accept(new HeartbeatAnswer(h.token, orders, null));
         return true;
     }
 
@@ -272,7 +272,7 @@
     public void written() {
         double began = spent.now();
         for (String machine : new ArrayList<>(held.keySet())) {
-            if (checkIns.hasCommands(machine)) {
+            if (heartbeats.hasCommands(machine)) {
                 release(machine);
             }
         }
--- a/src/main/java/io/kitepath/core/serve/Registry.java
+++ b/src/main/java/io/kitepath/core/serve/Registry.java
@@ -51,7 +51,7 @@
     private final Facts facts;
     private final Store store;
     private final Timers timers;
-    private final Needs needs;
+    private final Dependencies dependencies;
     private final Cache<String, JobState> over = Caffeine.newBuilder().maximumSize(5000).build();
     private final Questions questions;
     /** Whether tasks may be lent to other cells. */
@@ -69,7 +69,7 @@
             boolean cells) {
         this.cells = cells;
         this.facts = facts;
-        this.needs = new Needs(facts, store);
+        this.dependencies = new Dependencies(facts, store);
         this.store = store;
         this.timers = timers;
         this.served = served;
@@ -102,7 +102,7 @@
     public void ended(JobState s) {
         over.put(s.id(), s);
         if (s.status().equals("cancelled")) {
-            needs.cancelled(s.id());
+            dependencies.cancelled(s.id());
             knownCancelled.accept(s.id());
         }
     }
@@ -121,7 +121,7 @@
             create(spec, needs, answer);
             return;
         }
-        this.needs.check(needs, (sure, wrong) -> {
+        dependencies.check(needs, (sure, wrong) -> {
             if (!sure) {
                 answer.accept(Answer.LATER);
             } else if (wrong != null) {
@@ -149,7 +149,7 @@
             return;
         }
         // One that names a cancelled job is accepted and cancelled in one write, and never called anything else.
-        JobState doomed = this.needs.anyCancelled(needs) ? new JobState(id, "cancelled", 0, 0) : null;
+        JobState doomed = dependencies.anyCancelled(needs) ? new JobState(id, "cancelled", 0, 0) : null;
         Transaction t = new Transaction().when(Keys.OPEN + id, 0).when(Keys.OVER + id, 0);
         if (doomed == null) {
             t.put(Keys.OPEN + id, record);
@@ -165,7 +165,7 @@
                         return;
                     }
                     questions.accepted(id, needs.isEmpty());
-                    this.needs.accepted(id, spec.shape());
+                    dependencies.accepted(id, spec.shape());
                     answer.accept(new Answer(Verdict.CREATED, new JobState(id, "pending", 0, 0)));
                 }
                 case NO -> status(id, answer);
--- a/src/main/java/io/kitepath/peers/Messages.java
+++ b/src/main/java/io/kitepath/peers/Messages.java
@@ -4,11 +4,11 @@
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import io.kitepath.core.model.CellMessage;
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
+import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Order;
 import io.kitepath.core.model.Progress;
-import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.Report;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,7 +27,7 @@
     /** Asks the leader, or one who may pass it on, to answer a check-in; the number ties the answer to it. */
     record Ask(long number, Report report, boolean passOn) {}
 
-    record Answer(long number, CheckIn checkIn) {}
+    record Answer(long number, HeartbeatAnswer heartbeat) {}
 
     /** Asks the leader how far jobs are. */
     record AskProgress(long number, List<String> jobs) {}
@@ -63,7 +63,7 @@
         kryo.setReferences(false);
         int id = 20;
         for (Class<?> c : new Class<?>[] {View.class, Over.class, Ask.class, Answer.class, Report.class,
-            Report.TaskReport.class, Report.State.class, Report.Cause.class, CheckIn.class, Order.class,
+            Report.TaskReport.class, Report.State.class, Report.Cause.class, HeartbeatAnswer.class, Order.class,
             Order.Verb.class, ArrayList.class, AskProgress.class, AnswerProgress.class, Progress.class,
             JobState.class}) {
             kryo.register(c, id++);
@@ -91,8 +91,8 @@
                     r.sequence(), r.token(), r.noticeS(), new ArrayList<>(r.tasks())), a.passOn);
         }
         if (message instanceof Answer a) {
-            CheckIn c = a.checkIn;
-            return new Answer(a.number, new CheckIn(c.token(), new ArrayList<>(c.orders()), c.anchor()));
+            HeartbeatAnswer c = a.heartbeat;
+            return new Answer(a.number, new HeartbeatAnswer(c.token(), new ArrayList<>(c.orders()), c.anchor()));
         }
         if (message instanceof AskProgress a) {
             return new AskProgress(a.number, new ArrayList<>(a.jobs));
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -2,7 +2,7 @@
 
 import io.kitepath.core.Controller;
 import io.kitepath.core.model.CancellationDigest;
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Progress;
@@ -57,7 +57,7 @@
     private final String node;
     private final Map<String, InetSocketAddress> addresses;
     private final Map<String, Channel> channels = new HashMap<>();
-    private final Map<Long, Asked<CheckIn>> asks = new LinkedHashMap<>();
+    private final Map<Long, Asked<HeartbeatAnswer>> asks = new LinkedHashMap<>();
     private final Map<Long, Asked<List<Progress>>> progressAsks = new LinkedHashMap<>();
     private Controller controller;
     private long asked;
@@ -177,15 +177,15 @@
     }
 
     @Override
-    public boolean relay(String sibling, Report report, boolean passOn, Consumer<CheckIn> answer) {
+    public boolean relay(String sibling, Report report, boolean passOn, Consumer<HeartbeatAnswer> answer) {
         Channel ch = channels.get(sibling);
         if (ch == null || !ch.isActive() || asks.size() >= MAX_ASKS) {
             return false;
         }
         long number = ++asked;
-        asks.put(number, new Asked<>(ch, answer, new CheckIn(0, List.of(), null)));
+        asks.put(number, new Asked<>(ch, answer, new HeartbeatAnswer(0, List.of(), null)));
         send(ch, new Messages.Ask(number, report, passOn));
-        loop.schedule(() -> settle(asks, number, new CheckIn(0, List.of(), null)), RELAY_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> settle(asks, number, new HeartbeatAnswer(0, List.of(), null)), RELAY_MS, TimeUnit.MILLISECONDS);
         return true;
     }
 
@@ -234,7 +234,7 @@
                 controller.answerFor(a.report(), a.passOn(),
                         c -> send(ctx.channel(), new Messages.Answer(a.number(), c)));
             } else if (message instanceof Messages.Answer a) {
-                settle(asks, a.number(), a.checkIn());
+                settle(asks, a.number(), a.heartbeat());
             } else if (message instanceof Messages.AskProgress a) {
                 send(ctx.channel(), new Messages.AnswerProgress(a.number(), controller.progress(a.jobs())));
             } else if (message instanceof Messages.Digest d) {
--- a/src/main/java/io/kitepath/standin/Loopback.java
+++ b/src/main/java/io/kitepath/standin/Loopback.java
@@ -1,6 +1,6 @@
 package io.kitepath.standin;
 
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.MachineKind;
 import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Report;
@@ -62,11 +62,11 @@
             }
 
             @Override
-            public void checkIn(String node, Report report, Consumer<CheckIn> answer) {
+            public void heartbeat(String node, Report report, Consumer<HeartbeatAnswer> answer) {
                 Loopback.this.nodes.get(node).call("POST", "/checkin", Outside.report(report), TIMEOUT_MS,
                         (status, body) -> {
-                            CheckIn c = Outside.checkIn(status, body);
-                            answer.accept(c == null ? CheckIn.elsewhere(null) : c);
+                            HeartbeatAnswer c = Outside.heartbeat(status, body);
+                            answer.accept(c == null ? HeartbeatAnswer.elsewhere(null) : c);
                         });
             }
         };
--- a/src/main/java/io/kitepath/standin/Node.java
+++ b/src/main/java/io/kitepath/standin/Node.java
@@ -3,7 +3,7 @@
 import io.kitepath.core.Controller;
 import io.kitepath.core.model.CancellationDigest;
 import io.kitepath.core.model.CellMessage;
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.Order;
 import io.kitepath.core.model.Progress;
@@ -177,7 +177,7 @@
     }
 
     @Override
-    public boolean relay(String sibling, Report report, boolean passOn, Consumer<CheckIn> answer) {
+    public boolean relay(String sibling, Report report, boolean passOn, Consumer<HeartbeatAnswer> answer) {
         Node n = w.nodes.get(sibling);
         if (n == null || !reaches(n)) {
             return false;
--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -1,12 +1,12 @@
 package io.kitepath.standin;
 
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.Order;
+import io.kitepath.core.model.Report;
 import io.kitepath.core.model.Report.Cause;
 import io.kitepath.core.model.Report.State;
 import io.kitepath.core.model.Report.TaskReport;
-import io.kitepath.core.model.Report;
 import io.kitepath.core.state.Keys;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -144,7 +144,7 @@
         double sent = w.clock.now;
         boolean[] heard = new boolean[1];
         if (to != null && !cut) {
-            w.reach.checkIn(to, message(), c -> {
+            w.reach.heartbeat(to, message(), c -> {
                 if (!heard[0] && up && session == mySession && !cut && !deaf) {
                     heard[0] = true;
                     hear(c, sent);
@@ -175,7 +175,7 @@
         }
     }
 
-    private void hear(CheckIn c, double sent) {
+    private void hear(HeartbeatAnswer c, double sent) {
         if (hangs()) {
             goesOn(() -> {
                 // Answers are dropped after 4 s, and those to an earlier session.
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -1,8 +1,8 @@
 package io.kitepath.standin;
 
-import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.Directory;
 import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.MachineType;
 import io.kitepath.core.model.Report;
@@ -66,7 +66,7 @@
         List<String> up();
 
         /** Reports to a node; there may be no answer. */
-        void checkIn(String node, Report report, Consumer<CheckIn> answer);
+        void heartbeat(String node, Report report, Consumer<HeartbeatAnswer> answer);
     }
 
     /** How late a copy of the next report comes to some node; 0: there is none. */
@@ -80,15 +80,15 @@
         }
 
         @Override
-        public void checkIn(String node, Report report, Consumer<CheckIn> answer) {
+        public void heartbeat(String node, Report report, Consumer<HeartbeatAnswer> answer) {
             Node n = nodes.get(node);
             double late = copyAfterS.getAsDouble();
             if (late > 0) {
                 // Whoever answers a copy is not heard.
                 after(late, () -> nodes.values().stream().filter(x -> x.alive).skip((long) (late * 7) % nodes.size())
-                        .findFirst().ifPresent(x -> x.deliver(() -> x.controller.checkIn(report, c -> { }))));
+                        .findFirst().ifPresent(x -> x.deliver(() -> x.controller.heartbeat(report, c -> { }))));
             }
-            after(0.002, () -> n.deliver(() -> n.controller.checkIn(report, c -> after(0.002, () -> answer.accept(c)))));
+            after(0.002, () -> n.deliver(() -> n.controller.heartbeat(report, c -> after(0.002, () -> answer.accept(c)))));
         }
     };
     /** Is told of every worker that there is from now on. */
--- a/src/main/java/io/kitepath/wire/Outside.java
+++ b/src/main/java/io/kitepath/wire/Outside.java
@@ -1,6 +1,6 @@
 package io.kitepath.wire;
 
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.MachineType;
 import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Order;
@@ -174,14 +174,14 @@
     }
 
     /** An answer to a check-in, by its HTTP status; null for one that says nothing. */
-    public static CheckIn checkIn(int status, byte[] body) {
+    public static HeartbeatAnswer heartbeat(int status, byte[] body) {
         try {
             if (status == 200) {
                 Tree t = Tree.of(Pack.value(body));
-                return new CheckIn(t.count("baton"), orders(t), null);
+                return new HeartbeatAnswer(t.count("baton"), orders(t), null);
             }
             if (status == 421) {
-                return CheckIn.elsewhere(Tree.of(Pack.value(body)).textOr("anchor", null));
+                return HeartbeatAnswer.elsewhere(Tree.of(Pack.value(body)).textOr("anchor", null));
             }
         } catch (Malformed e) {
             return null;
--- a/src/main/java/io/kitepath/workers/WorkersApi.java
+++ b/src/main/java/io/kitepath/workers/WorkersApi.java
@@ -34,7 +34,7 @@
             out.reply(400, Wire.error(e.getMessage()));
             return;
         }
-        controller.checkIn(report, a -> {
+        controller.heartbeat(report, a -> {
             if (a.token() > 0) {
                 out.reply(200, Wire.orders(a.token(), a.orders()));
             } else {
--- a/src/test/java/io/kitepath/core/CancellationGapTest.java
+++ b/src/test/java/io/kitepath/core/CancellationGapTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobSpec.Shape;
 import io.kitepath.core.model.Report;
 import io.kitepath.core.serve.Registry.Verdict;
@@ -369,7 +369,7 @@
         w.store.outage(60);
         for (int i = 0; i < 40; i++) {
             w.run(1);
-            w.nodes.values().forEach(n -> n.controller.checkIn(old, c -> { }));
+            w.nodes.values().forEach(n -> n.controller.heartbeat(old, c -> { }));
         }
         kept(before);
     }
@@ -421,8 +421,8 @@
             w.run(0.1);
         }
         Worker idle = w.workers.get("i-000009");
-        CheckIn[] got = new CheckIn[1];
-        holder.controller.checkIn(idle.message(), c -> got[0] = c);
+        HeartbeatAnswer[] got = new HeartbeatAnswer[1];
+        holder.controller.heartbeat(idle.message(), c -> got[0] = c);
         assertEquals(null, got[0]);
         w.run(2.1);
         assertEquals(0, got[0].token());
--- a/src/test/java/io/kitepath/core/CancellationSeedsTest.java
+++ b/src/test/java/io/kitepath/core/CancellationSeedsTest.java
@@ -127,7 +127,7 @@
                         x.deaf = random.nextBoolean();
                         x.cut = !x.deaf;
                         Report old = x.message();
-                        w.after(upTo(30), () -> any().controller.checkIn(old, c -> { }));
+                        w.after(upTo(30), () -> any().controller.heartbeat(old, c -> { }));
                         w.after(upTo(12), () -> x.deaf = false);
                         w.after(upTo(12), () -> x.cut = false);
                     }
--- a/src/test/java/io/kitepath/core/FleetStoriesTest.java
+++ b/src/test/java/io/kitepath/core/FleetStoriesTest.java
@@ -185,7 +185,7 @@
         w.submit(n, with(job("j-300", Shape.GANG, 1, 4), "red", Priority.HIGH, false));
         w.run(1);
         assertEquals(1, running("j-300"));
-        assertEquals(0, n.controller.placer.givingWay().evictions());
+        assertEquals(0, n.controller.placer.preemption().evictions());
     }
 
     @Test
--- a/src/test/java/io/kitepath/core/MeetingsTest.java
+++ b/src/test/java/io/kitepath/core/MeetingsTest.java
@@ -251,7 +251,7 @@
                 holder.crash();
                 w.after(0.3, () -> w.node(holder.name));
                 w.after(arrives, () -> old.forEach(r -> w.nodes.values().stream().filter(n -> n.alive)
-                        .forEach(n -> n.controller.checkIn(r, c -> { }))));
+                        .forEach(n -> n.controller.heartbeat(r, c -> { }))));
                 w.run(70);
                 String at = "taken at " + takenAt + ", arrives after " + arrives;
                 assertEquals(List.of(), w.broken, at);
@@ -277,7 +277,7 @@
         w.run(30);
         assertNotNull(old);
         for (int i = 0; i < 20; i++) {
-            w.nodes.values().forEach(n -> n.controller.checkIn(old, c -> { }));
+            w.nodes.values().forEach(n -> n.controller.heartbeat(old, c -> { }));
             w.run(1);
         }
         w.run(60);
--- a/src/test/java/io/kitepath/core/StoriesTest.java
+++ b/src/test/java/io/kitepath/core/StoriesTest.java
@@ -8,8 +8,8 @@
 
 import io.kitepath.core.block.Block;
 import io.kitepath.core.block.Machine;
-import io.kitepath.core.model.CheckIn;
 import io.kitepath.core.model.Facts;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.JobSpec.Priority;
 import io.kitepath.core.model.JobSpec.Shape;
@@ -175,10 +175,10 @@
         Node second = w.leader();
         assertTrue(second != first);
         w.submit(second, job("j-2", Shape.ARRAY, 3, 1));
-        long launched = first.controller.checkIns.launches();
+        long launched = first.controller.heartbeats.launches();
         w.run(3);
         assertFalse(first.controller.leadership.leading());
-        assertEquals(launched, first.controller.checkIns.launches());
+        assertEquals(launched, first.controller.heartbeats.launches());
         w.run(60);
         assertEquals("done", w.status(first, "j-1"));
         assertEquals("done", w.status(first, "j-2"));
@@ -425,7 +425,7 @@
         w.run(6);
         assertEquals(2, w.onMachines("j-2"));
         assertEquals(2, w.onMachines("j-1"));
-        assertEquals(6, n.controller.placer.givingWay().evictions());
+        assertEquals(6, n.controller.placer.preemption().evictions());
     }
 
     @Test
@@ -493,10 +493,10 @@
         Node leader = w.leader();
         Node other = notThe(leader);
         Report r = new Report("i-000077", "", "m4", "a", false, 1, 1, 0, null, List.of());
-        CheckIn[] got = new CheckIn[2];
-        other.controller.checkIn(r, c -> got[0] = c);
+        HeartbeatAnswer[] got = new HeartbeatAnswer[2];
+        other.controller.heartbeat(r, c -> got[0] = c);
         assertEquals(leader.name, got[0].anchor());
-        other.controller.checkIn(r, c -> got[1] = c);
+        other.controller.heartbeat(r, c -> got[1] = c);
         w.run(0.1);
         assertEquals(leader.controller.block.token(), got[1].token());
     }
@@ -507,8 +507,8 @@
         Node leader = w.leader();
         Node other = notThe(leader);
         long token = leader.controller.block.token();
-        CheckIn[] got = new CheckIn[1];
-        other.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of()),
+        HeartbeatAnswer[] got = new HeartbeatAnswer[1];
+        other.controller.heartbeat(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of()),
                 c -> got[0] = c);
         w.run(0.1);
         assertEquals(token, got[0].token());
@@ -523,8 +523,8 @@
         long token = leader.controller.block.token();
         cut.cutFrom.add(leader.name);
         w.run(4);
-        CheckIn[] got = new CheckIn[1];
-        cut.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of(
+        HeartbeatAnswer[] got = new HeartbeatAnswer[1];
+        cut.controller.heartbeat(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of(
                 new Report.TaskReport("j-1", 0, 1, Report.State.RUNNING, null))), c -> got[0] = c);
         w.run(0.1);
         assertEquals(token, got[0].token());
@@ -539,8 +539,8 @@
         w.run(2);
         long token = leader.controller.block.token();
         leader.crash();
-        CheckIn[] got = new CheckIn[1];
-        other.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of(
+        HeartbeatAnswer[] got = new HeartbeatAnswer[1];
+        other.controller.heartbeat(new Report("i-000077", "", "m4", "a", false, 1, 9, token, null, List.of(
                 new Report.TaskReport("j-1", 0, 1, Report.State.RUNNING, null))), c -> got[0] = c);
         w.run(3);
         assertEquals(w.leader().controller.block.token(), got[0].token());
@@ -555,8 +555,8 @@
         w.nodes.values().forEach(Node::crash);
         w.run(5);
         Node n = w.node("k0");
-        CheckIn[] got = new CheckIn[1];
-        n.controller.checkIn(new Report("i-000077", "", "m4", "a", false, 1, 9, 1, null, List.of()), c -> got[0] = c);
+        HeartbeatAnswer[] got = new HeartbeatAnswer[1];
+        n.controller.heartbeat(new Report("i-000077", "", "m4", "a", false, 1, 9, 1, null, List.of()), c -> got[0] = c);
         w.run(0.9);
         assertEquals(2, got[0].token());
     }
@@ -601,7 +601,7 @@
         assertTrue(looks < 15L * tasks, "machines looked at: " + looks);
         assertTrue(n.controller.keeper.written() < tasks / 20, "records written: " + n.controller.keeper.written());
         w.run(60);
-        assertTrue(s.jobs().isEmpty(), () -> Figures.summary(s, n.controller.checkIns, n.controller.placer));
+        assertTrue(s.jobs().isEmpty(), () -> Figures.summary(s, n.controller.heartbeats, n.controller.placer));
         assertTrue(n.controller.keeper.written() < tasks / 4, "records written: " + n.controller.keeper.written());
     }
 
--- a/src/test/java/io/kitepath/core/TroublesTest.java
+++ b/src/test/java/io/kitepath/core/TroublesTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobSpec.Shape;
 import io.kitepath.core.model.Report;
 import io.kitepath.core.serve.Registry.Verdict;
@@ -126,7 +126,7 @@
         n.crash();
         w.run(15);
         Node next = w.leader();
-        next.controller.checkIn(old, (CheckIn c) -> { });
+        next.controller.heartbeat(old, (HeartbeatAnswer c) -> { });
         w.submit(next, job("j-2", Shape.ARRAY, 12, 1));
         w.run(10);
         assertTrue(next.controller.block.jobs().get("j-2").live().values().stream()
--- a/src/test/java/io/kitepath/core/block/CheckInsTest.java
+++ b/src/test/java/io/kitepath/core/block/HeartbeatsTest.java
@@ -13,10 +13,10 @@
 import org.junit.jupiter.api.Test;
 
 /** What a report proves. */
-class CheckInsTest {
+class HeartbeatsTest {
     private final Facts facts = new World().facts("k1");
     private final Block block = new Block(facts, m -> { });
-    private final CheckIns checkIns = new CheckIns(block);
+    private final Heartbeats heartbeats = new Heartbeats(block);
     private final Job job = new Job(World.job("j-1", Shape.ARRAY, 1, 1), 0, new double[] {60}, "jobs/open/j-1", 1, 256);
 
     private static Report report(long sequence, long token) {
@@ -34,11 +34,11 @@
         block.adopt(job, 0, Map.of("next", 2L, "done", "", "live", Map.of("i-1", List.of(0L, 1L))), 7, 0);
         block.jobOver("j-1");
         for (int i = 1; i <= 5; i++) {
-            checkIns.checkIn(report(i, 4), true, id -> true, i);
+            heartbeats.heartbeat(report(i, 4), true, id -> true, i);
         }
         assertEquals(1, job.live().size());
         assertFalse(block.machines().get("i-1").proven());
-        checkIns.checkIn(report(6, 5), true, id -> true, 6);
+        heartbeats.heartbeat(report(6, 5), true, id -> true, 6);
         assertEquals(0, job.live().size());
     }
 
@@ -47,11 +47,11 @@
     void anOlderReportIsNotRead() {
         block.hold(5);
         block.addJob(job);
-        checkIns.checkIn(report(9, 4), true, id -> true, 1);
+        heartbeats.heartbeat(report(9, 4), true, id -> true, 1);
         block.adopt(job, 0, Map.of("next", 2L, "done", "", "live", Map.of("i-1", List.of(0L, 1L))), 7, 0);
         block.jobOver("j-1");
-        checkIns.checkIn(report(8, 5), true, id -> true, 2);
-        checkIns.checkIn(report(9, 5), true, id -> true, 3);
+        heartbeats.heartbeat(report(8, 5), true, id -> true, 2);
+        heartbeats.heartbeat(report(9, 5), true, id -> true, 3);
         assertEquals(1, job.live().size());
         assertEquals(1, block.machines().get("i-1").lastReport());
     }
@@ -64,8 +64,8 @@
                 new Report.TaskReport("j-2", 1, 4, Report.State.RUNNING, null),
                 new Report.TaskReport("j-2", 2, 4, Report.State.ENDED, Report.Cause.DONE)));
         List<Order> stop = List.of(new Order(Order.Verb.STOP, "j-2", 1, 4, 0));
-        assertEquals(stop, checkIns.checkIn(r, false, "j-1"::equals, 1));
+        assertEquals(stop, heartbeats.heartbeat(r, false, "j-1"::equals, 1));
         Report next = new Report("i-1", "i-1", "m4", "a", false, 1, 8, 4, null, r.tasks());
-        assertEquals(stop, checkIns.checkIn(next, true, "j-1"::equals, 2));
+        assertEquals(stop, heartbeats.heartbeat(next, true, "j-1"::equals, 2));
     }
 }
--- a/src/test/java/io/kitepath/peers/MessagesTest.java
+++ b/src/test/java/io/kitepath/peers/MessagesTest.java
@@ -5,13 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.kitepath.core.model.CellMessage;
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.MachineKind;
 import io.kitepath.core.model.Malformed;
 import io.kitepath.core.model.Order;
 import io.kitepath.core.model.Progress;
-import io.kitepath.core.model.JobState;
 import io.kitepath.core.model.Report;
 import java.util.List;
 import java.util.Random;
@@ -37,11 +37,11 @@
 
     @Test
     void itsAnswerToo() {
-        Messages.Answer a = new Messages.Answer(7, new CheckIn(41,
+        Messages.Answer a = new Messages.Answer(7, new HeartbeatAnswer(41,
                 List.of(new Order(Order.Verb.START, "j-1", 5, 3, 0), new Order(Order.Verb.STOP, "j-1", 4, 2, 6)),
                 null));
         assertEquals(a, sent(a));
-        Messages.Answer no = new Messages.Answer(8, new CheckIn(0, List.of(), "kite-2"));
+        Messages.Answer no = new Messages.Answer(8, new HeartbeatAnswer(0, List.of(), "kite-2"));
         assertEquals(no, sent(no));
     }
 
--- a/src/test/java/io/kitepath/peers/VersionsTest.java
+++ b/src/test/java/io/kitepath/peers/VersionsTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.kitepath.core.model.CellMessage;
-import io.kitepath.core.model.CheckIn;
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.model.JobState;
@@ -56,7 +56,7 @@
         frames.put("view", new Messages.View("kite-1", 7, true, false));
         frames.put("over", new Messages.Over(over));
         frames.put("ask", new Messages.Ask(5, r, true));
-        frames.put("answer", new Messages.Answer(5, new CheckIn(41, List.of(
+        frames.put("answer", new Messages.Answer(5, new HeartbeatAnswer(41, List.of(
                 new Order(Order.Verb.START, "j-000412", 4, 2, 0), new Order(Order.Verb.STOP, "j-000377", 1, 1, 10)),
                 null)));
         frames.put("askProgress", new Messages.AskProgress(6, List.of("j-000412", "j-000398")));
