--- a/src/main/java/io/kitepath/core/Gossip.java
+++ b/src/main/java/io/kitepath/core/Gossip.java
@@ -76,16 +76,18 @@
         cancelled(job);
     }
 
+    /** Digests repeat themselves each second: only news is worth a round. */
     private void cancelled(String job) {
         known.told(job);
-        block.jobOver(job);
+        if (block.jobOver(job)) {
+            changed.run();
+        }
     }
 
     /** A sibling's word on cancellations. */
     void told(CancellationDigest digest) {
         digest.jobs().forEach(this::cancelled);
         known.word(digest);
-        changed.run();
     }
 
     /** A sibling's view of itself. */
@@ -97,8 +99,9 @@
     /** A sibling's word that the store has the job's end, which never changes. */
     void toldOver(JobState job) {
         ended.accept(job);
-        block.jobOver(job.id());
-        changed.run();
+        if (block.jobOver(job.id())) {
+            changed.run();
+        }
     }
 
     /**
--- a/src/main/java/io/kitepath/core/block/Block.java
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -260,11 +260,14 @@
         }
     }
 
-    /** The job is done or cancelled in the store; whatever of it is still on machines has to go. */
-    public void jobOver(String id) {
+    /**
+     * The job is done or cancelled in the store; whatever of it is still on machines has to go. Returns whether that is
+     * news here.
+     */
+    public boolean jobOver(String id) {
         Job job = jobs.get(id);
         if (job == null || job.over) {
-            return;
+            return false;
         }
         job.over = true;
         changed = true;
@@ -281,6 +284,7 @@
             }
         }
         LOG.info("job {} over, {} attempts to end", id, job.live.size());
+        return true;
     }
 
     /** How far those of the jobs are that are known here and not about to be cancelled for one before them. */
