--- a/src/test/java/io/kitepath/core/CancellationGapTest.java
+++ b/src/test/java/io/kitepath/core/CancellationGapTest.java
@@ -13,6 +13,7 @@
 import io.kitepath.standin.Node;
 import io.kitepath.standin.Worker;
 import io.kitepath.standin.World;
+import io.kitepath.standin.Worlds;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -25,19 +26,8 @@
     private World w;
 
     private Node settled(int nodes) {
-        w = new World();
-        w.reportS = 2;
-        w.leaseS = 10;
-        w.reportsChanges = true;
+        w = Worlds.settled(nodes, 4);
         w.runsFor = id -> 400;
-        for (int i = 0; i < nodes; i++) {
-            w.siblings.add("k" + i);
-        }
-        w.siblings.forEach(w::node);
-        for (int i = 0; i < 4; i++) {
-            w.worker(String.format("i-%06d", i), i % 2 == 0 ? "a" : "b");
-        }
-        w.run(12);
         // The clocks of the nodes are apart as far as they may be.
         w.nodes.get("k0").clockOffMs = 5;
         w.nodes.get("k" + (nodes - 1)).clockOffMs = -5;
--- a/src/test/java/io/kitepath/core/MeetingsLateTest.java
+++ b/src/test/java/io/kitepath/core/MeetingsLateTest.java
@@ -2,9 +2,9 @@
 
 import static io.kitepath.core.MeetingsTest.other;
 import static io.kitepath.core.MeetingsTest.sessions;
-import static io.kitepath.core.MeetingsTest.settled;
 import static io.kitepath.core.MeetingsTest.starts;
 import static io.kitepath.standin.World.job;
+import static io.kitepath.standin.Worlds.settled;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/io/kitepath/core/MeetingsTest.java
+++ b/src/test/java/io/kitepath/core/MeetingsTest.java
@@ -1,6 +1,7 @@
 package io.kitepath.core;
 
 import static io.kitepath.standin.World.job;
+import static io.kitepath.standin.Worlds.settled;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -20,22 +21,6 @@
 class MeetingsTest {
     private World w;
 
-    static World settled(int nodes, int machines) {
-        World w = new World();
-        w.reportS = 2;
-        w.leaseS = 10;
-        w.reportsChanges = true;
-        for (int i = 0; i < nodes; i++) {
-            w.siblings.add("k" + i);
-        }
-        w.siblings.forEach(w::node);
-        for (int i = 0; i < machines; i++) {
-            w.worker(String.format("i-%06d", i), i % 2 == 0 ? "a" : "b");
-        }
-        w.run(12);
-        return w;
-    }
-
     static Node other(World w, Node than) {
         return w.nodes.values().stream().filter(n -> n != than && n.alive).findFirst().orElseThrow();
     }
--- a/src/test/java/io/kitepath/core/lead/KnownCancellationsTest.java
+++ b/src/test/java/io/kitepath/core/lead/KnownCancellationsTest.java
@@ -7,27 +7,13 @@
 import io.kitepath.core.model.Facts;
 import io.kitepath.core.port.Timers;
 import io.kitepath.standin.World;
+import io.kitepath.standin.Worlds;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class KnownCancellationsTest {
     private final World w = new World();
-    private final Timers timers = new Timers() {
-        @Override
-        public double now() {
-            return w.clock.now;
-        }
-
-        @Override
-        public double wallMs() {
-            return w.clock.now * 1000;
-        }
-
-        @Override
-        public void after(double seconds, Runnable run) {
-            w.after(seconds, run);
-        }
-    };
+    private final Timers timers = Worlds.timers(w);
 
     private Facts facts(String node, String... others) {
         w.siblings.clear();
--- a/src/test/java/io/kitepath/core/state/CancellationProofTest.java
+++ b/src/test/java/io/kitepath/core/state/CancellationProofTest.java
@@ -14,6 +14,7 @@
 import io.kitepath.core.port.Store.Outcome;
 import io.kitepath.core.port.Timers;
 import io.kitepath.standin.World;
+import io.kitepath.standin.Worlds;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -24,22 +25,7 @@
 
 class CancellationProofTest {
     private final World w = new World();
-    private final Timers timers = new Timers() {
-        @Override
-        public double now() {
-            return w.clock.now;
-        }
-
-        @Override
-        public double wallMs() {
-            return w.clock.now * 1000;
-        }
-
-        @Override
-        public void after(double seconds, Runnable run) {
-            w.after(seconds, run);
-        }
-    };
+    private final Timers timers = Worlds.timers(w);
     private final Block block = new Block(w.facts("k0"), m -> { });
     /** What it sent, and when. */
     private final List<Store.Transaction> sent = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/io/kitepath/standin/Worlds.java
@@ -0,0 +1,45 @@
+package io.kitepath.standin;
+
+import io.kitepath.core.port.Timers;
+
+/** Worlds in which stories begin. */
+public final class Worlds {
+    private Worlds() {}
+
+    /** So many nodes and machines, of which one leads and all have reported; the lease is five reports long. */
+    public static World settled(int nodes, int machines) {
+        World w = new World();
+        w.reportS = 2;
+        w.leaseS = 10;
+        w.reportsChanges = true;
+        for (int i = 0; i < nodes; i++) {
+            w.siblings.add("k" + i);
+        }
+        w.siblings.forEach(w::node);
+        for (int i = 0; i < machines; i++) {
+            w.worker(String.format("i-%06d", i), i % 2 == 0 ? "a" : "b");
+        }
+        w.run(12);
+        return w;
+    }
+
+    /** The world's time, for a part that is tried by itself. */
+    public static Timers timers(World w) {
+        return new Timers() {
+            @Override
+            public double now() {
+                return w.clock.now;
+            }
+
+            @Override
+            public double wallMs() {
+                return w.clock.now * 1000;
+            }
+
+            @Override
+            public void after(double seconds, Runnable run) {
+                w.after(seconds, run);
+            }
+        };
+    }
+}
