--- a/src/test/java/io/kitepath/core/CancellationGapTest.java
+++ b/src/test/java/io/kitepath/core/CancellationGapTest.java
@@ -338,9 +338,13 @@
         w.store.hangs = n -> true;
         w.store.late = t -> t.writes().stream().anyMatch(x -> x.key().equals(Keys.OVER + "j-1")) ? 0.7 : 0;
         w.cancel(holder, "j-1");
-        w.run(1);
+        // Just after it was carried out, and before the next comparison would find it.
+        w.run(0.605);
+        double proven = holder.controller.known.ageS();
+        w.store.withheld = t -> t.conditions().stream().noneMatch(c -> c.revision() == 0);
         w.ask(holder, "j-1");
         assertTrue(w.toldCancelled.containsKey("j-1"));
+        assertTrue(proven < 1.5, "age " + proven);
         w.store.outage(60);
         w.run(45);
         kept(before);
