--- a/src/test/java/io/kitepath/core/MeetingsTest.java
+++ b/src/test/java/io/kitepath/core/MeetingsTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.kitepath.core.model.HeartbeatAnswer;
 import io.kitepath.core.model.JobSpec.Shape;
 import io.kitepath.core.model.Report;
 import io.kitepath.core.serve.Registry.Verdict;
@@ -101,6 +102,20 @@
         }
     }
 
+    /** A worker that lost the leader comes with its lease running; whoever hears nobody must not keep it. */
+    @Test
+    void aNodeThatHearsNobodySendsWorkersOnAtOnce() {
+        w = settled(3, 2);
+        Node cut = other(w, w.leader());
+        alone(w, cut);
+        w.run(8);
+        HeartbeatAnswer[] got = new HeartbeatAnswer[1];
+        cut.controller.heartbeat(new Report("i-000077", "", "m4", "a", false, 1, 9, w.store.token(), null, List.of(
+                new Report.TaskReport("j-1", 0, 1, Report.State.RUNNING, null))), c -> got[0] = c);
+        w.run(0.05);
+        assertEquals(HeartbeatAnswer.elsewhere(null), got[0]);
+    }
+
     // ---- 2. jobs of two or three tasks that end far apart, across a change of leader ------------
 
     private void endsFarApart(Shape shape, double crashAt, double backAfter, boolean second) {
