--- a/src/test/java/io/kitepath/core/CancellationGapTest.java
+++ b/src/test/java/io/kitepath/core/CancellationGapTest.java
@@ -57,6 +57,17 @@
         w.after(seconds, () -> n.cutFromStore = false);
     }
 
+    /** The store refuses the holder alone; another confirms that j-1 is cancelled, and its word does not get through. */
+    private Node confirmedUnheard(Node holder) {
+        Node sibling = other(holder);
+        sibling.losesWord = true;
+        refuse(holder, 9);
+        w.run(0.5);
+        sibling.cutFrom.add(holder.name);
+        cancelled(sibling, "j-1");
+        return sibling;
+    }
+
     private long sessions() {
         return w.workers.values().stream().mapToLong(x -> x.session).sum();
     }
@@ -91,12 +102,7 @@
     void theWordThatIsLostIsRepeated() {
         Node holder = settled(3);
         long before = sessions();
-        Node sibling = other(holder);
-        sibling.losesWord = true;
-        refuse(holder, 9);
-        w.run(0.5);
-        sibling.cutFrom.add(holder.name);
-        cancelled(sibling, "j-1");
+        Node sibling = confirmedUnheard(holder);
         w.store.outage(50);
         w.run(4);
         sibling.cutFrom.clear();
@@ -125,12 +131,7 @@
     @Test
     void aConfirmingNodeThatEndsAndIsBackVouchesForNothingOfBefore() {
         Node holder = settled(3);
-        Node sibling = other(holder);
-        sibling.losesWord = true;
-        refuse(holder, 9);
-        w.run(0.5);
-        sibling.cutFrom.add(holder.name);
-        cancelled(sibling, "j-1");
+        Node sibling = confirmedUnheard(holder);
         sibling.crash();
         w.store.outage(70);
         w.run(0.3);
@@ -214,12 +215,7 @@
     void aHolderThatStoodStillInBetweenAnswersNothingFromBefore() {
         for (double stands = 1; stands < 40; stands += 3) {
             Node holder = settled(3);
-            Node sibling = other(holder);
-            sibling.losesWord = true;
-            refuse(holder, 9);
-            w.run(0.5);
-            sibling.cutFrom.add(holder.name);
-            cancelled(sibling, "j-1");
+            confirmedUnheard(holder);
             holder.frozenUntil = w.clock.now + stands;
             w.store.outage(70);
             w.run(65);
