Clean-up: where a job is, open or over, is read in one comparison

Both places of a job are now conditions of one transaction; the open one at the revision that was read. A part is called an orphan by one comparison too. Half the requests for parts.

--- a/src/main/java/io/kitepath/core/duty/Audit.java
+++ b/src/main/java/io/kitepath/core/duty/Audit.java
@@ -14,7 +14,6 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -128,11 +127,14 @@
                 byJob.computeIfAbsent(id, k -> new ArrayList<>()).add(e);
             }
         }
-        slices(new ArrayList<>(byJob.keySet()), ids -> absent(Keys.OPEN, ids, notOpen ->
-                absent(Keys.OVER, notOpen, nowhere -> {
-                    nowhere.forEach(id -> byJob.get(id).forEach(e -> orphan(id, e)));
-                    then.run();
-                })));
+        // A job moves from open to over in one write, and its two places are looked at in one comparison.
+        Map<String, Long> anywhere = new LinkedHashMap<>();
+        byJob.keySet().forEach(id -> anywhere.put(id, 0L));
+        compare(anywhere, (id, open, over) -> {
+            if (!open && !over) {
+                byJob.get(id).forEach(e -> orphan(id, e));
+            }
+        });
     }
 
     private void orphan(String id, Entry e) {
@@ -151,13 +153,14 @@
     // ---- jobs in two places ---------------------------------------------------------------------
 
     private void open(List<Entry> entries) {
-        List<String> ids = entries.stream().map(e -> e.key().substring(Keys.OPEN.length())).toList();
-        slices(ids, some -> absent(Keys.OVER, some, fine -> {
-            Set<String> twice = new LinkedHashSet<>(some);
-            fine.forEach(twice::remove);
-            twice.forEach(id -> found.accept(new Finding(false, Keys.OPEN + id, "the job is open and over", List.of())));
-            then.run();
-        }));
+        Map<String, Long> read = new LinkedHashMap<>();
+        entries.forEach(e -> read.put(e.key().substring(Keys.OPEN.length()), e.revision()));
+        // Guards against a job that is called open and over since it ended between two reads.
+        compare(read, (id, changed, over) -> {
+            if (over && !changed) {
+                found.accept(new Finding(false, Keys.OPEN + id, "the job is open and over", List.of()));
+            }
+        });
     }
 
     // ---- acts -----------------------------------------------------------------------------------
@@ -173,37 +176,43 @@
 
     // ---- comparing ------------------------------------------------------------------------------
 
-    private void slices(List<String> ids, Consumer<List<String>> compare) {
-        for (int i = 0; i < ids.size(); i += conditions) {
-            List<String> some = ids.subList(i, Math.min(ids.size(), i + conditions));
-            steps.add(() -> compare.accept(some));
-        }
+    /** What one comparison, so one moment, says of a job. */
+    private interface Places {
+        /**
+         * Told of each job once.
+         *
+         * @param open whether its open record has another revision than the one compared with, 0 for none
+         * @param over whether it has a record as over
+         */
+        void are(String id, boolean open, boolean over);
     }
 
-    /** Which of the jobs have no record under the prefix; not told, and the step put back, if that can't be had now. */
-    private void absent(String under, List<String> ids, Consumer<List<String>> tell) {
-        if (ids.isEmpty()) {
-            tell.accept(List.of());
-            return;
+    /** Compares both places of each of these jobs, {@code opens}: with which revisions of their open records. */
+    private void compare(Map<String, Long> opens, Places places) {
+        List<String> ids = new ArrayList<>(opens.keySet());
+        int most = Math.max(1, conditions / 2);
+        for (int i = 0; i < ids.size(); i += most) {
+            List<String> some = ids.subList(i, Math.min(ids.size(), i + most));
+            steps.add(() -> compare(opens, some, places, () -> then.run()));
         }
-        Transaction compare = new Transaction();
-        ids.forEach(id -> compare.when(under + id, 0));
-        store.commit(compare, c -> {
-            if (c.outcome() == Outcome.OK) {
-                tell.accept(ids);
-            } else if (c.outcome() == Outcome.NO && !c.failed().isEmpty()) {
-                Set<String> there = new HashSet<>(c.failed());
-                tell.accept(ids.stream().filter(id -> !there.contains(under + id)).toList());
+    }
+
+    /** Not told, and the step put back, if it can't be had now. */
+    private void compare(Map<String, Long> opens, List<String> ids, Places places, Runnable told) {
+        Transaction t = new Transaction();
+        ids.forEach(id -> t.when(Keys.OPEN + id, opens.get(id)).when(Keys.OVER + id, 0));
+        store.commit(t, c -> {
+            if (c.outcome() == Outcome.OK || c.outcome() == Outcome.NO && !c.failed().isEmpty()) {
+                Set<String> other = new HashSet<>(c.failed());
+                ids.forEach(id -> places.are(id, other.contains(Keys.OPEN + id), other.contains(Keys.OVER + id)));
+                told.run();
             } else if (c.outcome() == Outcome.INVALID && ids.size() > 1) {
                 // The store takes fewer conditions by now than anybody said.
                 int half = ids.size() / 2;
-                absent(under, ids.subList(0, half), some -> absent(under, ids.subList(half, ids.size()), rest -> {
-                    List<String> both = new ArrayList<>(some);
-                    both.addAll(rest);
-                    tell.accept(both);
-                }));
+                compare(opens, ids.subList(0, half), places, () ->
+                        compare(opens, ids.subList(half, ids.size()), places, told));
             } else {
-                steps.addFirst(() -> absent(under, ids, tell));
+                steps.addFirst(() -> compare(opens, ids, places, told));
                 failed = true;
                 then.run();
             }
