--- a/src/main/java/io/kitepath/standin/MemoryStore.java
+++ b/src/main/java/io/kitepath/standin/MemoryStore.java
@@ -1,5 +1,6 @@
 package io.kitepath.standin;
 
+import io.kitepath.core.model.Bucket;
 import io.kitepath.core.model.Json;
 import io.kitepath.core.model.Tree;
 import io.kitepath.core.port.Store;
@@ -29,6 +30,11 @@
     public long revision = 1;
     public long nextLease = 1;
     public boolean out;
+    /** Whether it refuses what comes above the settings' rates; it allows bursts of one second's worth. */
+    public boolean limited;
+    public int overRate;
+    private Bucket requests;
+    private Bucket writes;
     /** What every request takes longer to get there than usual. */
     public double slowS;
     private final World w;
@@ -56,6 +62,29 @@
     public BiConsumer<Caller, Store.Transaction> written = (n, t) -> { };
     public long changes;
 
+    /** Whether a request with so many changes is over the rates; counts it if not. */
+    boolean tooMany(int itsWrites) {
+        if (!limited) {
+            return false;
+        }
+        if (requests == null) {
+            requests = new Bucket(w.rps);
+            writes = new Bucket(w.writeRps);
+        }
+        if (writes.available(w.clock.now) < itsWrites || !requests.take(1, w.clock.now)) {
+            overRate++;
+            return true;
+        }
+        writes.take(itsWrites, w.clock.now);
+        return false;
+    }
+
+    /** Whether there ever was a record of a job with that id, open or over. */
+    boolean everHad(String id) {
+        return keys.containsKey(Keys.OPEN + id) || keys.containsKey(Keys.OVER + id)
+                || log.stream().anyMatch(e -> e.key().equals(Keys.OPEN + id) || e.key().equals(Keys.OVER + id));
+    }
+
     public long token() {
         Store.Entry e = keys.get(Keys.TOKEN);
         return e == null ? 0 : Tree.of(e.value()).count("token");
--- a/src/main/java/io/kitepath/standin/Node.java
+++ b/src/main/java/io/kitepath/standin/Node.java
@@ -138,6 +138,9 @@
 
     @Override
     public void tell(long token, String leader, boolean served) {
+        if (leader != null) {
+            w.leads(token);
+        }
         w.nodes.values().stream().filter(n -> n != this && n.alive && reaches(n)).forEach(n ->
                 n.after(0.001, () -> n.controller.told(name, token, leader != null, served)));
     }
--- a/src/main/java/io/kitepath/standin/StoreLink.java
+++ b/src/main/java/io/kitepath/standin/StoreLink.java
@@ -19,11 +19,15 @@
 
     /** Runs on the store a moment later, and the answer on the node a moment after that. */
     private void exchange(Runnable served, Runnable refused) {
+        exchange(0, served, refused);
+    }
+
+    private void exchange(int writes, Runnable served, Runnable refused) {
         node.asks();
         node.sends();
         w.after(w.takes(0.002) + store.slowS, () -> {
             store.expire();
-            boolean no = store.out || node.refused();
+            boolean no = store.out || node.refused() || store.tooMany(writes);
             (no ? refused : served).run();
         });
     }
@@ -58,7 +62,7 @@
 
     @Override
     public void commit(Transaction t, Consumer<Committed> answer) {
-        exchange(() -> {
+        exchange(t.writes().size(), () -> {
             boolean job = t.writes().stream().anyMatch(w -> w.key().startsWith("jobs/"));
             if (job && store.hold > 0 || store.withheld.test(t)) {
                 store.hold -= store.hold > 0 ? 1 : 0;
@@ -123,6 +127,10 @@
 
     @Override
     public void follow(String prefix, long after, long holdMs, Consumer<Changes> answer) {
+        if (store.tooMany(0)) {
+            back(() -> answer.accept(new Changes(Outcome.REFUSED, 0, List.of())));
+            return;
+        }
         store.follow(node, prefix, after, holdMs / 1000.0, answer);
     }
 }
--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -29,6 +29,8 @@
     public boolean up = true;
     /** What is sent to it gets lost: answers to its reports, and commands. */
     public boolean deaf;
+    /** It reaches no controller; direct commands reach it. */
+    public boolean mute;
     /** It stands still until then; what is sent to it waits, and its lease runs. */
     public double hangsUntil;
     /** Its packets get lost. */
@@ -143,7 +145,7 @@
         long mySession = session;
         double sent = w.clock.now;
         boolean[] heard = new boolean[1];
-        if (to != null && !cut) {
+        if (to != null && !cut && !mute) {
             w.reach.heartbeat(to, message(), c -> {
                 if (!heard[0] && up && session == mySession && !cut && !deaf) {
                     heard[0] = true;
@@ -160,7 +162,7 @@
             }
         };
         // Where nothing listens, that is known at once, and the next node is tried a second later.
-        w.after(to == null ? 0.8 : 4, givenUp);
+        w.after(to == null || mute ? 0.8 : 4, givenUp);
     }
 
     /** Its lease is over once the last answered report was sent too long ago; what it had on it is gone then. */
@@ -195,6 +197,7 @@
             return;
         }
         if (c.token() >= token) {
+            w.acts(node, c.token());
             token = c.token();
             answered = Math.max(answered, sent);
             w.after(answered + w.leaseS - w.clock.now + 0.001, this::expire);
@@ -243,6 +246,7 @@
                 x.state = State.ENDED;
                 x.cause = Cause.DONE;
                 w.completed.computeIfAbsent(x.job, k -> new HashSet<>()).add(x.number);
+                w.users.completed(x);
             }));
             return;
         }
@@ -264,12 +268,12 @@
                 .anyMatch(e -> ((Map<?, ?>) e.value()).get("machines") instanceof List<?> l && l.contains(id))) {
             w.broken.add("started on a machine that goes: " + key + " on " + id);
         }
-        w.starts(o.job());
         started++;
         Task t = new Task(this, o.job(), o.task(), o.attempt(), State.RUNNING);
         tasks.put(key, t);
         w.clock.lastStarts.put(o.job() + "/" + o.task(), t);
         w.clock.started(t);
+        w.rules.starts(t);
         JobSpec s = w.specs.get(o.job());
         if (w.fetchS != null && s.gang()) {
             t.state = State.FETCHING;
@@ -286,6 +290,9 @@
                 }
                 w.clock.ended(t);
                 changed();
+                if (!error) {
+                    w.users.completed(t);
+                }
             }
         });
     }
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -15,11 +15,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -27,19 +29,20 @@
  * waits for real time, and nothing is random without a seed.
  */
 public final class World {
-    private static final double CANCEL_S = 30;
     /** Users wait so long for an answer about a job; what comes later is told to nobody. */
     private static final double USER_WAITS_S = 2;
 
-    /** Seconds between a worker's reports, and those of its lease. */
+    /** Seconds between a worker's reports, those of its lease, and those that tasks of a cancelled job may take to go. */
     public double reportS = 1;
     public double leaseS = 10;
+    public double cancelS = 30;
 
     public final Clock clock;
     /** The cells that this world is one of, or null. */
     public final Cellular around;
     public final Directory directory;
-    /** Changes a second that the settings allow. */
+    /** Requests and changes a second that the settings allow. */
+    public double rps = 1000;
     public double writeRps = 1000;
     /** And the size of values. */
     public double valueKb = 8;
@@ -69,6 +72,17 @@
         void heartbeat(String node, Report report, Consumer<HeartbeatAnswer> answer);
     }
 
+    /** Reports of which a copy is kept until another node leads. */
+    public Predicate<Report> keeps = r -> false;
+    /** Whether the copies come to every node as soon as it leads, else to itself once it has acted; and how long after. */
+    public boolean keptForAll;
+    public double keptAfterS = 0.001;
+    private final List<Report> kept = new ArrayList<>();
+    /** Copies that came that way. */
+    public int keptBrought;
+    private long leads;
+    private long acts;
+
     /** How late a copy of the next report comes to some node; 0: there is none. */
     public DoubleSupplier copyAfterS = () -> 0;
 
@@ -82,6 +96,9 @@
         @Override
         public void heartbeat(String node, Report report, Consumer<HeartbeatAnswer> answer) {
             Node n = nodes.get(node);
+            if (keeps.test(report)) {
+                kept.add(report);
+            }
             double late = copyAfterS.getAsDouble();
             if (late > 0) {
                 // Whoever answers a copy is not heard.
@@ -107,6 +124,12 @@
      */
     public ToDoubleFunction<String> fetchS;
     public Map<String, JobSpec> specs = new HashMap<>();
+    /** After an answer that a job is accepted, done or cancelled, users ask at all nodes, and repeat, within milliseconds. */
+    public boolean closeLooks;
+    /** Whether users call off the job whose last task completes, in that moment. */
+    public Predicate<Task> cancelsAtEnd = t -> false;
+    public final Rules rules = new Rules(this);
+    public final Users users = new Users(this);
     /** How long a job's tasks run, by its id; null: as long as the machine's tasks do. */
     public ToDoubleFunction<String> runsFor;
     /** Whether workers report as soon as a task ends, as they do outside. */
@@ -154,16 +177,15 @@
     public final Map<String, Double> toldCancelled = new HashMap<>();
     /** And that it is done. */
     public final Set<String> toldDone = new HashSet<>();
-    private final Map<String, Double> doneAt = new HashMap<>();
 
     public Facts facts(String node) {
         return new Facts(node, "a", siblings.stream().filter(s -> !s.equals(node)).toList(), zones, teams, objectives,
-                new Facts.Workers(reportS, leaseS, 30, 5, CANCEL_S), next == null ? limits() : limits().andLater(next),
+                new Facts.Workers(reportS, leaseS, 30, 5, cancelS), next == null ? limits() : limits().andLater(next),
                 new Facts.CloudLimits(10, Math.max(2, cloud.listLagS)), new Facts.Limits(1, 200, 1000), 5);
     }
 
     private Facts.StoreLimits limits() {
-        return new Facts.StoreLimits(1000, writeRps, valueKb, 40);
+        return new Facts.StoreLimits(rps, writeRps, valueKb, 40);
     }
 
     public Node node(String name) {
@@ -213,21 +235,29 @@
 
     public Registry.Answer submit(Node n, JobSpec s, String... itsNeeds) {
         Registry.Answer[] got = new Registry.Answer[1];
+        double asked = clock.now;
         specs.put(s.id(), s);
-        n.controller.registry().submit(s, List.of(itsNeeds), a -> got[0] = a);
+        needs.putIfAbsent(s.id(), List.of(itsNeeds));
+        n.controller.registry().submit(s, List.of(itsNeeds), a -> {
+            if (a.verdict() == Registry.Verdict.CREATED || a.verdict() == Registry.Verdict.KNOWN) {
+                rules.accepted(s.id());
+            }
+            got[0] = heard(s.id(), a, asked);
+        });
         run(0.1);
-        if (got[0] != null && (got[0].verdict() == Registry.Verdict.CREATED
-                || got[0].verdict() == Registry.Verdict.KNOWN)) {
-            needs.putIfAbsent(s.id(), List.of(itsNeeds));
-            accepted.putIfAbsent(s.id(), clock.now);
-        }
-        return heard(s.id(), got[0], clock.now);
+        return got[0];
     }
 
     public Registry.Answer cancel(Node n, String id) {
+        rules.asksToCancel(id);
         return told(id, answer -> n.controller.registry().cancel(id, answer));
     }
 
+    /** So many jobs that run are called off within a fifth of a second; up to eight of their machines hang so long. */
+    public List<String> cancelNow(int count, double hangS, Random random) {
+        return users.cancelNow(count, hangS, random);
+    }
+
     public Registry.Answer ask(Node n, String id) {
         return told(id, answer -> n.controller.registry().status(id, answer));
     }
@@ -245,76 +275,46 @@
         return got[0];
     }
 
-    /**
-     * What a user is told, against the rules about what users are told. An answer is an old one if another was given
-     * before it was asked for; of two questions at the same time either may be answered first.
-     */
-    private Registry.Answer heard(String id, Registry.Answer a, double asked) {
-        if (a == null || a.verdict() != Registry.Verdict.KNOWN && a.verdict() != Registry.Verdict.CREATED) {
-            return a;
-        }
-        String status = a.state().status();
-        if (doneAt.getOrDefault(id, 1e18) <= asked && !status.equals("done")
-                || toldCancelled.getOrDefault(id, 1e18) <= asked && !status.equals("cancelled")) {
-            broken.add("went back: " + id + " is called " + status);
-        }
-        if (status.equals("done")) {
-            JobSpec s = specs.get(id);
-            int ended = completed.getOrDefault(id, Set.of()).size();
-            if (s != null && (s.gang() ? ended == 0 : ended < s.tasks())) {
-                broken.add("not done: " + id + " is called done after " + ended + " of " + s.tasks());
-            }
-            toldDone.add(id);
-            doneAt.putIfAbsent(id, clock.now);
-        } else if (status.equals("cancelled")) {
-            if (toldCancelled.putIfAbsent(id, clock.now) == null) {
-                // A moment more than the rule's, for what is due in the same moment.
-                after(CANCEL_S + 0.01, () -> hasGone(id));
-            }
-        } else if (before(id).stream().anyMatch(n -> clock.now > Math.max(accepted.getOrDefault(id, 0.0), toldCancelled.getOrDefault(n, 1e18)) + CANCEL_S)) {
-            broken.add("orphaned: " + id + " is called " + status);
+    /** A user hears that; {@code asked}: when it asked. */
+    Registry.Answer heard(String id, Registry.Answer a, double asked) {
+        rules.heard(id, a, asked);
+        if (a != null) {
+            users.told(id, a);
         }
         return a;
     }
 
-    /** Whether a user was told longer ago than tasks of a cancelled job may take to go. */
-    private boolean longCancelled(String id) {
-        return clock.now - toldCancelled.getOrDefault(id, Double.POSITIVE_INFINITY) > CANCEL_S;
-    }
-
-    private void hasGone(String id) {
-        workers.values().forEach(x -> x.tasks.values().stream().filter(t -> t.job.equals(id) && t.on()).forEach(t ->
-                broken.add("ran cancelled: " + t.key() + " is still on " + x.id)));
-    }
+    // ---- reports that are kept for another leader -------------------------------------------------
 
-    /** All jobs that have to be done before that one, directly or through others. */
-    private Set<String> before(String id) {
-        Set<String> all = new HashSet<>();
-        List<String> next = new ArrayList<>(needs.getOrDefault(id, List.of()));
-        while (!next.isEmpty()) {
-            String n = next.remove(next.size() - 1);
-            if (all.add(n)) {
-                next.addAll(needs.getOrDefault(n, List.of()));
+    /** The node says that it leads with that token. */
+    void leads(long token) {
+        if (token > leads) {
+            leads = token;
+            if (keptForAll) {
+                bringKept(List.copyOf(nodes.values()));
             }
         }
-        return all;
     }
 
-    /** A task starts, against the rule that all jobs before it are done. */
-    void starts(String id) {
-        if (longCancelled(id)) {
-            broken.add("ran cancelled: " + id + " starts");
-        }
-        for (String n : before(id)) {
-            JobSpec s = specs.get(n);
-            int done = completed.getOrDefault(n, Set.of()).size();
-            // The tasks of a gang complete together.
-            if (s == null || (s.gang() ? done == 0 : done < s.tasks())) {
-                broken.add("too early: " + id + " starts before " + n + " is done");
+    /** A worker was answered with that token. */
+    void acts(String node, long token) {
+        if (token > acts) {
+            acts = token;
+            if (!keptForAll && nodes.get(node) != null) {
+                bringKept(List.of(nodes.get(node)));
             }
         }
     }
 
+    private void bringKept(List<Node> to) {
+        List<Report> copies = List.copyOf(kept);
+        kept.clear();
+        after(keptAfterS, () -> copies.forEach(r -> to.stream().filter(n -> n.alive).forEach(n -> {
+            keptBrought++;
+            n.deliver(() -> n.controller.heartbeat(r, c -> { }));
+        })));
+    }
+
     public String status(Node n, String id) {
         Registry.Answer a = ask(n, id);
         return a.verdict() == Registry.Verdict.KNOWN ? a.state().status() : a.verdict().toString();
--- a/src/test/java/io/kitepath/core/CancellationGapTest.java
+++ b/src/test/java/io/kitepath/core/CancellationGapTest.java
@@ -291,6 +291,7 @@
             w.store.refusePage = n -> {
                 if (n == from && once[0]) {
                     once[0] = false;
+                    w.rules.asksToCancel("j-1");
                     w.after(0, () -> sibling.controller.registry().cancel("j-1", a -> { }));
                     w.after(0.008, () -> w.store.outage(60));
                 }
@@ -457,6 +458,7 @@
             assertFalse(next.controller.keeper.loaded());
             Node holder = next;
             Node sibling = w.nodes.values().stream().filter(n -> n != holder && n.alive).findFirst().orElseThrow();
+            w.rules.asksToCancel("j-1");
             sibling.controller.registry().cancel("j-1", a -> { });
             w.run(0.02);
             w.ask(sibling, "j-1");
--- a/src/test/java/io/kitepath/peers/VersionsTest.java
+++ b/src/test/java/io/kitepath/peers/VersionsTest.java
@@ -122,6 +122,7 @@
         w.specs.put("j-6", JobRecord.of("j-6", record(Keys.OPEN + "j-6").value()).spec());
         w.specs.put("j-2", World.job("j-2", JobSpec.Shape.ARRAY, 3, 1));
         w.completed.put("j-2", java.util.Set.of(0, 1, 2)); // Under production.
+        w.rules.asksToCancel("j-5"); // So was this.
         w.run(20);
         assertEquals(running, w.onMachines("j-1"));
         assertEquals("done", w.status(n, "j-2"));
