--- a/src/test/java/io/kitepath/standin/RulesTest.java
+++ b/src/test/java/io/kitepath/standin/RulesTest.java
@@ -8,6 +8,7 @@
 import io.kitepath.core.model.JobSpec.Shape;
 import io.kitepath.core.model.Order;
 import io.kitepath.core.model.JobState;
+import io.kitepath.core.model.Report.State;
 import io.kitepath.core.serve.Registry;
 import io.kitepath.core.state.Keys;
 import java.util.List;
@@ -93,7 +94,7 @@
         assertEquals(List.of(), w.broken);
         assertTrue(w.rules.hungWithCancelled() > 0);
         // As if its lease were none.
-        w.after(2.904, () -> x.tasks.put(t.key(), t));
+        w.after(2.904, () -> x.tasks.put(t.key(), new Task(x, t.job, t.number, t.attempt, State.RUNNING)));
         w.run(6);
         finds("ran cancelled: " + t.key());
     }
