A round whose answer was lost is settled by one record, not by reading all jobs again

The same transaction again is refused by its own first try; the holder then read everything anew, as after an unknown change, and placed nothing meanwhile. Now a record that only this round writes says whether it was carried out.

--- /dev/null
+++ b/src/main/java/io/kitepath/core/state/Round.java
@@ -0,0 +1,65 @@
+package io.kitepath.core.state;
+
+import io.kitepath.core.block.Job;
+import io.kitepath.core.model.Tree;
+import io.kitepath.core.port.Store.Entry;
+import io.kitepath.core.port.Store.Transaction;
+import io.kitepath.core.state.Keeper.Rider;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** One transaction of the holder's, and what in memory follows from it once the store has it. */
+final class Round {
+    record Written(Job.Part part, int version, boolean removed) {}
+
+    /** What a record says about whether its round was carried out. */
+    private enum Sign { CHANGED, SAYS_DONE, GONE }
+
+    /**
+     * A record that this round writes and that nobody else does under the same revision of the block.
+     *
+     * @param before its revision before, 0 if there was none
+     */
+    record Witness(String key, long before, Sign sign) {
+        /** Whether the round was carried out; {@code now}: null if there is no such record. */
+        boolean shows(Entry now) {
+            return switch (sign) {
+                case CHANGED -> now != null && now.revision() != before;
+                // A user's cancellation may have been written in its place.
+                case SAYS_DONE -> now != null && Tree.of(now.value()).text("status").equals("done");
+                case GONE -> now == null;
+            };
+        }
+    }
+
+    final Transaction transaction = new Transaction();
+    final List<Written> parts = new ArrayList<>();
+    final List<Job> finishing = new ArrayList<>();
+    final List<Job> cancelling = new ArrayList<>();
+    final Set<Job.Part> taken = new HashSet<>();
+    final Set<Job> conditioned = new HashSet<>();
+    final List<Rider> riders = new ArrayList<>();
+    Relayout relaid;
+    boolean unsure;
+    int bytes;
+
+    /** Null if all that it writes may have been written by others. */
+    Witness witness() {
+        for (Written w : parts) {
+            if (!w.removed) {
+                return new Witness(key(w), w.part.revision(), Sign.CHANGED);
+            }
+        }
+        if (!finishing.isEmpty()) {
+            return new Witness(Keys.OVER + finishing.get(0).spec.id(), 0, Sign.SAYS_DONE);
+        }
+        // What is gone has no revision, which riders have to be told.
+        return parts.isEmpty() || !riders.isEmpty() ? null : new Witness(key(parts.get(0)), parts.get(0).part.revision(), Sign.GONE);
+    }
+
+    private static String key(Written w) {
+        return Keys.part(w.part.job.spec.id(), w.part.index);
+    }
+}
--- a/src/main/java/io/kitepath/core/state/Rounds.java
+++ b/src/main/java/io/kitepath/core/state/Rounds.java
@@ -9,16 +9,15 @@
 import io.kitepath.core.model.Json;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.Committed;
+import io.kitepath.core.port.Store.Outcome;
 import io.kitepath.core.port.Store.Transaction;
 import io.kitepath.core.port.Timers;
 import io.kitepath.core.state.Keeper.Rider;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -59,21 +58,6 @@
     private long invalid;
     private long oversize;
 
-    private record Written(Job.Part part, int version, boolean removed) {}
-
-    private static final class Round {
-        final Transaction transaction = new Transaction();
-        final List<Written> parts = new ArrayList<>();
-        final List<Job> finishing = new ArrayList<>();
-        final List<Job> cancelling = new ArrayList<>();
-        final Set<Job.Part> taken = new HashSet<>();
-        final Set<Job> conditioned = new HashSet<>();
-        final List<Rider> riders = new ArrayList<>();
-        Relayout relaid;
-        boolean unsure;
-        int bytes;
-    }
-
     Rounds(Store store, Timers timers, Block block, ImageRecords images, Keeper.Listener listener) {
         this.facts = block.facts();
         this.store = store;
@@ -316,7 +300,7 @@
             r.bytes += Json.size(record) + RECORD_BYTES;
             r.transaction.put(key, record);
         }
-        r.parts.add(new Written(p, job.version(), remove));
+        r.parts.add(new Round.Written(p, job.version(), remove));
     }
 
     private void send(long e, Runnable done) {
@@ -327,7 +311,7 @@
             }
             switch (c.outcome()) {
                 case OK -> committed(r, c.revision(), done);
-                case NO -> refused(r, c);
+                case NO -> refused(r, c, done);
                 case INVALID -> invalid(r);
                 case REFUSED -> timers.after(0.2, () -> resend(e, r, done));
                 default -> {
@@ -350,8 +334,8 @@
         round = null;
         mostWrites = Math.min(Math.min(facts.store().txnOps(), refusedWrites - 1), mostWrites + 1);
         r.riders.forEach(x -> x.written(revision));
-        for (Written w : r.parts) {
-            block.recorded(w.part, w.version, w.removed ? 0 : revision);
+        for (Round.Written w : r.parts) {
+            block.recorded(w.part(), w.version(), w.removed() ? 0 : revision);
         }
         for (Job job : r.finishing) {
             LOG.info("job {} done: {}", job.spec.id(), job.took(timers.now(), timers.wallMs()));
@@ -375,7 +359,7 @@
     /** None of it was written; all of it waits again. */
     private void putBack(Round r) {
         round = null;
-        r.parts.forEach(w -> block.unwritten().queue(w.part));
+        r.parts.forEach(w -> block.unwritten().queue(w.part()));
         for (int i = r.riders.size() - 1; i >= 0; i--) {
             Rider rider = r.riders.get(i);
             (rider.urgent() ? riders : patient).addFirst(rider);
@@ -416,16 +400,46 @@
         return w.value() == null ? 0 : Json.size(w.value());
     }
 
-    private void refused(Round r, Committed c) {
-        putBack(r);
+    private void refused(Round r, Committed c, Runnable done) {
         if (c.failed().contains(blockKey)) {
+            putBack(r);
             listener.blockLost();
-            return;
+        } else if (r.unsure) {
+            settle(epoch, r, c, done);
+        } else {
+            notWritten(r, c);
         }
-        if (r.unsure) {
+    }
+
+    /**
+     * An earlier try may have been carried out: whether it was shows where nobody else writes. Guards against a holder
+     * that reads all jobs again for each answer that gets lost, and does nothing else meanwhile.
+     */
+    private void settle(long e, Round r, Committed c, Runnable done) {
+        Round.Witness witness = r.witness();
+        if (witness == null) {
+            putBack(r);
             listener.outOfStep("an earlier try of this write may have been executed");
             return;
         }
+        store.get(witness.key(), (outcome, entry) -> {
+            if (e != epoch || round != r) {
+                return;
+            }
+            boolean known = outcome == Outcome.OK || outcome == Outcome.NO;
+            if (known && witness.shows(entry)) {
+                committed(r, entry == null ? 0 : entry.revision(), done);
+            } else if (known) {
+                // Nor can it be any more: a revision that was passed never comes back.
+                notWritten(r, c);
+            } else {
+                timers.after(0.2, () -> settle(e, r, c, done));
+            }
+        });
+    }
+
+    private void notWritten(Round r, Committed c) {
+        putBack(r);
         for (String key : c.failed()) {
             if (!key.startsWith(Keys.OPEN)) {
                 listener.outOfStep("unexpected revision of " + key);
