--- a/src/main/java/io/kitepath/standin/Users.java
+++ b/src/main/java/io/kitepath/standin/Users.java
@@ -55,8 +55,12 @@
     /** Hands it in there once more. */
     public void repeat(Node n, String id) {
         double at = w.clock.now;
-        n.deliver(() -> n.controller.registry().submit(w.specs.get(id), w.needs.getOrDefault(id, List.of()),
-                a -> hears(id, a, at, INSIST_S)));
+        n.deliver(() -> n.controller.registry().submit(w.specs.get(id), w.needs.getOrDefault(id, List.of()), a -> {
+            if (w.clock.now - at <= INSIST_S && (a.verdict() == Verdict.CREATED || a.verdict() == Verdict.KNOWN)) {
+                w.rules.accepted(id);
+            }
+            hears(id, a, at, INSIST_S);
+        }));
     }
 
     /** Calls it off there, and elsewhere for as long as users repeat that. */
