--- /dev/null
+++ b/src/test/java/io/kitepath/core/QuestionRateTest.java
@@ -0,0 +1,57 @@
+package io.kitepath.core;
+
+import static io.kitepath.core.MeetingsTest.other;
+import static io.kitepath.standin.World.job;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.serve.Registry.Verdict;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.World;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** More questions than a node's part of the store's rate allows, while the holder can't be asked. */
+class QuestionRateTest {
+    /**
+     * A node that reaches the store but not the holder is asked about many jobs that it never heard of, more often than
+     * its part of the store's rate allows: each of them gets its answer before it counts as forgotten.
+     */
+    @Test
+    void questionsBeyondTheRateDoNotKeepOthersFromTheirAnswers() {
+        for (double rps : new double[] {60, 120}) {
+            World w = new World();
+            w.rps = rps;
+            w.reportS = 2;
+            w.siblings.addAll(List.of("k0", "k1", "k2"));
+            w.siblings.forEach(w::node);
+            for (int i = 0; i < 4; i++) {
+                w.worker("i-" + i, i % 2 == 0 ? "a" : "b");
+            }
+            w.run(12);
+            w.runsFor = id -> 500;
+            Node holder = w.leader();
+            Node apart = other(w, holder);
+            w.siblings.forEach(apart.cutFrom::add);
+            List<String> jobs = IntStream.range(10, 30).mapToObj(i -> "j-" + i).toList();
+            jobs.forEach(id -> w.submit(holder, job(id, Shape.ARRAY, 1, 0.5)));
+            w.run(5);
+            List<String> open = new ArrayList<>(jobs);
+            double began = w.clock.now;
+            int asked = 0;
+            while (!open.isEmpty() && w.clock.now - began < 75) {
+                String id = jobs.get(asked++ % jobs.size());
+                apart.controller.registry().status(id, a -> {
+                    if (a.verdict() == Verdict.KNOWN) {
+                        open.remove(id);
+                    }
+                });
+                w.run(0.04);
+            }
+            assertEquals(List.of(), open, "rate " + rps);
+            assertEquals(List.of(), w.broken, "rate " + rps);
+        }
+    }
+}
