Answers on their way give in to what was heard meanwhile; reading how far jobs are has its own rate

An answer that a node had on its way could say running after the node had heard that the job is cancelled, and 404 after the same node had told that it is accepted. And while the holder can't be asked, comparing took every request of the node's part of the rate, so that jobs it had not heard of before were told to come back for ever.

--- a/src/main/java/io/kitepath/core/serve/Questions.java
+++ b/src/main/java/io/kitepath/core/serve/Questions.java
@@ -37,7 +37,9 @@
  */
 public final class Questions {
     /** Of the state service's requests, what all nodes together spend on comparing. */
-    private static final double RATE_SHARE = 0.2;
+    private static final double RATE_SHARE = 0.15;
+    /** And on reading how far jobs are that the holder says nothing of. */
+    private static final double READ_SHARE = 0.05;
     /** How long the first question waits for others. */
     private static final double GATHER_S = 0.01;
     private static final int MAX_TRIES = 3;
@@ -56,6 +58,11 @@
     /** Reads how a job that is over ended, which happens once on each node. */
     private final BiConsumer<String, Consumer<Answer>> over;
     private final Bucket requests;
+    /**
+     * Guards against jobs that are never answered as their reading waits for what comparing leaves: it takes all there
+     * is as long as questions come faster than that.
+     */
+    private final Bucket reads;
     /** Jobs in one comparison. */
     private int most;
     private final int mostWaiting;
@@ -76,7 +83,9 @@
         this.timers = timers;
         this.holder = holder;
         this.over = over;
-        this.requests = new Bucket(facts.store().rps() * RATE_SHARE / (facts.siblings().size() + 1));
+        int nodes = facts.siblings().size() + 1;
+        this.requests = new Bucket(facts.store().rps() * RATE_SHARE / nodes);
+        this.reads = new Bucket(Math.max(1, facts.store().rps() * READ_SHARE / nodes));
         // A transaction takes four conditions for each change that it may hold, and a job needs two.
         this.most = 2 * facts.store().txnOps();
         this.mostWaiting = facts.limits().sockets();
@@ -96,6 +105,11 @@
         }
     }
 
+    /** Whether the job was accepted, as far as this node has heard. */
+    boolean heardOf(String id) {
+        return lately.getIfPresent(id) != null;
+    }
+
     void ask(String id, Consumer<Answer> answer) {
         if (waitingCount >= mostWaiting) {
             answer.accept(Answer.LATER);
@@ -226,7 +240,7 @@
                     + "; the figures are from before") : p));
         } else if (free.getIfPresent(id) != null) {
             fromRecords(batch, id);
-        } else if (!requests.take(1, timers.now())) {
+        } else if (!reads.take(1, timers.now())) {
             tell(batch, id, Answer.LATER);
         } else {
             store.get(Keys.OPEN + id, (outcome, entry) -> {
@@ -252,7 +266,7 @@
 
     /** The holder can't be asked or does not know the job, and nothing was heard of it here before. */
     private void fromRecords(Map<String, List<Consumer<Answer>>> batch, String id) {
-        if (!requests.take(1, timers.now())) {
+        if (!reads.take(1, timers.now())) {
             tell(batch, id, Answer.LATER);
             return;
         }
--- a/src/main/java/io/kitepath/core/serve/Registry.java
+++ b/src/main/java/io/kitepath/core/serve/Registry.java
@@ -166,7 +166,7 @@
                     }
                     questions.accepted(id, needs.isEmpty());
                     dependencies.accepted(id, spec.shape());
-                    answer.accept(new Answer(Verdict.CREATED, new JobState(id, "pending", 0, 0)));
+                    answer.accept(newest(id, new Answer(Verdict.CREATED, new JobState(id, "pending", 0, 0))));
                 }
                 case NO -> status(id, answer);
                 case INVALID -> known(id, new Answer(Verdict.INVALID, null, "can't be kept as it is"), answer);
@@ -178,10 +178,22 @@
     @Override
     public void status(String id, Consumer<Answer> answer) {
         if (!answeredAtOnce(id, answer)) {
-            questions.ask(id, answer);
+            questions.ask(id, a -> answer.accept(newest(id, a)));
         }
     }
 
+    /**
+     * Guards against an answer that was on its way while this node said, or heard, something newer: that a job is over
+     * goes out to users at once, and that it was accepted when the store says so.
+     */
+    private Answer newest(String id, Answer a) {
+        JobState known = over.getIfPresent(id);
+        if (known != null) {
+            return new Answer(a.verdict() == Verdict.CREATED ? Verdict.CREATED : Verdict.KNOWN, known);
+        }
+        return a.verdict() == Verdict.NOT_FOUND && questions.heardOf(id) ? Answer.LATER : a;
+    }
+
     private void readOver(String id, Consumer<Answer> answer) {
         store.get(Keys.OVER + id, (outcome, entry) -> {
             if (outcome == Outcome.OK) {
