--- a/src/main/java/io/kitepath/core/lead/Leadership.java
+++ b/src/main/java/io/kitepath/core/lead/Leadership.java
@@ -47,6 +47,8 @@
     private long lease;
     private long revision;
     private double renewedAt;
+    /** The last renewal was refused or got no answer. */
+    private boolean doubted;
     /** Who leads by the last that we heard, or null. */
     private String leader;
     private long highest;
@@ -110,6 +112,16 @@
         return timers.now() - renewedAt < lifeS * (1 - DRIFT);
     }
 
+    /**
+     * Whether launches may go: our lease holds, and the store served its last renewal. Guards against launches of what
+     * others have just confirmed as cancelled, by a leader that the store refuses alone and that may not hear the
+     * others either: it knows so a fifth of its lease after, not at the end of it. What waits is launched by the answer
+     * to a later report.
+     */
+    public boolean mayLaunch() {
+        return inTouch() && !doubted;
+    }
+
     /** A worker or sibling has seen a higher token than ours: somebody else leads. */
     public void outbid(long seen, String by) {
         if (seen > highest) {
@@ -282,6 +294,7 @@
                 highest = Math.max(highest, next);
                 revision = c.revision();
                 renewedAt = asked;
+                doubted = false;
                 leader = facts.node();
                 LOG.info("leader with token {} on lease {}", next, id);
                 listener.won(next, id, revision);
@@ -305,6 +318,7 @@
                 if (!leading || lease != id) {
                     return;
                 }
+                doubted = outcome != Outcome.OK;
                 if (outcome == Outcome.OK) {
                     served();
                     renewedAt = asked;
--- a/src/main/java/io/kitepath/core/serve/HeartbeatDesk.java
+++ b/src/main/java/io/kitepath/core/serve/HeartbeatDesk.java
@@ -225,7 +225,7 @@
         }
         List<Order> orders = new ArrayList<>(heartbeats.heartbeat(report, keeper.loaded(), keeper::mayRun,
                 timers.now()));
-        orders.addAll(heartbeats.commands(report.machine(), leadership.inTouch(), timers.now()));
+        orders.addAll(heartbeats.commands(report.machine(), leadership.mayLaunch(), timers.now()));
         if (block.changed()) {
             changed.run();
         }
@@ -237,7 +237,7 @@
         release(machine);
         HeartbeatAnswer now = answer(report);
         boolean idle = now.token() > 0 && now.orders().stream().allMatch(o -> o.verb() == Order.Verb.FORGET);
-        double patience = idle && keeper.loaded() && leadership.inTouch() ? heartbeats.patience(machine) : 0;
+        double patience = idle && keeper.loaded() && leadership.mayLaunch() ? heartbeats.patience(machine) : 0;
         if (patience == 0) {
             answer.accept(now);
             return;
@@ -263,7 +263,7 @@
             return true;
         }
         List<Order> orders = new ArrayList<>(h.orders);
-        orders.addAll(heartbeats.commands(machine, leadership.inTouch(), timers.now()));
+        orders.addAll(heartbeats.commands(machine, leadership.mayLaunch(), timers.now()));
         h.answer.accept(new HeartbeatAnswer(h.token, orders, null));
         return true;
     }
