--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -43,6 +43,8 @@
     private long due;
     private double sentAt = Double.NEGATIVE_INFINITY;
     private boolean inFlight;
+    /** Something changed since the report in flight was sent: the next one does not wait for its turn. */
+    private boolean changedSince;
     private String node;
     /** Gives up the report that waits for its answer. */
     private Runnable givenUp = () -> { };
@@ -102,6 +104,7 @@
 
     /** A task ended: said at once, but at most every half second. */
     private void changed() {
+        changedSince |= inFlight;
         if (w.reportsChanges && !inFlight) {
             reportIn(Math.max(0.001, sentAt + 0.5 - w.clock.now));
         }
@@ -139,6 +142,7 @@
             return;
         }
         inFlight = true;
+        changedSince = false;
         sentAt = w.clock.now;
         expire();
         String to = target();
@@ -206,7 +210,11 @@
         if (c.token() < token) {
             w.dropped++;
         }
-        reportIn(Math.max(0.5, w.reportS - (w.clock.now - sent)));
+        if (changedSince && w.reportsChanges) {
+            changed();
+        } else {
+            reportIn(Math.max(0.5, w.reportS - (w.clock.now - sent)));
+        }
     }
 
     public void execute(Order o) {
