Machines deaf since before a holder began are known to be, and given back

A machine that hears no answer never shows the new holder's token, so nothing of what the holder before left on it could be proven over: the limits of those teams stayed taken for as long as it was deaf, and its room counted as usable.

--- a/src/main/java/io/kitepath/core/block/Block.java
+++ b/src/main/java/io/kitepath/core/block/Block.java
@@ -194,7 +194,7 @@
     /** From now on this token is ours; every machine has to report with it before it gets work. */
     public void hold(long newToken) {
         token = newToken;
-        machines.values().forEach(m -> m.proven = false);
+        machines.values().forEach(Machine::unproven);
     }
 
     /** Held by somebody else: what this node knew may be wrong from now on. */
--- a/src/main/java/io/kitepath/core/block/Machine.java
+++ b/src/main/java/io/kitepath/core/block/Machine.java
@@ -46,6 +46,8 @@
     private int lostInVain;
     /** Since when it is known to report without hearing what it is answered; NaN while it is not. */
     private double deafSince = Double.NaN;
+    /** Since when it has been answered with our token and has not shown it; NaN once it has, or before. */
+    private double unheardSince = Double.NaN;
     /** NaN, or when the cloud takes the machine away. */
     double takenAt = Double.NaN;
     boolean releasing;
@@ -285,6 +287,16 @@
         if (ours && Double.isNaN(provenAt)) {
             provenAt = now;
         }
+        if (ours) {
+            deafSince = deafSince == unheardSince ? Double.NaN : deafSince;
+            unheardSince = Double.NaN;
+        } else if (Double.isNaN(unheardSince)) {
+            unheardSince = now;
+        } else if (now - unheardSince > HEARS_AGAIN * leaseS) {
+            // Guards against a limit that stays taken for as long as no answer gets through: deaf since before this
+            // holder began, it never shows the token that would prove what is on it.
+            deaf(unheardSince);
+        }
     }
 
     /** A report came that was not answered: it is there, and may lose its session for want of answers. */
@@ -292,9 +304,16 @@
         if (reported()) {
             lastReport = now;
             provenAt = Double.NaN;
+            unheardSince = Double.NaN;
         }
     }
 
+    /** Another token is ours: nothing is proven until a report shows it. */
+    void unproven() {
+        proven = false;
+        unheardSince = Double.NaN;
+    }
+
     /** What it was told does not reach it. */
     void deaf(double now) {
         if (!deafToAnswers()) {
--- a/src/main/java/io/kitepath/core/fleet/Returns.java
+++ b/src/main/java/io/kitepath/core/fleet/Returns.java
@@ -43,6 +43,7 @@
         double silence = presence.silenceS();
         int up = 0;
         int silent = 0;
+        int unheard = 0;
         Set<Machine> mute = new HashSet<>();
         for (Machine m : block.machines().values()) {
             if (m.reported() || !m.attempts().isEmpty()) {
@@ -52,6 +53,7 @@
                     silent++;
                     mute.add(m);
                 }
+                unheard += deafForLong(m, now) && !m.proven() ? 1 : 0;
             }
         }
         // Guards against a holder that is cut off from workers itself: if several fall silent together, the fault is
@@ -79,8 +81,12 @@
                     market.refused(m.kind(), now); // Where boots fail, others come first.
                 }
             } else if (m.proven() && !m.busy() && !m.awaitsRecords()) {
-                give |= m.setAside() || m.deafS(now) > DEAF_LEASES * lease;
+                give |= m.setAside() || deafForLong(m, now);
                 give |= surplus && now - m.neededAt() > t.bootS() && (m.draining() || idleTooLong(m, t, now));
+            } else if (!m.proven() && deafForLong(m, now)) {
+                // What an earlier holder left on it can't be proven over by a report. Not if it is most of them: then it
+                // is hardly they who hear nothing.
+                give |= unheard * 2 <= up;
             }
             if (surplus && (give || m.draining())) {
                 spare -= t.cpus();
@@ -98,6 +104,10 @@
         return out;
     }
 
+    private boolean deafForLong(Machine m, double now) {
+        return m.deafS(now) > DEAF_LEASES * facts.workers().leaseS();
+    }
+
     /**
      * Guards against ordinary machines kept rented for minutes by a few small tasks that could run on spot ones: where
      * those have room, the tasks are moved there, if what they lose costs less than the machine until they end, and
