--- a/src/main/java/io/kitepath/core/block/Heartbeats.java
+++ b/src/main/java/io/kitepath/core/block/Heartbeats.java
@@ -54,7 +54,7 @@
             return List.of();
         }
         Machine m = block.machine(r.machine(), now);
-        if (r.session() < m.session || r.session() == m.session && r.sequence() <= m.sequence) {
+        if (!r.newerThan(m.session, m.sequence)) {
             return List.of(); // Late: a newer report has been read already.
         }
         m.heard(r.session(), loaded && r.token() == block.token(), now, block.facts().workers().leaseS());
@@ -96,13 +96,19 @@
         return orders;
     }
 
+    /** Whether it is newer than all that was read of its machine, so that the worker may wait for what it is answered. */
+    public boolean news(Report r) {
+        Machine m = block.machines().get(r.machine());
+        return m == null || r.newerThan(m.session, m.sequence);
+    }
+
     /**
      * A report that this holder may not answer: the machine is there, and that is all that is taken from it. Guards
      * against a holder that gives back its whole fleet as silent, once the store is back, since it answered nobody.
      */
     public void unanswered(Report r, double now) {
         Machine m = block.machines().get(r.machine());
-        if (m != null && r.session() >= m.session && (r.session() > m.session || r.sequence() > m.sequence)) {
+        if (m != null && r.newerThan(m.session, m.sequence)) {
             m.unanswered(now);
         }
     }
--- a/src/main/java/io/kitepath/core/model/Report.java
+++ b/src/main/java/io/kitepath/core/model/Report.java
@@ -9,6 +9,11 @@
     /** A task on the machine; {@code cause} is null unless it ended. */
     public record TaskReport(String job, int task, long attempt, State state, Cause cause) {}
 
+    /** Whether it was sent after the one of its machine that had these. */
+    public boolean newerThan(long otherSession, long otherSequence) {
+        return session > otherSession || session == otherSession && sequence > otherSequence;
+    }
+
     public enum State { FETCHING, WAITING, RUNNING, SAVING, ENDED }
 
     public enum Cause { DONE, STOPPED, PEERS, ALONE, ERROR, NO_ROOM, BUSY, UNKNOWN }
--- a/src/main/java/io/kitepath/core/serve/HeartbeatDesk.java
+++ b/src/main/java/io/kitepath/core/serve/HeartbeatDesk.java
@@ -184,6 +184,12 @@
             answer.accept(HeartbeatAnswer.elsewhere(null));
             return null;
         }
+        Parked waits = parked.get(report.machine());
+        if (waits != null && !report.newerThan(waits.report.session(), waits.report.sequence())) {
+            // Guards against a copy of an older report that sends the worker away whose report waits here.
+            answer.accept(HeartbeatAnswer.elsewhere(null));
+            return null;
+        }
         Parked p = new Parked(report, asked, leadership.highest(), answer);
         Parked older = parked.put(report.machine(), p);
         if (older != null) {
@@ -223,9 +229,13 @@
             heartbeats.unanswered(report, timers.now());
             return HeartbeatAnswer.elsewhere(leadership.leading() ? null : leadership.leader());
         }
+        boolean news = heartbeats.news(report);
         List<Order> orders = new ArrayList<>(heartbeats.heartbeat(report, keeper.loaded(), keeper::mayRun,
                 timers.now()));
-        orders.addAll(heartbeats.commands(report.machine(), leadership.mayLaunch(), timers.now()));
+        if (news) {
+            // Nothing is launched into the answer to a late copy, which nobody hears.
+            orders.addAll(heartbeats.commands(report.machine(), leadership.mayLaunch(), timers.now()));
+        }
         if (block.changed()) {
             changed.run();
         }
@@ -234,6 +244,11 @@
 
     private void answer(Report report, Consumer<HeartbeatAnswer> answer) {
         String machine = report.machine();
+        if (!heartbeats.news(report)) {
+            // Guards against a late copy that takes the place of the report whose answer is held.
+            answer.accept(answer(report));
+            return;
+        }
         release(machine);
         HeartbeatAnswer now = answer(report);
         boolean idle = now.token() > 0 && now.orders().stream().allMatch(o -> o.verb() == Order.Verb.FORGET);
