--- /dev/null
+++ b/src/test/java/io/kitepath/core/LostAnswersTest.java
@@ -0,0 +1,232 @@
+package io.kitepath.core;
+
+import static io.kitepath.core.MeetingsTest.sessions;
+import static io.kitepath.standin.World.job;
+import static io.kitepath.standin.Worlds.settled;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.port.Store.Transaction;
+import io.kitepath.core.port.Store.Write;
+import io.kitepath.core.serve.Registry;
+import io.kitepath.core.serve.Registry.Verdict;
+import io.kitepath.core.state.Keys;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.World;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A transaction is carried out at once and only its answer is lost, while other nodes read what it wrote and tell users.
+ * Whoever wrote comes to the same end as those who read: a repeat finds its own write and does not take it for another's,
+ * nobody stands back for it, and nothing that a user has been told is undone.
+ */
+class LostAnswersTest {
+    /** How long after the lost answer a leader ends, and from when on the store is out, in seconds. */
+    private static final double[] ENDS = {0.1, 0.5, 2};
+    private static final double[] OUT = {0.01, 0.8, 1.6};
+
+    /** One of them for each write, in turns; all with -Dkitepath.lost.all=true. */
+    private static double[] every(double[] delays, int write) {
+        return Boolean.getBoolean("kitepath.lost.all") ? delays : new double[] {delays[write % delays.length]};
+    }
+
+    /** Loses the answers of one write of a day, and of as many as follow to the same keys. */
+    private static final class Loss {
+        final int which;
+        final int times;
+        /** What happens in the moment of the first, if anything. */
+        final Runnable then;
+        int count;
+        int lost;
+        Set<String> keys;
+
+        Loss(World w, int which, int times, Runnable then) {
+            this.which = which;
+            this.times = times;
+            this.then = then;
+            w.store.unheard = this::test;
+        }
+
+        private boolean test(Transaction t) {
+            if (t.writes().isEmpty()) {
+                return false;
+            }
+            Set<String> its = t.writes().stream().map(Write::key).collect(Collectors.toSet());
+            boolean first = count++ == which;
+            if (first) {
+                keys = its;
+                then.run();
+            }
+            if (first || lost > 0 && lost < times && its.equals(keys)) {
+                lost++;
+                return true;
+            }
+            return false;
+        }
+
+        boolean wrote(String prefix) {
+            return keys.stream().anyMatch(k -> k.startsWith(prefix));
+        }
+    }
+
+    private static Node leading(World w) {
+        return w.nodes.values().stream().filter(n -> n.alive && n.controller.leadership.leading()).findFirst().orElse(null);
+    }
+
+    static void ends(World w, double backS) {
+        Node n = leading(w);
+        if (n != null) {
+            n.kill();
+            w.after(backS, () -> w.node(n.name));
+        }
+    }
+
+    /** A user repeats it, at one node after the other, until it is answered. */
+    static void handIn(World w, int at, JobSpec s, String... needs) {
+        for (int i = 0; i < 12; i++) {
+            Registry.Answer a = w.submit(w.nodes.get("k" + (at + i) % 3), s, needs);
+            if (a != null && (a.verdict() == Verdict.CREATED || a.verdict() == Verdict.KNOWN)) {
+                return;
+            }
+            w.run(1.2);
+        }
+    }
+
+    /** A day in which everybody who writes anything writes something; leaders change in it if {@code handOver} says so. */
+    private static void day(World w, boolean handOver) {
+        w.closeLooks = true;
+        w.cloud.capacity = 4;
+        w.runsFor = id -> 5;
+        handIn(w, 0, job("j-1", Shape.ARRAY, 6, 2));
+        handIn(w, 1, job("j-2", Shape.GANG, 4, 2));
+        handIn(w, 2, job("j-3", Shape.ARRAY, 2, 1), "j-1");
+        handIn(w, 0, job("j-4", Shape.ARRAY, 2, 1), "j-2");
+        w.run(1);
+        w.users.cancel(w.nodes.get("k1"), "j-2");
+        w.run(1);
+        if (handOver) {
+            Node n = leading(w);
+            if (n != null) {
+                n.controller.stop();
+                w.after(0.2, n::kill);
+                w.after(0.6, () -> w.node(n.name));
+            }
+            w.run(1);
+            ends(w, 0.3);
+        }
+        handIn(w, 1, job("j-5", Shape.ARRAY, 24, 4));
+        w.run(3);
+        w.users.cancel(w.nodes.get("k2"), "j-1");
+        w.run(16);
+    }
+
+    private static final List<String> JOBS = List.of("j-1", "j-2", "j-3", "j-4", "j-5");
+
+    /** All nodes say the same of each job, the records are struck off, and the holder knows all that is rented. */
+    private static void oneEnd(World w, String at) {
+        w.rules.calm();
+        w.run(100);
+        Node leader = w.leader();
+        for (String id : JOBS) {
+            Set<String> said = w.nodes.values().stream().map(n -> w.status(n, id)).collect(Collectors.toSet());
+            assertEquals(1, said.size(), at + ": " + id + " is " + said);
+            assertTrue(said.contains("done") || said.contains("cancelled"), at + ": " + id + " is " + said);
+        }
+        assertEquals("done", w.status(leader, "j-5"), at);
+        for (String prefix : List.of(Keys.OPEN, Keys.PART, Keys.ACT)) {
+            assertEquals(List.of(), w.store.keys.keySet().stream().filter(k -> k.startsWith(prefix)).toList(), at);
+        }
+        assertTrue(leader.controller.block.machines().keySet().containsAll(w.cloud.machines.keySet()), at);
+        assertTrue(leader.controller.block.machines().values().stream().noneMatch(m -> m.deafToAnswers()), at);
+        assertEquals(List.of(), w.broken, at);
+    }
+
+    private static int writesOfADay(boolean handOver) {
+        World w = settled(3, 4);
+        Loss none = new Loss(w, -1, 0, () -> { });
+        day(w, handOver);
+        oneEnd(w, "no loss");
+        return none.count;
+    }
+
+    private static void seen(Map<String, Integer> kinds, Set<String> keys) {
+        keys.forEach(k -> kinds.merge(k.replaceAll("[0-9]+.*", ""), 1, Integer::sum));
+    }
+
+    @Test
+    void eachWriteOfADayMayGoUnheardOnceAndAgain() {
+        Map<String, Integer> kinds = new TreeMap<>();
+        int days = 0;
+        int repeated = 0;
+        int all = writesOfADay(false);
+        for (int times = 1; times <= 2; times++) {
+            for (int i = 0; i < all; i++) {
+                World w = settled(3, 4);
+                long token = w.store.token();
+                Loss loss = new Loss(w, i, times, () -> { });
+                day(w, false);
+                String at = "write " + i + " unheard " + times + " times";
+                oneEnd(w, at);
+                assertTrue(loss.lost > 0, at);
+                // Nobody takes it for another's and stands back, and no work is lost over it.
+                assertEquals(token, w.store.token(), at);
+                assertEquals(w.workers.size(), sessions(w), at);
+                seen(kinds, loss.keys);
+                repeated += loss.lost > 1 ? 1 : 0;
+                days++;
+            }
+        }
+        System.out.println("unheard: " + days + " days, " + repeated + " repeated, keys " + kinds);
+        assertTrue(kinds.keySet().containsAll(List.of("jobs/open/j-", "jobs/over/j-", "jobs/part/j-",
+                "kitepath/act/rent/r-", "kitepath/act/going/", "kitepath/images/", "kitepath/served")), kinds.toString());
+        assertTrue(repeated > days / 4, "repeated " + repeated);
+    }
+
+    /** Its writer ends right after, or a moment later, and whoever follows goes by what is there. Claims are among them. */
+    @Test
+    void aLeaderEndsAfterAWriteThatItHeardNothingOf() {
+        Map<String, Integer> kinds = new TreeMap<>();
+        int all = writesOfADay(true);
+        for (int i = 0; i < all; i++) {
+            for (double after : every(ENDS, i)) {
+                World w = settled(3, 4);
+                Loss loss = new Loss(w, i, 1 + i % 2, () -> w.after(after, () -> ends(w, 0.3)));
+                day(w, true);
+                String at = "write " + i + " unheard, leader ends after " + after;
+                oneEnd(w, at);
+                assertTrue(loss.lost > 0, at);
+                seen(kinds, loss.keys);
+            }
+        }
+        System.out.println("unheard, then an end: " + all + " writes, keys " + kinds);
+        assertTrue(kinds.keySet().containsAll(List.of("kitepath/leader", "kitepath/token", "kitepath/duty/cleanup",
+                "kitepath/act/rent/r-", "jobs/over/j-", "jobs/part/j-")), kinds.toString());
+    }
+
+    /** The store is out for longer than a lease, from right after the write on or from right after its repeat. */
+    @Test
+    void theStoreIsOutAfterAWriteThatNobodyHeardOf() {
+        int all = writesOfADay(false);
+        int outages = 0;
+        for (int i = 0; i < all; i++) {
+            for (double after : every(OUT, i)) {
+                World w = settled(3, 4);
+                Loss loss = new Loss(w, i, 1, () -> w.after(after, () -> w.store.outage(13)));
+                day(w, false);
+                String at = "write " + i + " unheard, store out after " + after;
+                oneEnd(w, at);
+                assertTrue(loss.lost > 0, at);
+                assertEquals(w.workers.size(), sessions(w), at);
+                outages++;
+            }
+        }
+        System.out.println("unheard, then an outage: " + outages + " days");
+    }
+}
