--- a/src/test/java/io/kitepath/core/LostAnswersMeetTest.java
+++ b/src/test/java/io/kitepath/core/LostAnswersMeetTest.java
@@ -239,7 +239,8 @@
                 int most = times;
                 w.store.unheard = t -> {
                     boolean anew = t.conditions().stream().anyMatch(c -> c.key().equals(Keys.OPEN + "j-1")
-                            && c.revision() > 0) && t.writes().stream().anyMatch(x -> x.key().equals(Keys.OPEN + "j-1") && x.value() != null);
+                            && c.revision() > 0) && t.writes().stream().anyMatch(x -> x.key().equals(Keys.OPEN + "j-1")
+                            && x.value() != null);
                     return anew && lost[0]++ < most;
                 };
                 Node n = w.node("k1");
