--- a/src/main/java/io/kitepath/standin/Rules.java
+++ b/src/main/java/io/kitepath/standin/Rules.java
@@ -294,11 +294,19 @@
         }
         Map<String, Long> rooms = new HashMap<>();
         w.workers.values().stream().filter(x -> x.up && !x.cut && !x.deaf && !x.mute && !x.hangs())
-                .filter(x -> (s.zone() == null || s.zone().equals(x.zone)) && (!x.spot || s.spot()))
+                .filter(x -> (s.zone() == null || s.zone().equals(x.zone)) && (!x.spot || s.spot()) && fitsBeside(s, x.zone))
                 .forEach(x -> rooms.merge(s.oneZone() ? x.zone : "", room(x, s), Long::sum));
         return rooms.values().stream().anyMatch(r -> r >= atOnce);
     }
 
+    /** Whether the job's other tasks, where they are now, let one more of it start in that zone. */
+    private boolean fitsBeside(JobSpec s, String zone) {
+        List<Task> on = w.workers.values().stream().flatMap(x -> x.tasks.values().stream())
+                .filter(t -> t.job.equals(s.id()) && t.on()).toList();
+        long here = on.stream().filter(t -> t.worker.zone.equals(zone)).count();
+        return (!s.oneZone() || here == on.size()) && here < s.mostPerZone();
+    }
+
     private long room(Worker x, JobSpec s) {
         double cpus = w.type.cpus();
         double memory = w.type.memoryGb();
