--- a/src/main/java/io/kitepath/core/fleet/Fleet.java
+++ b/src/main/java/io/kitepath/core/fleet/Fleet.java
@@ -9,6 +9,7 @@
 import io.kitepath.core.model.MachineKind;
 import io.kitepath.core.model.MachineType;
 import io.kitepath.core.place.Placer;
+import io.kitepath.core.place.ZoneBounds;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -143,18 +144,19 @@
                 atOnce = (int) Math.ceil(spread * typical.tasks() / rounds);
             }
             List<Room> rooms = rooms(now, typical);
-            String zone = typical.zone() != null ? typical.zone()
-                    : typical.oneZone() ? bestZone(typical, rooms, now) : null;
-            rooms.removeIf(r -> !Market.allowed(r.kind, typical, zone));
+            ZoneBounds zones = ZoneBounds.of(typical);
+            decide(zones, typical, atOnce, rooms, now);
+            rooms.removeIf(r -> !Market.allowed(r.kind, typical, zones.only()));
             rooms.sort(Comparator.comparingDouble(r -> r.then.cpus - r.type.cpus()));
             for (Room r : rooms) {
-                int n = r.take(typical, atOnce, false);
+                int n = r.take(typical, Math.min(atOnce, zones.left(r.kind.zone())), false);
+                zones.add(r.kind.zone(), n);
                 atOnce -= n;
                 if (n > 0) {
                     kept.add(r.machine);
                 }
             }
-            rentFor(typical, atOnce, zone, rent, now, k -> true);
+            rentFor(typical, atOnce, zones, rent, now, k -> true);
         }
         return kept;
     }
@@ -163,20 +165,21 @@
      * Adds machines for that many tasks to what is to be rented, of the cheapest kinds; stops at one that is not
      * worth it. Returns the new machines' rooms, with the tasks in them.
      */
-    private List<Room> rentFor(JobSpec s, int tasks, String zone, Map<MachineKind, Integer> rent, double now,
+    private List<Room> rentFor(JobSpec s, int tasks, ZoneBounds zones, Map<MachineKind, Integer> rent, double now,
             Predicate<MachineKind> worth) {
         List<Room> rented = new ArrayList<>();
         int left = tasks;
         while (left > 0) {
-            MachineKind k = market.cheapest(s, zone, rent, now);
+            MachineKind k = market.cheapest(s, z -> zones.left(z) > 0, rent, now);
             if (k == null || !worth.test(k)) {
                 break;
             }
             Room r = new Room(block.types().get(k.type()), k, null);
-            int n = r.take(s, left, false);
+            int n = r.take(s, Math.min(left, zones.left(k.zone())), false);
             if (n == 0) {
                 break;
             }
+            zones.add(k.zone(), n);
             left -= n;
             rent.merge(k, 1, Integer::sum);
             rented.add(r);
@@ -230,10 +233,8 @@
         if (waiting == 0) {
             return;
         }
-        String zone = s.zone();
-        if (zone == null && s.oneZone()) {
-            zone = bestZone(s, rooms, now);
-        }
+        ZoneBounds zones = ZoneBounds.of(job);
+        decide(zones, s, waiting, rooms, now);
         // Guards against work that could run on spot machines filling ordinary ones for good, at several times the
         // price: it may use what is free there, but spot machines are rented for it as if it could not.
         boolean spotOnly = s.spot() && market.spotToBeHad(s, now);
@@ -244,11 +245,14 @@
             if (waiting == 0) {
                 break;
             }
-            if (r.holds(s, atOnce) && Market.allowed(r.kind, s, zone) && (r.kind.spot() || !spotOnly)) {
-                waiting -= r.take(s, waiting, atOnce);
+            int most = zones.left(r.kind.zone());
+            if (most > 0 && r.holds(s, atOnce) && Market.allowed(r.kind, s, s.zone()) && (r.kind.spot() || !spotOnly)) {
+                int n = r.take(s, Math.min(waiting, most), atOnce);
+                zones.add(r.kind.zone(), n);
+                waiting -= n;
             }
         }
-        rooms.addAll(rentFor(s, waiting, zone, rent, now, k -> !s.spot() || k.spot() || !inTime(job, wallMs)));
+        rooms.addAll(rentFor(s, waiting, zones, rent, now, k -> !s.spot() || k.spot() || !inTime(job, wallMs)));
     }
 
     /**
@@ -268,18 +272,30 @@
         return spotBacklog / Math.max(1, usableCpus) < left / 1000;
     }
 
-    /** For a job that must stay in one zone: where it could use most of what is there or coming. */
-    private String bestZone(JobSpec s, List<Room> rooms, double now) {
+    /**
+     * For a job that must stay in one zone and is in none yet: that where it could use most of what is there or coming.
+     * A gang needs a zone that holds all of it, or where what it lacks may be had.
+     */
+    private void decide(ZoneBounds zones, JobSpec s, int tasks, List<Room> rooms, double now) {
+        if (!s.oneZone() || zones.decided()) {
+            return;
+        }
         Map<String, Double> score = new LinkedHashMap<>();
+        Set<String> open = new HashSet<>();
         for (String z : facts.zones()) {
-            score.put(z, market.cheapest(s, z, Map.of(), now) != null ? 0.1 : 0);
+            if (market.cheapest(s, z::equals, Map.of(), now) != null) {
+                open.add(z);
+            }
+            score.put(z, open.contains(z) ? 0.1 : 0);
         }
         for (Room r : rooms) {
             if (Market.allowed(r.kind, s, null) && s.cpus() > 0) {
                 score.merge(r.kind.zone(), Math.floor(r.then.cpus / s.cpus()), Double::sum);
             }
         }
-        return score.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse(null);
+        Comparator<Map.Entry<String, Double>> order = Comparator.comparing(e -> s.gang()
+                && (open.contains(e.getKey()) || e.getValue() >= tasks));
+        score.entrySet().stream().max(order.thenComparing(Map.Entry.comparingByValue()))
+                .ifPresent(e -> zones.bind(e.getKey()));
     }
-
 }
--- a/src/main/java/io/kitepath/core/fleet/Market.java
+++ b/src/main/java/io/kitepath/core/fleet/Market.java
@@ -9,6 +9,7 @@
 import io.kitepath.core.place.Placement;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /** Which kinds of machine can be had, by what the cloud refused lately, and which of them costs least for a job. */
 final class Market {
@@ -54,7 +55,8 @@
                 && (s.spot() || !k.spot());
     }
 
-    MachineKind cheapest(JobSpec s, String zone, Map<MachineKind, Integer> rent, double now) {
+    /** Null if none can be had in these zones. */
+    MachineKind cheapest(JobSpec s, Predicate<String> zones, Map<MachineKind, Integer> rent, double now) {
         MachineKind best = null;
         double bestPrice = 0;
         for (MachineType t : block.types().values()) {
@@ -64,7 +66,7 @@
             for (String z : t.zones()) {
                 for (int spot = s.spot() ? 1 : 0; spot >= 0; spot--) {
                     MachineKind k = new MachineKind(t.name(), z, spot == 1);
-                    if (!allowed(k, s, zone) || !mayBeHad(k, now)) {
+                    if (!zones.test(z) || !allowed(k, s, s.zone()) || !mayBeHad(k, now)) {
                         continue;
                     }
                     double price = price(k, t, Placement.slots(s, t), rent);
--- a/src/main/java/io/kitepath/core/place/Placement.java
+++ b/src/main/java/io/kitepath/core/place/Placement.java
@@ -325,6 +325,21 @@
         return null;
     }
 
+    /**
+     * The zone for the first tasks of a job that has to stay in one: that with the least room that suffices for so many,
+     * or else the most. Guards against a job that is bound to a zone which holds few of its tasks by the first of them,
+     * while another would hold all.
+     */
+    String roomiest(JobSpec s, int tasks, List<Machine> candidates) {
+        Map<String, Integer> slots = new TreeMap<>();
+        for (Machine m : candidates) {
+            slots.merge(m.zone(), freeSlots(m, s, 0, 0, 0), Integer::sum);
+        }
+        return slots.entrySet().stream().min(Comparator
+                .comparingInt((Map.Entry<String, Integer> e) -> e.getValue() >= tasks ? e.getValue() : Integer.MAX_VALUE)
+                .thenComparingInt(e -> -e.getValue())).map(Map.Entry::getKey).orElse(null);
+    }
+
     private List<Machine> whole(JobSpec s, Search among) {
         Search search = among;
         List<Machine> found = new ArrayList<>();
--- a/src/main/java/io/kitepath/core/place/Placer.java
+++ b/src/main/java/io/kitepath/core/place/Placer.java
@@ -1,6 +1,5 @@
 package io.kitepath.core.place;
 
-import io.kitepath.core.block.Attempt;
 import io.kitepath.core.block.Block;
 import io.kitepath.core.block.Job;
 import io.kitepath.core.block.Machine;
@@ -248,13 +247,12 @@
         List<Machine> out = new ArrayList<>();
         List<Machine> failed = new ArrayList<>();
         boolean anew = job.failedOn().isEmpty();
-        String onlyZone = s.oneZone() && !job.live().isEmpty()
-                ? job.live().get(job.live().firstKey()).machine.zone() : null;
+        ZoneBounds zones = ZoneBounds.of(job);
         for (Machine m : open) {
             Job heir = m.reservedFor();
             if ((heir == null || heir == job || m.kept() && (preemption.yields(job, heir) || m.keptFree(job, now)))
                     && placement.allowed(m, s)
-                    && (onlyZone == null || onlyZone.equals(m.zone())) && !(m.draining() && s.spot())
+                    && zones.left(m.zone()) > 0 && !(m.draining() && s.spot())
                     && !standby.keepsFrom(m, job)) {
                 (!anew && job.failedOn().contains(m.id) ? failed : out).add(m);
             }
@@ -275,14 +273,13 @@
         if (open.stream().noneMatch(m -> placement.allowed(m, s) && placement.room(m, s))) {
             return 0;
         }
-        Map<String, Integer> perZone = new HashMap<>();
-        Placement.Search search = placement.search(s, candidates(job, open, now));
+        ZoneBounds zones = ZoneBounds.of(job);
+        List<Machine> candidates = candidates(job, open, now);
+        Placement.Search search = placement.search(s, candidates);
         heldOut = search.holdsOut();
-        if (s.spread()) {
-            for (Attempt a : job.live().values()) {
-                perZone.merge(a.machine.zone(), 1, Integer::sum);
-            }
-            search = search.within(m -> perZone.getOrDefault(m.zone(), 0) < s.mostPerZone());
+        if (s.oneZone() && !zones.decided()) {
+            String zone = placement.roomiest(s, Math.min(n, job.waiting()), candidates);
+            search = search.within(m -> m.zone().equals(zone));
         }
         for (int t = job.nextWaiting(0); t >= 0 && placed < n; t = job.nextWaiting(t + 1)) {
             if (!block.recordable(job, t)) {
@@ -298,12 +295,10 @@
             if (m == null) {
                 break;
             }
-            if (s.oneZone() && placed == 0) {
-                search = search.within(x -> x.zone().equals(m.zone()));
-            }
             block.place(job, t, m, now);
             placed++;
-            if (s.spread() && perZone.merge(m.zone(), 1, Integer::sum) >= s.mostPerZone()) {
+            zones.add(m.zone(), 1);
+            if (zones.left(m.zone()) == 0) {
                 search = search.within(x -> !x.zone().equals(m.zone()));
             }
         }
--- a/src/main/java/io/kitepath/core/place/Preemption.java
+++ b/src/main/java/io/kitepath/core/place/Preemption.java
@@ -97,9 +97,11 @@
             return false;
         }
         int need = s.gang() ? job.waiting() : Math.min(job.waiting(), block.teamUse().left(s));
+        ZoneBounds bounds = ZoneBounds.of(job);
         Map<String, List<Offer>> byZone = new LinkedHashMap<>();
         for (Machine m : open) {
-            if ((m.reservedFor() == null || m.reservedFor() == job) && placement.allowed(m, s)) {
+            if ((m.reservedFor() == null || m.reservedFor() == job) && placement.allowed(m, s)
+                    && bounds.left(m.zone()) > 0) {
                 byZone.computeIfAbsent(s.oneZone() ? m.zone() : "", k -> new ArrayList<>())
                         .add(offer(job, m, giving, now));
             }
@@ -107,7 +109,7 @@
         List<Offer> best = null;
         double bestLoss = Double.MAX_VALUE;
         for (List<Offer> in : byZone.values()) {
-            List<Offer> take = cheapest(in, need);
+            List<Offer> take = cheapest(in, need, ZoneBounds.of(job));
             double loss = take == null ? 0 : take.stream().mapToDouble(Offer::loss).sum();
             if (take != null && loss < bestLoss) {
                 best = take;
@@ -150,7 +152,7 @@
                     gaps(job, m, now, gaps);
                 }
             }
-            List<Gap> take = soonest(gaps, need);
+            List<Gap> take = soonest(gaps, need, ZoneBounds.of(job));
             if (take != null && (best == null || last(take) < last(best))) {
                 best = take;
                 where = zone;
@@ -169,7 +171,7 @@
         return gaps.isEmpty() ? 0 : gaps.get(gaps.size() - 1).inS;
     }
 
-    private static List<Gap> soonest(List<Gap> gaps, int need) {
+    private static List<Gap> soonest(List<Gap> gaps, int need, ZoneBounds zones) {
         gaps.sort(Comparator.comparingDouble(Gap::inS).thenComparing(g -> g.machine.id));
         List<Gap> take = new ArrayList<>();
         int left = need;
@@ -177,8 +179,12 @@
             if (left <= 0) {
                 break;
             }
-            take.add(g);
-            left -= g.tasks;
+            int n = Math.min(g.tasks, zones.left(g.machine.zone()));
+            if (n > 0) {
+                take.add(g);
+                left -= n;
+                zones.add(g.machine.zone(), n);
+            }
         }
         return left <= 0 ? take : null;
     }
@@ -226,7 +232,7 @@
     }
 
     /** Offers that together hold the tasks, those that lose least first; null if they don't suffice. */
-    private static List<Offer> cheapest(List<Offer> in, int need) {
+    private static List<Offer> cheapest(List<Offer> in, int need, ZoneBounds zones) {
         List<Offer> sorted = new ArrayList<>(in);
         sorted.sort(Comparator.comparingDouble((Offer o) -> o.loss / Math.max(1, o.stopping))
                 .thenComparing(o -> -o.now).thenComparing(o -> o.machine.id));
@@ -236,9 +242,11 @@
             if (left <= 0) {
                 break;
             }
-            if (o.stopping > 0) {
-                left -= o.stopping;
-                take.add(o);
+            int n = Math.min(o.stopping, zones.left(o.machine.zone()));
+            if (n > 0) {
+                left -= n;
+                zones.add(o.machine.zone(), n);
+                take.add(n == o.stopping ? o : new Offer(o.machine, Math.min(n, o.now), n, o.loss));
             }
         }
         return left <= 0 ? take : null;
