--- a/src/main/java/io/kitepath/net/HttpServer.java
+++ b/src/main/java/io/kitepath/net/HttpServer.java
@@ -106,22 +106,27 @@
     }
 
     /** The single answer to a request. */
-    public static final class Responder {
+    public interface Responder {
+        default void reply(int status, byte[] body) {
+            reply(status, body, 0);
+        }
+
+        void reply(int status, byte[] body, int retryAfterS);
+    }
+
+    private static final class ChannelResponder implements Responder {
         private final Channel channel;
         private final Connection connection;
         private final boolean keepAlive;
         private boolean answered;
 
-        Responder(Channel channel, Connection connection, boolean keepAlive) {
+        ChannelResponder(Channel channel, Connection connection, boolean keepAlive) {
             this.channel = channel;
             this.connection = connection;
             this.keepAlive = keepAlive;
         }
 
-        public void reply(int status, byte[] body) {
-            reply(status, body, 0);
-        }
-
+        @Override
         public void reply(int status, byte[] body, int retryAfterS) {
             if (answered) {
                 return;
@@ -148,7 +153,7 @@
             busy = true;
             String uri = request.uri();
             int query = uri.indexOf('?');
-            Responder out = new Responder(ctx.channel(), this, HttpUtil.isKeepAlive(request));
+            Responder out = new ChannelResponder(ctx.channel(), this, HttpUtil.isKeepAlive(request));
             try {
                 handler.handle(new Request(request.method().name(), query < 0 ? uri : uri.substring(0, query),
                         query < 0 ? "" : uri.substring(query + 1), ByteBufUtil.getBytes(request.content())), out);
