--- a/src/main/java/io/kitepath/standin/Worker.java
+++ b/src/main/java/io/kitepath/standin/Worker.java
@@ -250,12 +250,16 @@
                 x.job.equals(t.job) && x.attempt == t.attempt && x.state == State.WAITING).toList();
         if (gang.size() == s.tasks()) {
             gang.forEach(x -> x.state = State.RUNNING);
-            w.after(runsFor, () -> gang.stream().filter(x -> x.state == State.RUNNING).forEach(x -> {
-                x.state = State.ENDED;
-                x.cause = Cause.DONE;
-                w.completed.computeIfAbsent(x.job, k -> new HashSet<>()).add(x.number);
-                w.users.completed(x);
-            }));
+            // They complete together, and each machine reports that as any other change.
+            w.after(w.runsFor == null ? runsFor : w.runsFor.applyAsDouble(t.job), () -> gang.stream()
+                    .filter(x -> x.on() && x.state == State.RUNNING).forEach(x -> {
+                        x.state = State.ENDED;
+                        x.cause = Cause.DONE;
+                        w.completed.computeIfAbsent(x.job, k -> new HashSet<>()).add(x.number);
+                        w.clock.ended(x);
+                        x.worker.changed();
+                        w.users.completed(x);
+                    }));
             return;
         }
         w.after(30, () -> {
