--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -183,8 +183,7 @@
 
     /** Why the job can never run, here or in any other cell, or null if it can. */
     public String impossible(JobSpec s) {
-        boolean elsewhere = directory != null && s.zone() != null && directory.elsewhere(s.zone());
-        return (elsewhere ? s.inAnyZone() : s).impossible(block.types(), whole);
+        return s.impossible(block.types(), whole, directory == null ? Set.of() : directory.zonesElsewhere());
     }
 
     /** The machine types, empty until they are known. */
--- a/src/main/java/io/kitepath/core/model/Directory.java
+++ b/src/main/java/io/kitepath/core/model/Directory.java
@@ -4,7 +4,9 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
  * The cells there are, as the cells file says.
@@ -57,8 +59,9 @@
         return cells.get(own);
     }
 
-    /** Whether that zone is another cell's. */
-    public boolean elsewhere(String zone) {
-        return cells.values().stream().anyMatch(c -> !c.name().equals(own) && c.zones().contains(zone));
+    /** The zones of other cells. */
+    public Set<String> zonesElsewhere() {
+        return cells.values().stream().filter(c -> !c.name().equals(own)).flatMap(c -> c.zones().stream())
+                .collect(Collectors.toSet());
     }
 }
--- a/src/main/java/io/kitepath/wire/Pack.java
+++ b/src/main/java/io/kitepath/wire/Pack.java
@@ -2,11 +2,13 @@
 
 import io.kitepath.core.model.Malformed;
 import java.io.IOException;
+import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageFormat;
 import org.msgpack.core.MessageInsufficientBufferException;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -55,7 +57,7 @@
             case BOOLEAN:
                 return in.unpackBoolean();
             case INTEGER:
-                return in.unpackLong();
+                return integer(in);
             case FLOAT:
                 return in.unpackDouble();
             case STRING:
@@ -81,6 +83,15 @@
         }
     }
 
+    /** Guards against a body that is refused for a number over 63 bits in a field that nobody here reads. */
+    private static Object integer(MessageUnpacker in) throws IOException {
+        if (in.getNextFormat() != MessageFormat.UINT64) {
+            return in.unpackLong();
+        }
+        BigInteger n = in.unpackBigInteger();
+        return n.bitLength() < Long.SIZE ? (Object) n.longValue() : (Object) n.doubleValue();
+    }
+
     /** Guards against a header that promises more items than the body has bytes, which would exhaust memory. */
     private static int counted(int n, int size) {
         if (n < 0 || n > size) {
--- a/src/main/java/io/kitepath/wire/Wire.java
+++ b/src/main/java/io/kitepath/wire/Wire.java
@@ -51,7 +51,7 @@
         return new JobSpec(submittedId(body), name(t, "lane"), name(t, "crew"), shape(t.text("shape")),
                 priority(t.text("urgency")), (int) t.integer("sheets", 1, MAX_TASKS), t.number("vcpus", 0),
                 t.number("cards", 0), t.number("ramGb", 0), t.has("frames") ? t.texts("frames") : null,
-                t.textOr("field", null), t.flag("oneZone"), t.flag("spread"), t.flag("loaners"), t.text("kit"),
+                t.textOr("field", null), t.flag("oneZone"), t.flag("spread"), t.flag("loaners"), image(t),
                 t.number("sizeGb", 0), t.number("expectS", 0), t.number("markEveryS", 0), t.number("markCostS", 0),
                 t.has("dueS") ? t.number("dueS", 0) : null);
     }
@@ -79,6 +79,14 @@
         return s;
     }
 
+    private static String image(Tree t) {
+        String s = t.text("kit");
+        if (s.isEmpty()) {
+            throw t.complaint("kit", "must not be empty");
+        }
+        return s;
+    }
+
     private static JobSpec.Shape shape(String s) {
         return switch (s) {
             case "array" -> JobSpec.Shape.ARRAY;
