--- /dev/null
+++ b/src/test/java/io/kitepath/core/LastTaskTest.java
@@ -0,0 +1,300 @@
+package io.kitepath.core;
+
+import static io.kitepath.standin.World.job;
+import static io.kitepath.standin.Worlds.settled;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.core.serve.Registry.Answer;
+import io.kitepath.core.serve.Registry.Verdict;
+import io.kitepath.core.state.Keys;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.World;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A cancellation, a question or a repeated submission meets the end of a job's last task, with no other trouble. The
+ * moment is that of the end itself, of its report, and of each step of the write that makes the job done: whoever is
+ * first has it, for ever and at every node.
+ */
+class LastTaskTest {
+    private static final String ID = "j-1";
+    /** What needs it. */
+    private static final String NEXT = "j-2";
+    /** Within which users expect that a job is called done. */
+    private static final double DONE_WITHIN_S = 3;
+
+    private World w;
+    private JobSpec spec;
+    private List<String> needs;
+    private double lastEnd;
+    private double written;
+    private final List<Told> told = new ArrayList<>();
+
+    /** What a user was told: when it had asked, when it heard. */
+    private record Told(String node, double asked, double heard, String status) {
+        boolean last() {
+            return status.equals("done") || status.equals("cancelled");
+        }
+    }
+
+    private void hear(Node n, double asked, Answer a) {
+        assertTrue(a.verdict() == Verdict.KNOWN || a.verdict() == Verdict.LATER, n.name + " says " + a);
+        if (a.verdict() == Verdict.KNOWN) {
+            told.add(new Told(n.name, asked, w.clock.now, a.state().status()));
+            if (a.state().status().equals("cancelled")) {
+                w.toldCancelled.putIfAbsent(ID, w.clock.now);
+            }
+        }
+    }
+
+    private void ask(Node n) {
+        double asked = w.clock.now;
+        n.controller.registry().status(ID, a -> hear(n, asked, a));
+    }
+
+    private void repeat(Node n) {
+        double asked = w.clock.now;
+        n.controller.registry().submit(spec, needs, a -> hear(n, asked, a));
+    }
+
+    /** Whoever is told anything makes everybody ask and submit again, at all nodes, at once. */
+    private void cancel(Node n) {
+        double asked = w.clock.now;
+        w.rules.asksToCancel(ID);
+        n.controller.registry().cancel(ID, a -> {
+            hear(n, asked, a);
+            looks();
+        });
+    }
+
+    private void looks() {
+        w.nodes.values().forEach(this::ask);
+        w.nodes.values().forEach(this::repeat);
+    }
+
+    /** A world in which the job begins; it ends by itself after about so long. */
+    private void begins(Shape shape, int tasks, double forS, boolean needed) {
+        w = settled(3, 4);
+        told.clear();
+        lastEnd = 0;
+        written = 0;
+        w.fetchS = shape == Shape.GANG ? id -> 0.3 : null;
+        int[] i = {0};
+        w.workers.values().forEach(x -> x.runsFor = shape == Shape.GANG ? forS : forS - 1.3 * (i[0]++ % 3));
+        w.clock.ends = t -> lastEnd = t.job.equals(ID) ? w.clock.now : lastEnd;
+        w.store.written = (n, t) -> {
+            if (t.writes().stream().anyMatch(x -> x.key().equals(Keys.OVER + ID))) {
+                written = w.clock.now;
+            }
+        };
+        spec = job(ID, shape, tasks, 2);
+        needs = List.of();
+        w.submit(w.leader(), spec);
+        if (needed) {
+            w.submit(w.leader(), job(NEXT, Shape.ARRAY, 2, 1), ID);
+        }
+    }
+
+    /** One answer for ever, by every node, and nothing left of it on any machine. */
+    private String holds(String at) {
+        w.run(12);
+        String last = w.status(w.leader(), ID);
+        assertTrue(last.equals("done") || last.equals("cancelled"), at + ": " + last);
+        double first = told.stream().filter(Told::last).mapToDouble(Told::heard).min().orElse(Double.MAX_VALUE);
+        for (Told t : told) {
+            assertTrue(!t.last() || t.status.equals(last), at + ": " + t + ", in the end " + last);
+            assertTrue(t.asked < first || t.last(), at + ": " + t + " after " + first);
+        }
+        for (Node n : w.nodes.values()) {
+            assertEquals(last, w.status(n, ID), at + " " + n.name);
+            assertEquals(last, w.cancel(n, ID).state().status(), at + " " + n.name);
+        }
+        assertEquals(0, w.onMachines(ID), at);
+        assertTrue(w.workers.values().stream().noneMatch(x -> x.tasks.values().stream().anyMatch(t ->
+                t.job.equals(ID))), at + ": an ended task is still reported");
+        assertEquals(List.of(), w.broken, at);
+        return last;
+    }
+
+    /** When the job is written as done if nobody cancels it; the same each time, as all in this world is. */
+    private double writtenAfter(Shape shape, int tasks, double forS, boolean needed) {
+        begins(shape, tasks, forS, needed);
+        w.run(forS + 10);
+        assertTrue(lastEnd > 0 && written >= lastEnd, "ended " + lastEnd + ", written " + written);
+        return written;
+    }
+
+    /** The cancellation is sent at each millisecond around the write, and sparsely from before the end. */
+    private static List<Double> moments(double lastEnd, double written) {
+        List<Double> out = new ArrayList<>();
+        for (double t = written - 0.016; t < written + 0.006; t += 0.001) {
+            out.add(t);
+        }
+        for (double t = lastEnd - 0.3; t < written + 0.4; t += 0.1) {
+            out.add(t);
+        }
+        return out;
+    }
+
+    private void sweep(Shape shape, int tasks, boolean needed) {
+        double forS = 9.3;
+        double at = writtenAfter(shape, tasks, forS, needed);
+        for (int which = 0; which < 3; which++) {
+            Set<String> answers = new HashSet<>();
+            for (double t : moments(lastEnd == 0 ? at : Math.min(lastEnd, at), at)) {
+                begins(shape, tasks, forS, needed);
+                w.run(t - w.clock.now - 0.003);
+                looks();
+                w.run(0.003);
+                cancel(w.nodes.get("k" + which));
+                w.run(0.002);
+                looks();
+                String what = shape + " of " + tasks + ", cancelled at k" + which + " " + (t - at) + " s from the write";
+                String last = holds(what);
+                answers.add(last);
+                if (needed) {
+                    behind(last, what);
+                }
+            }
+            assertEquals(Set.of("done", "cancelled"), answers, shape + " at k" + which);
+        }
+    }
+
+    /** What waited for it runs, or is cancelled with it. */
+    private void behind(String last, String at) {
+        w.run(25);
+        w.nodes.values().forEach(n -> assertEquals(last, w.status(n, NEXT), at + ": " + NEXT));
+        assertEquals(last.equals("done") ? 2 : 0, w.completed.getOrDefault(NEXT, Set.of()).size(), at);
+        assertEquals(List.of(), w.broken, at);
+    }
+
+    @Test
+    void oneTask() {
+        sweep(Shape.ARRAY, 1, false);
+    }
+
+    @Test
+    void theLastOfSome() {
+        sweep(Shape.ARRAY, 3, false);
+    }
+
+    @Test
+    void aGang() {
+        sweep(Shape.GANG, 3, false);
+    }
+
+    @Test
+    void aJobThatAnotherWaitsFor() {
+        sweep(Shape.ARRAY, 2, true);
+    }
+
+    /** The one that waits is cancelled as the one before it ends: nothing of it starts that stays. */
+    @Test
+    void whatWaitsIsCancelledAsItsTurnComes() {
+        double at = writtenAfter(Shape.ARRAY, 1, 6, true);
+        int began = 0;
+        for (double t = at - 0.02; t < at + 2.4; t += t < at + 0.03 ? 0.003 : 0.1) {
+            for (int which = 0; which < 3; which++) {
+                begins(Shape.ARRAY, 1, 6, true);
+                w.run(t - w.clock.now);
+                int before = MeetingsTest.starts(w);
+                String what = NEXT + " cancelled at k" + which + " " + (t - at) + " s from the write";
+                Answer a = w.cancel(w.nodes.get("k" + which), NEXT);
+                assertEquals(Verdict.KNOWN, a.verdict(), what);
+                assertEquals("cancelled", a.state().status(), what);
+                w.run(5);
+                assertEquals(0, w.onMachines(NEXT), what);
+                began += before > 1 ? 1 : 0;
+                w.nodes.values().forEach(n -> assertEquals("cancelled", w.status(n, NEXT), what));
+                assertEquals("done", w.status(w.leader(), ID), what);
+                assertEquals(List.of(), w.broken, what);
+            }
+        }
+        assertTrue(began > 0, "it was never cancelled after its turn had come");
+    }
+
+    /** A replica that ends is no end of its service, whatever a user does at that moment. */
+    @Test
+    void aServiceWhoseReplicaEndsIsCancelledOrGoesOn() {
+        int cancelled = 0;
+        for (double off = -0.4; off < 1.2; off += 0.1) {
+            for (int which = 0; which < 3; which++) {
+                begins(Shape.SERVICE, 1, 6, false);
+                w.run(2);
+                double end = w.clock.lastStarts.get(ID + "/0").worker.runsFor + w.accepted.get(ID);
+                w.run(end + off - w.clock.now);
+                looks();
+                cancel(w.nodes.get("k" + which));
+                assertEquals("cancelled", holds("service, k" + which + " " + off));
+                cancelled += lastEnd > 0 ? 1 : 0;
+            }
+        }
+        assertTrue(cancelled > 20, "replicas that ended before: " + cancelled);
+    }
+
+    /** By every node, and whenever in the course of reports and writes the last task ends. */
+    @Test
+    void calledDoneInTimeByEveryNode() {
+        for (Shape shape : List.of(Shape.ARRAY, Shape.GANG)) {
+            for (int tasks : new int[] {1, 3, 8}) {
+                for (double forS = 4; forS < 8.2; forS += 0.21) {
+                    begins(shape, tasks, forS, true);
+                    while (w.completed.getOrDefault(ID, Set.of()).size() < tasks) {
+                        w.run(0.05);
+                        assertTrue(w.clock.now < 300, "never ended");
+                    }
+                    w.run(lastEnd + DONE_WITHIN_S - 0.1 - w.clock.now);
+                    w.nodes.values().forEach(this::ask);
+                    w.run(0.1);
+                    String at = shape + " of " + tasks + " for " + forS;
+                    assertEquals(3, told.stream().filter(t -> t.status.equals("done")).count(), at + ": " + told);
+                    assertEquals("done", holds(at));
+                }
+            }
+        }
+    }
+
+    /** Many at once, of all shapes, each cancelled by somebody within a second of its end; everybody asks meanwhile. */
+    @Test
+    void manyEndAndAreCancelledTogether() {
+        int[] both = new int[2];
+        for (long seed = 0; seed < 20; seed++) {
+            Random random = new Random(seed);
+            w = settled(3, 8);
+            w.closeLooks = true;
+            w.fetchS = id -> 0.2;
+            w.runsFor = id -> 7 + Math.floorMod(id.hashCode(), 5) * 0.4;
+            List<String> jobs = new ArrayList<>();
+            for (int i = 0; i < 14; i++) {
+                String id = "j-" + (100 + i);
+                jobs.add(id);
+                JobSpec s = job(id, random.nextInt(3) == 0 ? Shape.GANG : Shape.ARRAY, 1 + random.nextInt(3), 0.5);
+                w.submit(w.nodes.get("k" + random.nextInt(3)), s, i > 3 && random.nextInt(4) == 0
+                        ? new String[] {"j-10" + random.nextInt(4)} : new String[0]);
+            }
+            w.clock.ends = t -> w.after(random.nextDouble() * (random.nextBoolean() ? 0.05 : 0.8), () ->
+                    w.users.cancel(w.nodes.get("k" + random.nextInt(3)), t.job));
+            for (int i = 0; i < 400; i++) {
+                w.ask(w.nodes.get("k" + random.nextInt(3)), jobs.get(random.nextInt(jobs.size())));
+            }
+            for (String id : jobs) {
+                Set<String> said = new HashSet<>();
+                w.nodes.values().forEach(n -> said.add(w.status(n, id)));
+                assertEquals(1, said.size(), "seed " + seed + " " + id + " " + said);
+                assertTrue(said.contains("done") || said.contains("cancelled"), "seed " + seed + " " + id + " " + said);
+                both[said.contains("done") ? 0 : 1]++;
+                assertEquals(0, w.onMachines(id), "seed " + seed + " " + id);
+            }
+            assertEquals(List.of(), w.broken, "seed " + seed);
+        }
+        assertTrue(both[0] > 20 && both[1] > 20, "done " + both[0] + ", cancelled " + both[1]);
+    }
+}
