A machine that was told nothing does not pass for one that hears nothing

Heartbeats.absent counted reports that miss a task also when no answer had ordered its start: attempts adopted by a new holder, or an outage in which nothing is launched. Only reports after an answer with the order count now. SoundMachinesTest has the meeting. MeetingsLateTest: its cloud had nothing to rent, and machines that hear no answer are given back by now, so that no machine was left for the gang; it rents out eight, the checks are as they were.

--- a/src/main/java/io/kitepath/core/block/Attempt.java
+++ b/src/main/java/io/kitepath/core/block/Attempt.java
@@ -19,7 +19,9 @@
     boolean durable;
     /** Launched by us, or perhaps by a holder before us. */
     boolean launched;
-    /** Reports that should have shown it, since it was launched before, and did not. */
+    /** The last answer to its machine told it to start. */
+    boolean ordered;
+    /** Reports after such an answer that did not show it. */
     int missed;
     /** Whether a report of the current holder's time has shown it. */
     boolean seen;
--- a/src/main/java/io/kitepath/core/block/Heartbeats.java
+++ b/src/main/java/io/kitepath/core/block/Heartbeats.java
@@ -190,9 +190,12 @@
             block.end(a, Cause.PEERS, now);
         }
         // Otherwise it was never executed, and this very answer launches it (again).
-        if (!a.ended && a.launched && ++a.missed >= MOST_MISSED) {
+        boolean ordered = a.ordered;
+        a.ordered = false;
+        if (!a.ended && ordered && ++a.missed >= MOST_MISSED) {
             // Nothing sent before this report can start it any more. Guards against tasks that stay placed for good on a
-            // machine whose reports arrive, but which no answer reaches.
+            // machine whose reports arrive, but which no answer reaches. Only answers with the order in them count, so
+            // that a machine that was told nothing, as in an outage, does not pass for one that hears nothing.
             LOG.warn("machine {} reports and does not start what it is told to", a.machine.id);
             a.machine.deaf(now);
             block.end(a, Cause.STOPPED, now);
@@ -236,6 +239,7 @@
                     launchDelayS += now - a.placedAt;
                 }
                 a.launched = true;
+                a.ordered = true;
                 orders.add(new Order(Order.Verb.START, a.job.spec.id(), a.task, a.number, 0));
             }
         }
--- a/src/test/java/io/kitepath/core/MeetingsLateTest.java
+++ b/src/test/java/io/kitepath/core/MeetingsLateTest.java
@@ -249,6 +249,7 @@
 
     private static void unreachable(double leaderEnds, double lasts, boolean deaf, Shape shape) {
         World w = settled(3, 8);
+        w.cloud.capacity = 8; // For the machines that are given back, as what hears nobody is after three leases.
         w.runsFor = id -> 90;
         JobSpec s = job("j-1", shape, 4, 4);
         w.submit(w.leader(), shape == Shape.GANG ? World.with(s, "red", Priority.NORMAL, true) : s);
--- /dev/null
+++ b/src/test/java/io/kitepath/core/SoundMachinesTest.java
@@ -0,0 +1,46 @@
+package io.kitepath.core;
+
+import static io.kitepath.standin.World.job;
+import static io.kitepath.standin.Worlds.settled;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.kitepath.core.block.Machine;
+import io.kitepath.core.model.JobSpec.Shape;
+import io.kitepath.standin.Node;
+import io.kitepath.standin.World;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A machine that was told nothing is not one that hears nothing. */
+class SoundMachinesTest {
+    /** A holder adopts what was placed and never launched, and may launch nothing, since the store is out. */
+    @Test
+    void anOutageAfterATakeoverMakesNoMachineDeaf() {
+        int adopted = 0;
+        for (double out = 0.2; out < 6; out += 0.2) {
+            World w = settled(3, 4);
+            w.submit(w.leader(), job("j-1", Shape.ARRAY, 4, 4));
+            Node n = w.leader();
+            n.kill();
+            w.after(0.3, () -> w.node(n.name));
+            w.after(out, () -> w.store.outage(14));
+            boolean placedAndNotSeen = false;
+            for (int i = 0; i < 36; i++) {
+                w.run(0.5);
+                for (Node x : w.nodes.values()) {
+                    for (Machine m : x.controller.block.machines().values()) {
+                        assertFalse(m.deafToAnswers(), "out after " + out + ": " + m.id);
+                        placedAndNotSeen |= w.store.out && m.proven() && m.attempts().stream().anyMatch(a -> !a.seen());
+                    }
+                }
+            }
+            adopted += placedAndNotSeen ? 1 : 0;
+            w.run(60);
+            assertEquals(List.of(), w.broken, "out after " + out);
+            assertEquals("done", w.status(w.leader(), "j-1"), "out after " + out);
+        }
+        assertTrue(adopted >= 10, "in the meeting: " + adopted);
+    }
+}
