--- a/src/main/java/io/kitepath/core/lead/Leadership.java
+++ b/src/main/java/io/kitepath/core/lead/Leadership.java
@@ -286,7 +286,10 @@
                 .put(Keys.LEADER, key, id).put(Keys.BLOCKS + "all", block, id)
                 .put(Keys.TOKEN, Map.of("token", next)), c -> {
             campaigning = false;
-            if (c.outcome() == Outcome.OK) {
+            if (c.outcome() == Outcome.OK && retired) {
+                // Guards against a node that is being stopped and begins to lead, as its claim was under way.
+                store.revoke(id);
+            } else if (c.outcome() == Outcome.OK) {
                 served();
                 leading = true;
                 lease = id;
--- a/src/test/java/io/kitepath/core/QuickEndsTest.java
+++ b/src/test/java/io/kitepath/core/QuickEndsTest.java
@@ -8,6 +8,7 @@
 import io.kitepath.core.state.Keys;
 import io.kitepath.standin.Node;
 import io.kitepath.standin.World;
+import io.kitepath.standin.Worlds;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -198,4 +199,25 @@
         System.out.println("takeovers that ended at one of their requests: " + points);
         assertTrue(points >= 60, "points: " + points);
     }
+
+    /** Its claim was under way when it was told to stop: it must not begin to lead, and the key must not wait for a lease. */
+    @Test
+    void aNodeThatIsStoppedWhileItsClaimIsUnderWayDoesNotBeginToLead() {
+        World w = Worlds.settled(3, 2);
+        Node first = w.leader();
+        Node[] stopped = new Node[1];
+        w.store.written = (by, t) -> {
+            if (stopped[0] == null && by instanceof Node n && t.writes().stream().anyMatch(x ->
+                    x.key().equals(Keys.LEADER) && x.value() != null)) {
+                stopped[0] = n;
+                n.controller.stop();
+            }
+        };
+        first.kill();
+        w.run(5);
+        assertTrue(stopped[0] != null && stopped[0] != first);
+        assertEquals(0, stopped[0].controller.leadsWith());
+        assertTrue(w.leader() != stopped[0] && w.leader().controller.holds());
+        assertEquals(List.of(), w.broken);
+    }
 }
