--- a/src/main/java/io/kitepath/standin/Users.java
+++ b/src/main/java/io/kitepath/standin/Users.java
@@ -54,8 +54,14 @@
 
     /** Hands it in there once more. */
     public void repeat(Node n, String id) {
+        repeat(n, w.specs.get(id));
+    }
+
+    /** The same with that body. */
+    public void repeat(Node n, JobSpec body) {
+        String id = body.id();
         double at = w.clock.now;
-        n.deliver(() -> n.controller.registry().submit(w.specs.get(id), w.needs.getOrDefault(id, List.of()), a -> {
+        n.deliver(() -> n.controller.registry().submit(body, w.needs.getOrDefault(id, List.of()), a -> {
             if (w.clock.now - at <= INSIST_S && (a.verdict() == Verdict.CREATED || a.verdict() == Verdict.KNOWN)) {
                 w.rules.accepted(id);
             }
