What is within a guarantee does not give way to urgent work that would have to give it back

Priority decides as before where the more urgent work would not give way in turn (gangs, services, work within its own guarantee, the same team). GiveAndTakeTest: red before, at most eight stops now.

--- a/src/main/java/io/kitepath/core/place/Preemption.java
+++ b/src/main/java/io/kitepath/core/place/Preemption.java
@@ -65,8 +65,8 @@
      */
     private record Offer(Machine machine, int now, int stopping, double loss) {}
 
-    /** What decides whose work gives way to a job. */
-    private record Claim(JobSpec.Priority priority, boolean guaranteed, String team) {}
+    /** What decides whose work gives way to a job; {@code firm}: its own never does. */
+    private record Claim(JobSpec.Priority priority, boolean guaranteed, String team, boolean firm) {}
 
     /**
      * What gives way to jobs of one claim: whose work, and by machine its CPUs, GPUs, memory and what stopping it loses.
@@ -253,7 +253,7 @@
     }
 
     private Giving giving(Job job) {
-        Claim claim = new Claim(job.priority(), job.guaranteed(), job.spec.team());
+        Claim claim = new Claim(job.priority(), job.guaranteed(), job.spec.team(), firm(job));
         Giving known = givings.get(claim);
         if (known != null) {
             return known;
@@ -296,18 +296,30 @@
         return victim.unwanted() || yields(victim.job, job); // What is unwanted goes anyway.
     }
 
-    /** Work gives way to work of higher priority, and what a team borrows to the guarantee of another. */
+    /**
+     * Work gives way to work of higher priority, and what a team borrows to the guarantee of another. Guards against two
+     * jobs that stop each other without end, so that neither is ever done: what is within a guarantee does not give way
+     * to more urgent work that would have to give it back.
+     */
     boolean yields(Job holding, Job job) {
-        JobSpec v = holding.spec;
-        if (v.gang() || v.shape() == JobSpec.Shape.SERVICE) {
+        if (firm(holding)) {
             return false;
         }
         if (holding.priority().compareTo(job.priority()) > 0) {
-            return true;
+            return firm(job) || !borrows(job, holding, 0);
         }
-        Facts.Team t = block.facts().teams().get(v.team());
-        return job.guaranteed() && !holding.guaranteed() && !v.team().equals(job.spec.team()) && t != null
-                && block.teamUse().cpus(v.team()) - v.cpus() >= t.cpus();
+        return borrows(holding, job, holding.spec.cpus());
+    }
+
+    private static boolean firm(Job job) {
+        return job.spec.gang() || job.spec.shape() == JobSpec.Shape.SERVICE;
+    }
+
+    /** Whether the job's team has that work beyond its guarantee, {@code own} CPUs of it apart, and the other is within its. */
+    private boolean borrows(Job job, Job other, double own) {
+        Facts.Team t = block.facts().teams().get(job.spec.team());
+        return other.guaranteed() && !job.guaranteed() && !job.spec.team().equals(other.spec.team()) && t != null
+                && block.teamUse().cpus(job.spec.team()) - own >= t.cpus();
     }
 
     /**
