World: direct commands and questions between nodes can be cut off, too

Which worker a node's direct commands reach can be set, by node and worker, and holds for the answer as well. A node that can't reach the leader no longer gets the leader's progress.

--- a/src/main/java/io/kitepath/standin/Node.java
+++ b/src/main/java/io/kitepath/standin/Node.java
@@ -50,8 +50,8 @@
 
     private void direct(String address, long token, long session, List<Order> orders, Consumer<Report> answer) {
         Worker x = w.workers.get(address);
-        if (x == null || x.cut || x.deaf || !x.up || w.refuseDirect || x.hangs()) {
-            if (x != null && x.hangs() && !w.refuseDirect) {
+        if (x == null || x.cut || x.deaf || !x.up || w.refuseDirect || x.hangs() || !w.commands.test(this, x)) {
+            if (x != null && x.hangs() && !w.refuseDirect && w.commands.test(this, x)) {
                 x.goesOn(() -> x.directly(token, session, orders)); // What is sent to it waits there.
             }
             after(0.5, () -> answer.accept(null));
@@ -65,7 +65,7 @@
         }
         w.after(w.directDelayS, () -> {
             Report r = x.directly(token, session, orders);
-            after(0.002, () -> answer.accept(r));
+            after(0.002, () -> answer.accept(w.commands.test(this, x) ? r : null));
         });
     }
 
@@ -172,10 +172,12 @@
                 answer.accept(p);
             }
         };
-        n.after(0.001, () -> {
-            List<Progress> p = n.controller.progress(jobs);
-            after(0.001, () -> once.accept(p));
-        });
+        if (reaches(n)) {
+            n.after(0.001, () -> {
+                List<Progress> p = n.controller.progress(jobs);
+                after(0.001, () -> once.accept(p));
+            });
+        }
         after(0.5, () -> once.accept(List.of()));
     }
 
--- a/src/main/java/io/kitepath/standin/World.java
+++ b/src/main/java/io/kitepath/standin/World.java
@@ -18,6 +18,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiPredicate;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
@@ -112,6 +113,8 @@
     public Consumer<Worker> born = x -> { };
     /** Workers get no direct commands. */
     public boolean refuseDirect;
+    /** Which worker a node's direct commands reach, and its answer that node. */
+    public BiPredicate<Node, Worker> commands = (n, x) -> true;
     /** How late they come. */
     public double directDelayS = 0.002;
     /** How late the next one comes on a connection that its sender has given up by then; 0: it is not held up. */
