--- a/src/test/java/io/kitepath/core/TeamLimitSeedsTest.java
+++ b/src/test/java/io/kitepath/core/TeamLimitSeedsTest.java
@@ -68,6 +68,7 @@
             assertEquals(off ? 0 : 18, w.leader().controller.block.teamUse().cpus("blue"), 1e-6, when);
         }
         System.out.println("limits: half written " + half);
+        assertTrue(half > 10, "half written " + half);
     }
 
     private static void trouble(World w, Random random) {
