--- a/src/test/java/io/kitepath/core/AllTroublesSeedsTest.java
+++ b/src/test/java/io/kitepath/core/AllTroublesSeedsTest.java
@@ -10,6 +10,7 @@
 import io.kitepath.standin.Node;
 import io.kitepath.standin.Worker;
 import io.kitepath.standin.World;
+import io.kitepath.standin.Worlds;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -245,26 +246,8 @@
         }
 
         private void calm() {
-            w.store.out = false;
-            w.store.hangs = n -> false;
-            w.store.late = t -> 0;
-            w.store.unheard = t -> false;
-            w.directHeldS = () -> 0;
-            w.copyAfterS = () -> 0;
-            w.keeps = r -> false;
-            w.cancelsAtEnd = t -> false;
-            w.workers.values().forEach(x -> {
-                x.cut = false;
-                x.deaf = false;
-                x.mute = false;
-            });
-            w.siblings.forEach(k -> {
-                Node n = w.nodes.get(k);
-                n.cutFromStore = false;
-                n.cutFrom.clear();
-                n.frozenUntil = 0;
-                back(n, 0.1);
-            });
+            Worlds.endTroubles(w);
+            w.siblings.forEach(k -> back(w.nodes.get(k), 0.1));
         }
     }
 
--- a/src/test/java/io/kitepath/core/CancellationSeedsTest.java
+++ b/src/test/java/io/kitepath/core/CancellationSeedsTest.java
@@ -10,6 +10,7 @@
 import io.kitepath.standin.Node;
 import io.kitepath.standin.Worker;
 import io.kitepath.standin.World;
+import io.kitepath.standin.Worlds;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -181,22 +182,8 @@
                     users();
                 }
             }
-            w.store.out = false;
-            w.store.hangs = n -> false;
-            w.store.late = t -> 0;
-            w.directHeldS = () -> 0;
-            w.copyAfterS = () -> 0;
-            w.workers.values().forEach(x -> {
-                x.cut = false;
-                x.deaf = false;
-            });
-            w.siblings.forEach(k -> {
-                Node n = w.nodes.get(k);
-                n.cutFromStore = false;
-                n.cutFrom.clear();
-                n.frozenUntil = 0;
-                back(n);
-            });
+            Worlds.endTroubles(w);
+            w.siblings.forEach(k -> back(w.nodes.get(k)));
             calm = w.clock.now;
             Set<String> open = new HashSet<>(w.accepted.keySet());
             while (!open.isEmpty() && w.clock.now - calm < 75) {
--- a/src/test/java/io/kitepath/standin/Worlds.java
+++ b/src/test/java/io/kitepath/standin/Worlds.java
@@ -23,6 +23,28 @@
         return w;
     }
 
+    /** All troubles end but those of nodes that are down, which are for the caller to bring back. */
+    public static void endTroubles(World w) {
+        w.store.out = false;
+        w.store.hangs = n -> false;
+        w.store.late = t -> 0;
+        w.store.unheard = t -> false;
+        w.directHeldS = () -> 0;
+        w.copyAfterS = () -> 0;
+        w.keeps = r -> false;
+        w.cancelsAtEnd = t -> false;
+        w.workers.values().forEach(x -> {
+            x.cut = false;
+            x.deaf = false;
+            x.mute = false;
+        });
+        w.nodes.values().forEach(n -> {
+            n.cutFromStore = false;
+            n.cutFrom.clear();
+            n.frozenUntil = 0;
+        });
+    }
+
     /** The world's time, for a part that is tried by itself. */
     public static Timers timers(World w) {
         return new Timers() {
