AllTroublesSeedsTest plays all its seeds and names every one that fails

It now goes through all seeds of -Dkitepath.from and -Dkitepath.seeds, collects each violation and each job without an end with its seed, and fails at the end with all of them: as strict as before.

--- a/src/test/java/io/kitepath/core/AllTroublesSeedsTest.java
+++ b/src/test/java/io/kitepath/core/AllTroublesSeedsTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
@@ -23,7 +24,8 @@
  * they sent, and call jobs off as they end. Also drawn: leases, report intervals and cancel_s as
  * tight as deployments have them, 1 to 5 nodes, a store with low limits, teams at their limits,
  * jobs bound to one zone or spread. With {@code -Dkitepath.seeds=N}: that many, and {@code
- * -Dkitepath.from=N}: from there.
+ * -Dkitepath.from=N}: from there. All of them are played; what is wrong with any fails the test at
+ * the end, with its seed.
  */
 class AllTroublesSeedsTest {
     private static final int IN_CI = 60;
@@ -303,6 +305,31 @@
             cluster.run(420);
         }
 
+        /** Every violation, and every accepted job that was called neither done nor cancelled. */
+        List<String> failures(long seed) {
+            List<String> failures = new ArrayList<>();
+            cluster.violations.forEach(v -> failures.add("seed " + seed + ": " + v));
+            for (String id : cluster.acceptedAt.keySet()) {
+                if (!cluster.reportedDone.contains(id)
+                        && !cluster.reportedCancelledAt.containsKey(id)) {
+                    failures.add("seed " + seed + ": " + unfinished(id));
+                }
+            }
+            return failures;
+        }
+
+        private String unfinished(String id) {
+            Optional<SimulatedNode> leader =
+                    cluster.nodes.values().stream()
+                            .filter(node -> node.alive && node.controller.leadership.isLeading())
+                            .findFirst();
+            return id
+                    + " "
+                    + leader.map(node -> cluster.ask(node, id)).orElse(null)
+                    + ", needs "
+                    + cluster.dependencies.get(id);
+        }
+
         private void calm() {
             SimulatedClusters.endTroubles(cluster);
             cluster.siblings.forEach(key -> back(cluster.nodes.get(key), 0.1));
@@ -314,6 +341,7 @@
         int runs = Math.max(IN_CI, Integer.getInteger("kitepath.seeds", 0));
         int from = Integer.getInteger("kitepath.from", 0);
         Map<Integer, Integer> met = new TreeMap<>();
+        List<String> failures = new ArrayList<>();
         int accepted = 0;
         int cancelled = 0;
         int starts = 0;
@@ -322,22 +350,7 @@
         for (long seed = from; seed < from + runs; seed++) {
             Run r = new Run(seed, met);
             r.play();
-            assertEquals(List.of(), r.cluster.violations, "seed " + seed);
-            for (String id : r.cluster.acceptedAt.keySet()) {
-                long of = seed;
-                assertTrue(
-                        r.cluster.reportedDone.contains(id)
-                                || r.cluster.reportedCancelledAt.containsKey(id),
-                        () ->
-                                "seed "
-                                        + of
-                                        + ": "
-                                        + id
-                                        + " "
-                                        + r.cluster.ask(r.cluster.leader(), id)
-                                        + ", needs "
-                                        + r.cluster.dependencies.get(id));
-            }
+            failures.addAll(r.failures(seed));
             accepted += r.cluster.acceptedAt.size();
             cancelled += r.cluster.reportedCancelledAt.size();
             starts += ConcurrentFaultsTest.starts(r.cluster);
@@ -359,6 +372,7 @@
                         + latest
                         + " s; met "
                         + met);
+        assertEquals(List.of(), failures);
         assertEquals(KINDS, met.size());
         assertTrue(
                 accepted > 10 * runs && cancelled > 2 * runs,
