Log: the life of an attempt, with the heartbeats that prove what became of it

An on-call engineer could not tell from the log why an attempt counted as over: launches left no line, and "attempt ended" named no heartbeat. At debug there are now lines for a placement that is written or withdrawn, for a launch with the heartbeat whose answer carries it, and for an attempt that is over since a newer report does not show it, with both heartbeats. docs/operating.md lists them.

--- a/src/main/java/io/kitepath/core/shard/Attempt.java
+++ b/src/main/java/io/kitepath/core/shard/Attempt.java
@@ -38,6 +38,9 @@
     /** The last heartbeat response to its machine told it to start. */
     boolean isStartSent;
 
+    /** The heartbeat that such a response last answered; 0 if this leader has not launched it. */
+    long startAnsweredSequence;
+
     /** How many heartbeats after such a response did not show it. */
     int missedReports;
 
--- a/src/main/java/io/kitepath/core/shard/AttemptLedger.java
+++ b/src/main/java/io/kitepath/core/shard/AttemptLedger.java
@@ -122,6 +122,7 @@
      * be under way all the same, hence the part counts as changed.
      */
     void withdraw(Attempt attempt) {
+        LOG.debug("placement withdrawn, not known to be written: attempt={}", attempt);
         quotaUsage.countAttempt(attempt.job.spec, -1);
         attempt.job.removeLive(attempt);
         writes.dirtyParts().addChange(attempt.job.markDirty(attempt.task));
--- a/src/main/java/io/kitepath/core/shard/CommandPlanner.java
+++ b/src/main/java/io/kitepath/core/shard/CommandPlanner.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What agents are told to start and stop. Only here an attempt is launched: after it is written,
@@ -12,6 +14,8 @@
  * that it never started.
  */
 final class CommandPlanner {
+    private static final Logger LOG = LoggerFactory.getLogger(CommandPlanner.class);
+
     /** Commands in one answer; keeps it far below the 64 KiB limit. */
     static final int MAX_COMMANDS = 300;
 
@@ -73,6 +77,13 @@
         }
         attempt.mayBeLaunched = true;
         attempt.isStartSent = true;
+        attempt.startAnsweredSequence = attempt.machine.heartbeats().lastSequence();
+        LOG.debug(
+                "attempt launched: attempt={} fencingToken={} incarnation={} answeredSequence={}",
+                attempt,
+                shard.fencingToken(),
+                attempt.machine.agentIncarnation(),
+                attempt.startAnsweredSequence);
         return new WorkerCommand(
                 WorkerCommand.Action.START, attempt.job.spec.id(), attempt.task, attempt.number, 0);
     }
--- a/src/main/java/io/kitepath/core/shard/HeartbeatProcessor.java
+++ b/src/main/java/io/kitepath/core/shard/HeartbeatProcessor.java
@@ -226,6 +226,17 @@
         if (!attempt.isEnded && wasOrdered && ++attempt.missedReports >= MAX_MISSED_REPORTS) {
             giveUpLaunch(attempt, now);
         }
+        if (attempt.isEnded) {
+            LOG.debug(
+                    "attempt over, as a newer report does not show it: attempt={} fencingToken={}"
+                            + " incarnation={} sequence={} wasSeen={} startAnsweredSequence={}",
+                    attempt,
+                    shard.fencingToken(),
+                    attempt.machine.agentIncarnation(),
+                    attempt.machine.heartbeats().lastSequence(),
+                    attempt.isSeen,
+                    attempt.startAnsweredSequence);
+        }
     }
 
     private static boolean hasBegun(Job job) {
--- a/src/main/java/io/kitepath/core/shard/PendingWrites.java
+++ b/src/main/java/io/kitepath/core/shard/PendingWrites.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What of the shard's jobs the store has not been told, and how their records are laid out: a job's
@@ -12,6 +14,8 @@
  * become too large for their records is migrated to smaller ones.
  */
 final class PendingWrites {
+    private static final Logger LOG = LoggerFactory.getLogger(PendingWrites.class);
+
     private final ClusterSettings settings;
     private final SchedulingSignal signal;
     private final DirtyParts dirtyParts = new DirtyParts();
@@ -113,8 +117,9 @@
         part.markWritten(version, revision);
         dirtyParts.enqueueIfDirty(part);
         for (Attempt attempt : job.liveAttemptsInPart(part.index)) {
-            if (attempt.placedVersion <= version) {
+            if (attempt.placedVersion <= version && !attempt.isDurable) {
                 attempt.isDurable = true;
+                LOG.debug("placement written: attempt={} revision={}", attempt, revision);
             }
         }
         job.unwrittenEnds.removeIf(
