--- a/src/test/java/io/kitepath/cloud/HttpCloudTest.java
+++ b/src/test/java/io/kitepath/cloud/HttpCloudTest.java
@@ -166,4 +166,16 @@
         assertEquals(Got.nothing(Outcome.UNKNOWN), machines());
         assertEquals(Got.nothing(Outcome.UNKNOWN), machines());
     }
+
+    /**
+     * Whoever waits for the list has to hear that there is none: a leader asks for the next one
+     * only then.
+     */
+    @Test
+    void aPageThatDoesNotSayWhetherMoreFollowIsNoAnswer() throws Exception {
+        for (Object odd : List.of("yes", 1L, List.of())) {
+            server.reply(200, Map.of("hosts", List.of(), "truncated", odd));
+            assertEquals(Got.nothing(Outcome.UNKNOWN), machines(), "truncated: " + odd);
+        }
+    }
 }
--- a/src/test/java/io/kitepath/peers/FrameLimitsTest.java
+++ b/src/test/java/io/kitepath/peers/FrameLimitsTest.java
@@ -3,11 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.esotericsoftware.kryo.KryoException;
 import com.esotericsoftware.kryo.io.Output;
 import io.kitepath.core.model.CellMessage;
 import io.kitepath.core.model.InvalidInputException;
+import java.lang.management.ManagementFactory;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -56,6 +58,58 @@
         }
     }
 
+    /**
+     * What happened: a frame of seven bytes made the node allocate 4 GiB, so that it could end for
+     * want of memory. Why: Kryo allocates a text by the length that the frame states. What showed
+     * it: an OutOfMemoryError for the largest length here, with a heap of 200 MiB. So memory is
+     * counted, not only the refusal.
+     */
+    @Test
+    void aTextThatTheFrameCannotHoldIsRefusedBeforeItIsAllocated() {
+        for (int length : new int[] {2, 1000, 10_000_000, 100_000_000, -7}) {
+            Output frame = frame(VIEW);
+            frame.writeVarIntFlag(true, length + 1, true);
+            frame.writeByte(1);
+            long before = allocatedBytes();
+            refuses(frame);
+            long allocated = allocatedBytes() - before;
+            assertTrue(allocated < PeerMessageCodec.MAX_FRAME_BYTES, length + ": " + allocated);
+        }
+    }
+
+    /** By this thread since it began. */
+    private static long allocatedBytes() {
+        return ((com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean())
+                .getCurrentThreadAllocatedBytes();
+    }
+
+    /**
+     * What happened: lists in lists, three bytes each, overflowed the stack of the event loop's
+     * thread. Why: reading recurses as deeply as the frame says. What showed it: a
+     * StackOverflowError in place of the refusal.
+     */
+    @Test
+    void listsThatAreNestedTooDeeplyAreRefused() {
+        for (int depth : new int[] {50, 1000, 80_000}) {
+            Output frame = new Output(64, PeerMessageCodec.MAX_FRAME_BYTES);
+            frame.writeVarInt(ASK_PROGRESS, true);
+            frame.writeVarInt(LIST, true);
+            for (int i = 0; i < depth; i++) {
+                frame.writeVarIntFlag(true, 2, true); // One element,
+                frame.writeVarInt(LIST, true); // a list,
+                frame.writeByte(0); // which is not null.
+            }
+            frame.writeVarIntFlag(true, 1, true); // The innermost is empty.
+            frame.writeVarLong(7, false);
+            InvalidInputException refusal =
+                    assertThrows(
+                            InvalidInputException.class, () -> messages.decode(frame.toBytes()));
+            assertTrue(refusal.getMessage().contains("depth"), refusal.getMessage());
+        }
+        PeerMessage.ProgressRequest next = new PeerMessage.ProgressRequest(1, List.of("j-1"));
+        assertEquals(next, messages.decode(messages.encode(next)), "the next message is read");
+    }
+
     @Test
     void aListOfAnotherClassIsRefused() {
         Output frame = frame(ASK_PROGRESS, LIST);
