Frames are read within bounds, and a malformed page of machines is no answer

Symptoms: a frame of seven bytes could end a node for want of memory; one of 15 KB of nested lists overflowed the event loop's stack; a list of machines whose "truncated" is no boolean was never answered, so that a leader asked for no further one. Causes: Kryo allocates a text by its stated length and recurses without a limit; HttpCloud decoded "truncated" outside of the part that turns malformed bodies into an answer. Change: FrameInput refuses a text that the rest of the frame can't hold; objects nest 16 deep at most (the deepest message, by the golden frames, needs 5); HttpCloud decodes a page as a whole. The store's client did so already. Frames of sound messages are unchanged (FrameBytesTest).

--- a/src/main/java/io/kitepath/cloud/HttpCloud.java
+++ b/src/main/java/io/kitepath/cloud/HttpCloud.java
@@ -29,6 +29,13 @@
     /** Why a rental is refused with a status that an overloaded cloud has, too. */
     private static final String NO_CAPACITY = "no capacity";
 
+    /** One page of the list of machines. */
+    private record MachinePage(List<ListedMachine> machines, boolean truncated) {
+        boolean hasNextPage() {
+            return truncated && !machines.isEmpty();
+        }
+    }
+
     private final HttpClient client;
     private final long timeoutMillis;
 
@@ -95,14 +102,13 @@
                 Request.get("/rentals?" + fromParameter + "limit=" + MACHINES_PER_PAGE),
                 timeoutMillis,
                 response -> {
-                    Optional<List<ListedMachine>> page =
-                            decodeIfOk(response, CloudCodec::decodeListedMachines);
+                    Optional<MachinePage> page = decodeIfOk(response, HttpCloud::decodeMachinePage);
                     if (page.isEmpty()) {
                         answer.accept(failure(response), List.of());
                         return;
                     }
-                    machines.addAll(page.get());
-                    if (hasNextPage(response) && !page.get().isEmpty()) {
+                    machines.addAll(page.get().machines());
+                    if (page.get().hasNextPage()) {
                         ListedMachine last = machines.get(machines.size() - 1);
                         listPage(last.machineId(), machines, answer);
                     } else {
@@ -111,8 +117,9 @@
                 });
     }
 
-    private static boolean hasNextPage(HttpResponse response) {
-        return SharedCodec.isTruncated(MessagePackCodec.decode(response.body()));
+    private static MachinePage decodeMachinePage(Object body) {
+        return new MachinePage(
+                CloudCodec.decodeListedMachines(body), SharedCodec.isTruncated(body));
     }
 
     /** Answers with the list in the body, or with an empty one if there is none. */
--- a/src/main/java/io/kitepath/peers/PeerMessageCodec.java
+++ b/src/main/java/io/kitepath/peers/PeerMessageCodec.java
@@ -1,7 +1,6 @@
 package io.kitepath.peers;
 
 import com.esotericsoftware.kryo.Kryo;
-import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
 import io.kitepath.core.model.InvalidInputException;
 
@@ -15,12 +14,19 @@
 
     private static final int INITIAL_BUFFER_BYTES = 1024;
 
+    /**
+     * Objects within each other in one frame; the deepest message has five. Guards against a frame
+     * of nested lists that overflows the stack of the event loop's thread.
+     */
+    private static final int MAX_DEPTH = 16;
+
     private final Kryo kryo = new Kryo();
     private final Output output = new Output(INITIAL_BUFFER_BYTES, MAX_FRAME_BYTES);
 
     private PeerMessageCodec() {
         kryo.setRegistrationRequired(true);
         kryo.setReferences(false);
+        kryo.setMaxDepth(MAX_DEPTH);
         PeerMessageSerializers.register(kryo);
     }
 
@@ -55,7 +61,7 @@
     PeerMessage decode(byte[] frame) {
         Object decoded;
         try {
-            decoded = kryo.readClassAndObject(new Input(frame));
+            decoded = kryo.readClassAndObject(new FrameInput(frame));
         } catch (RuntimeException e) {
             // Kryo throws exceptions of many classes on malformed bytes.
             throw new InvalidInputException("message: " + e.getMessage());
