A job's end and a role's token are found out although their records can't be read

Symptoms: a user asks about a job whose record of the end is malformed and gets no answer; a role whose token record is malformed is held by nobody. Cause: the fields were read, without a way out, in the callbacks that take in the store's answer; what waited for those (the user's answer, the end of "a claim is under way") was left waiting. Change: FinalStates answers 503 and logs the key, and needs the number of tasks for display only; the record's revision takes the place of a token that can't be read, since no token is above it (HolderRecord).

--- a/src/main/java/io/kitepath/core/leadership/HolderRecord.java
+++ b/src/main/java/io/kitepath/core/leadership/HolderRecord.java
@@ -2,8 +2,11 @@
 
 import io.kitepath.core.model.DocumentReader;
 import io.kitepath.core.model.InvalidInputException;
+import io.kitepath.core.port.Store;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The stored record of a holder: of leadership, or of a role. Also the record of the highest
@@ -13,6 +16,8 @@
  * of the wrong type.
  */
 public final class HolderRecord {
+    private static final Logger LOG = LoggerFactory.getLogger(HolderRecord.class);
+
     private static final String NODE = "node";
     private static final String FENCING_TOKEN = "token";
     private static final String LEASE_ID = "lease";
@@ -47,6 +52,27 @@
         return Map.of(FENCING_TOKEN, fencingToken);
     }
 
+    /**
+     * The highest fencing token that was given out, from the record of it.
+     *
+     * <p>Guards against a role, or leadership, that nobody can claim any more as that record can't
+     * be read. The revision takes its place then: each claim is a change of the store and raises
+     * the token by one, or to one above a revision that was passed, so no token that was given out
+     * is above the record's revision.
+     */
+    public static long highestFencingToken(Store.Entry entry) {
+        try {
+            return fromRecord(entry.value()).fencingToken();
+        } catch (InvalidInputException invalid) {
+            LOG.error(
+                    "record {} is unreadable, its revision {} counts as the highest token: {}",
+                    entry.key(),
+                    entry.revision(),
+                    invalid.getMessage());
+            return entry.revision();
+        }
+    }
+
     /** The node that holds. */
     public String node() {
         return document.text(NODE);
--- a/src/main/java/io/kitepath/core/role/RoleClaims.java
+++ b/src/main/java/io/kitepath/core/role/RoleClaims.java
@@ -91,10 +91,7 @@
     /** {@code highestToken}: the record of it; empty if none was ever given out. */
     private void claim(Role role, Optional<Entry> highestToken) {
         long leaseId = lease.id();
-        long highest =
-                highestToken
-                        .map(entry -> HolderRecord.fromRecord(entry.value()).fencingToken())
-                        .orElse(0L);
+        long highest = highestToken.map(HolderRecord::highestFencingToken).orElse(0L);
         long fencingToken = Math.max(role.fencingToken, highest) + 1;
         Map<String, Object> record =
                 HolderRecord.toRecord(
--- a/src/main/java/io/kitepath/core/service/FinalStates.java
+++ b/src/main/java/io/kitepath/core/service/FinalStates.java
@@ -3,23 +3,33 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import io.kitepath.core.model.DocumentReader;
+import io.kitepath.core.model.InvalidInputException;
 import io.kitepath.core.model.JobStatus;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.Entry;
-import io.kitepath.core.port.Store.Outcome;
 import io.kitepath.core.service.JobSubmissionService.JobResponse;
 import io.kitepath.core.service.JobSubmissionService.Verdict;
 import io.kitepath.core.state.StoreKeys;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * How jobs ended, from memory where this node knows it and from the store otherwise. A final state
  * never changes, so it is the only one that may be answered from memory.
  */
 final class FinalStates {
+    private static final Logger LOG = LoggerFactory.getLogger(FinalStates.class);
+
     static final String CANCELLED = "cancelled";
+    private static final String DONE = "done";
+
+    /** The fields of a record of a job's end that are read here. */
+    private static final String STATUS = "status";
+
+    private static final String DONE_TASKS = "done";
 
     private static final int MAX_REMEMBERED = 5000;
 
@@ -74,25 +84,46 @@
         return true;
     }
 
-    /** Reads how the job ended; NOT_FOUND if the store has no record of its end. */
+    /**
+     * Reads how the job ended; NOT_FOUND if the store has no record of its end, LATER if the record
+     * does not say how.
+     */
     void read(String jobId, Consumer<JobResponse> answer) {
         store.get(
                 StoreKeys.ENDED_JOBS + jobId,
                 (outcome, entry) -> {
-                    if (outcome == Outcome.OK) {
-                        JobStatus status = fromRecord(jobId, entry);
-                        remember(status);
-                        answer.accept(new JobResponse(Verdict.KNOWN, status));
-                    } else if (outcome == Outcome.REJECTED) {
-                        answer.accept(JobResponse.NOT_FOUND);
-                    } else {
-                        answer.accept(JobResponse.LATER);
+                    switch (outcome) {
+                        case OK -> answer.accept(adopt(jobId, entry));
+                        case REJECTED -> answer.accept(JobResponse.NOT_FOUND);
+                        default -> answer.accept(JobResponse.LATER);
                     }
                 });
     }
 
-    private static JobStatus fromRecord(String jobId, Entry entry) {
-        DocumentReader document = DocumentReader.of(entry.value());
-        return new JobStatus(jobId, document.text("status"), (int) document.count("done"), 0);
+    /**
+     * Guards against a user who waits for an answer that never comes, as the record can't be read.
+     */
+    private JobResponse adopt(String jobId, Entry entry) {
+        try {
+            JobStatus status = fromRecord(jobId, DocumentReader.of(entry.value()));
+            remember(status);
+            return new JobResponse(Verdict.KNOWN, status);
+        } catch (InvalidInputException invalid) {
+            LOG.error("record {} is unreadable: {}", entry.key(), invalid.getMessage());
+            return JobResponse.LATER;
+        }
+    }
+
+    private static JobStatus fromRecord(String jobId, DocumentReader document) {
+        String status = document.text(STATUS);
+        if (!status.equals(DONE) && !status.equals(CANCELLED)) {
+            throw document.invalid(STATUS, "must be " + DONE + " or " + CANCELLED);
+        }
+        return new JobStatus(jobId, status, doneTasks(document), 0);
+    }
+
+    /** For display only, so a record that lacks it still tells how the job ended. */
+    private static int doneTasks(DocumentReader document) {
+        return document.raw(DONE_TASKS) instanceof Long count ? count.intValue() : 0;
     }
 }
