Tests, red: the leader's records and a part's record that can't be read

Each ends with an InvalidInputException in the callback that takes in the store's answer: a campaign that never ends, a leader's record that is not followed any more, a new leader that never gets to know the jobs. The last one stops all work of a cell.

--- a/src/test/java/io/kitepath/core/MalformedRecordsTest.java
+++ b/src/test/java/io/kitepath/core/MalformedRecordsTest.java
@@ -12,6 +12,7 @@
 import io.kitepath.core.service.JobSubmissionService.Verdict;
 import io.kitepath.core.state.StoreKeys;
 import io.kitepath.simulation.SimulatedCluster;
+import io.kitepath.simulation.SimulatedNode;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -94,4 +95,70 @@
         Map<?, ?> record = (Map<?, ?>) cluster.store.entries.get(StoreKeys.ROLES + "cloud").value();
         return (String) record.get("node");
     }
+
+    @Test
+    void aNodeLeadsWithAHigherTokenIfTheTokenRecordCannotBeRead() {
+        for (Object unreadable : List.of(NO_DOCUMENT, Map.of("token", "x"))) {
+            SimulatedNode first = cluster.leader();
+            long before = cluster.store.leaderFencingToken();
+            put(StoreKeys.FENCING_TOKEN, unreadable);
+            first.crash();
+            cluster.run(8);
+            assertNotEquals(first, cluster.leader());
+            assertTrue(cluster.store.leaderFencingToken() > before);
+            cluster.node(first.name);
+            cluster.run(4);
+        }
+    }
+
+    @Test
+    void nodesFindALeaderAgainOnceItsRecordCanBeRead() {
+        String held = cluster.leader().name;
+        Object sound = cluster.store.entries.get(StoreKeys.LEADER).value();
+        put(StoreKeys.LEADER, NO_DOCUMENT);
+        cluster.run(5);
+        put(StoreKeys.LEADER, sound);
+        cluster.run(5);
+        cluster.nodes.get(held).crash();
+        cluster.store.entries.remove(StoreKeys.LEADER);
+        cluster.run(8);
+        assertNotEquals(held, cluster.leader().name);
+    }
+
+    // ---- parts of open jobs ---------------------------------------------------------------------
+
+    @Test
+    void aNewLeaderPlacesAllOtherWorkIfAPartsRecordCannotBeRead() {
+        List<Object> unreadable =
+                List.of(
+                        NO_DOCUMENT,
+                        Map.of(),
+                        Map.of("next", 2L, "done", "", "live", List.of()),
+                        Map.of("next", 2L, "done", "", "live", Map.of("i-000000", "x")),
+                        Map.of(
+                                "next",
+                                2L,
+                                "done",
+                                "",
+                                "live",
+                                Map.of("i-000000", List.of("x", 1L))),
+                        Map.of("next", 2L, "done", "%", "live", Map.of()));
+        for (int i = 0; i < unreadable.size(); i++) {
+            String damaged = "j-" + (900 + i);
+            cluster.taskSeconds = id -> id.equals(damaged) ? 500 : 5;
+            cluster.submit(cluster.leader(), job(damaged, Shape.ARRAY, 1, 1));
+            cluster.run(3);
+            put(StoreKeys.JOB_PARTS + damaged + "/0", unreadable.get(i));
+            SimulatedNode first = cluster.leader();
+            first.crash();
+            cluster.run(8);
+            cluster.node(first.name);
+            String other = "j-" + (100 + i);
+            cluster.submit(cluster.leader(), job(other, Shape.ARRAY, 2, 1));
+            cluster.run(20);
+            assertEquals("done", asked(other).jobStatus().status(), "beside " + unreadable.get(i));
+            assertNotNull(cluster.ask(cluster.leader(), damaged));
+        }
+        assertEquals(List.of(), cluster.violations);
+    }
 }
