A leader is found, and knows all other jobs, although a record can't be read

Symptoms: with a malformed record of the fencing token a node never campaigns again; with one of the leader a node no longer follows who leads; with one of a job's part a new leader never gets to know any job, and nothing of the cell is placed. Change: Campaign takes the token as the roles do. Leadership logs the key and reads again. PartRecord gives typed attempts, and complains; of a job with such a part nothing is placed, its record stays as it is, all tasks of the part count against the team's quota, and its user is told so in the note. Progress from such parts is answered 503.

--- a/src/main/java/io/kitepath/core/leadership/Campaign.java
+++ b/src/main/java/io/kitepath/core/leadership/Campaign.java
@@ -82,7 +82,7 @@
                 StoreKeys.FENCING_TOKEN,
                 (outcome, entry) -> {
                     if (outcome == Outcome.OK) {
-                        long lastToken = HolderRecord.fromRecord(entry.value()).fencingToken();
+                        long lastToken = HolderRecord.highestFencingToken(entry);
                         claim(leaseId, lastToken, entry.revision(), requestedAt);
                     } else if (outcome == Outcome.REJECTED) {
                         claim(leaseId, 0, 0, requestedAt); // Nobody has ever led.
--- a/src/main/java/io/kitepath/core/leadership/Leadership.java
+++ b/src/main/java/io/kitepath/core/leadership/Leadership.java
@@ -1,6 +1,7 @@
 package io.kitepath.core.leadership;
 
 import io.kitepath.core.model.ClusterSettings;
+import io.kitepath.core.model.InvalidInputException;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.Outcome;
 import io.kitepath.core.port.Timers;
@@ -212,8 +213,7 @@
                 (outcome, entry) -> {
                     if (outcome == Outcome.OK) {
                         onStoreAnswered();
-                        onLeaderRecord(HolderRecord.fromRecord(entry.value()));
-                        watchLeaderRecord(entry.revision());
+                        onLeaderRecordRead(entry);
                     } else if (outcome == Outcome.REJECTED) {
                         onStoreAnswered();
                         onLeaderRecordAbsent();
@@ -223,6 +223,21 @@
                 });
     }
 
+    /**
+     * Guards against a node that does not hear of any leader any more since the record could not be
+     * read once: it is read again until it can be, or is gone.
+     */
+    private void onLeaderRecordRead(Store.Entry entry) {
+        try {
+            onLeaderRecord(HolderRecord.fromRecord(entry.value()));
+        } catch (InvalidInputException invalid) {
+            LOG.error("record {} is unreadable: {}", entry.key(), invalid.getMessage());
+            readLeaderRecordLater();
+            return;
+        }
+        watchLeaderRecord(entry.revision());
+    }
+
     private void readLeaderRecordLater() {
         double delay = MIN_RETRY_SECONDS + random.nextDouble() * RETRY_JITTER_SECONDS;
         timers.schedule(delay, this::readLeaderRecord);
--- a/src/main/java/io/kitepath/core/service/OpenJobAnswers.java
+++ b/src/main/java/io/kitepath/core/service/OpenJobAnswers.java
@@ -21,12 +21,16 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Answers for jobs that are open: their progress comes from the leader's memory, which costs the
  * store nothing, else from what this node heard before, else from the store's records.
  */
 final class OpenJobAnswers {
+    private static final Logger LOG = LoggerFactory.getLogger(OpenJobAnswers.class);
+
     /** Share of the store's request rate that all nodes together spend on reading records. */
     private static final double READ_RATE_SHARE = 0.05;
 
@@ -201,9 +205,18 @@
                         return;
                     }
                     List<Object> records = parts.entries().stream().map(Entry::value).toList();
-                    JobProgress progress = PartRecord.progress(jobId, records);
-                    remember(progress, true);
-                    batch.answer(jobId, unfinished(progress));
+                    batch.answer(jobId, progressOf(jobId, records));
                 });
     }
+
+    private JobResponse progressOf(String jobId, List<Object> partRecords) {
+        try {
+            JobProgress progress = PartRecord.progress(jobId, partRecords);
+            remember(progress, true);
+            return unfinished(progress);
+        } catch (InvalidInputException unreadable) {
+            LOG.error("a part of job {} is unreadable: {}", jobId, unreadable.getMessage());
+            return JobResponse.LATER;
+        }
+    }
 }
--- a/src/main/java/io/kitepath/core/shard/AttemptLedger.java
+++ b/src/main/java/io/kitepath/core/shard/AttemptLedger.java
@@ -55,7 +55,7 @@
     void add(Attempt attempt) {
         attempt.job.addLive(attempt);
         attempt.machine.addAttempt(attempt);
-        quotaUsage.countAttempt(attempt.job.spec, 1);
+        quotaUsage.countAttempts(attempt.job.spec, 1);
         attempt.job.stoppingAttemptCount += attempt.isStopping() ? 1 : 0;
     }
 
@@ -123,7 +123,7 @@
      */
     void withdraw(Attempt attempt) {
         LOG.debug("placement withdrawn, not known to be written: attempt={}", attempt);
-        quotaUsage.countAttempt(attempt.job.spec, -1);
+        quotaUsage.countAttempts(attempt.job.spec, -1);
         attempt.job.removeLive(attempt);
         writes.dirtyParts().addChange(attempt.job.markDirty(attempt.task));
         attempt.job.stoppingAttemptCount -= attempt.isStopping() ? 1 : 0;
@@ -150,7 +150,7 @@
             return;
         }
         Job job = attempt.job;
-        quotaUsage.countAttempt(job.spec, -1);
+        quotaUsage.countAttempts(job.spec, -1);
         attempt.isEnded = true;
         attempt.state = TaskState.ENDED;
         job.removeLive(attempt);
--- a/src/main/java/io/kitepath/core/shard/Job.java
+++ b/src/main/java/io/kitepath/core/shard/Job.java
@@ -1,6 +1,7 @@
 package io.kitepath.core.shard;
 
 import io.kitepath.core.model.ClusterSettings;
+import io.kitepath.core.model.InvalidInputException;
 import io.kitepath.core.model.JobProgress;
 import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobSpec;
@@ -66,6 +67,9 @@
     /** The user asked to cancel; done once no other cell can run anything of the job. */
     private boolean isCancelRequested;
 
+    /** See {@link #markUnreadable}. */
+    private boolean isUnreadable;
+
     private final JobParts parts;
     private final JobLoans loans = new JobLoans();
 
@@ -349,9 +353,9 @@
         return Collections.unmodifiableSet(unmetDependencies);
     }
 
-    /** Whether the job can't start yet, or ever, because of its dependencies. */
+    /** Whether the job can't start yet, or ever, because of its dependencies or its records. */
     public boolean isHeld() {
-        return hasCancelledDependency || !unmetDependencies.isEmpty();
+        return isUnreadable || hasCancelledDependency || !unmetDependencies.isEmpty();
     }
 
     /** Whether a dependency was cancelled, so that this job has to be cancelled too. */
@@ -630,22 +634,51 @@
 
     /**
      * Takes over a part's done tasks and the attempt counter from its record. The attempts are for
-     * the caller, which knows the machines: task and attempt number in turn, by machine id.
+     * the caller, which knows the machines.
      *
-     * @throws io.kitepath.core.model.InvalidInputException if it is not a part's record
+     * @throws InvalidInputException if it is not this part's record
      */
-    Map<?, ?> readPart(int part, Object value, long partRevision) {
+    List<PartRecord.PlacedAttempt> readPart(int part, Object value, long partRevision) {
         PartRecord partRecord = PartRecord.of(value);
         parts.get(part).markFound(partRevision);
         raiseNextAttempt(partRecord.nextAttempt());
+        int firstTask = parts.firstTask(part);
         BitSet done = partRecord.doneTasks();
+        List<PartRecord.PlacedAttempt> placed = partRecord.placedAttempts();
+        requireOwnTasks(firstTask + done.length(), placed);
         for (int i = done.nextSetBit(0); i >= 0; i = done.nextSetBit(i + 1)) {
-            tasks.markDone(parts.firstTask(part) + i);
+            tasks.markDone(firstTask + i);
         }
         // A part has a record only once some task was placed, so all dependencies are done.
         unmetDependencies.clear();
         startGoals.restoreEligibleSince(partRecord.eligibleSinceMillis());
-        return partRecord.liveByMachine();
+        return placed;
+    }
+
+    private void requireOwnTasks(int endTask, List<PartRecord.PlacedAttempt> placed) {
+        if (endTask > spec.taskCount()
+                || placed.stream().anyMatch(attempt -> attempt.task() >= spec.taskCount())) {
+            throw new InvalidInputException("names tasks that job " + spec.id() + " does not have");
+        }
+    }
+
+    /** How many tasks the part has. */
+    int taskCountOfPart(int part) {
+        return Math.min(spec.taskCount(), parts.endTask(part)) - parts.firstTask(part);
+    }
+
+    /**
+     * The part's record can't be read, so it is not known what of it is done or on machines:
+     * nothing of the job may be placed, and the record stays as it is.
+     */
+    void markUnreadable(int part) {
+        isUnreadable = true;
+        parts.get(part).markUnreadable();
+    }
+
+    /** Whether a record of it can't be read, so that nothing of it may be placed. */
+    boolean isUnreadable() {
+        return isUnreadable;
     }
 
     // ---- for display and the log ----------------------------------------------------------------
--- a/src/main/java/io/kitepath/core/shard/JobPart.java
+++ b/src/main/java/io/kitepath/core/shard/JobPart.java
@@ -16,6 +16,7 @@
     public final int index;
 
     private long revision;
+    private boolean unreadable;
     private int changedVersion;
     private int placedVersion;
     private int writtenVersion;
@@ -36,9 +37,9 @@
         return revision;
     }
 
-    /** Whether the part differs from its record. */
+    /** Whether the part differs from its record, and may be written. */
     public boolean isDirty() {
-        return changedVersion > writtenVersion;
+        return !unreadable && changedVersion > writtenVersion;
     }
 
     /** Whether the part has a placement that its record lacks; such a task must not be launched. */
@@ -65,6 +66,12 @@
         revision = atRevision;
     }
 
+    /** The part's record can't be read; it is neither written nor removed. */
+    void markUnreadable() {
+        unreadable = true;
+        revision = 0;
+    }
+
     /** The part's record holds everything up to that version of the job. */
     void markWritten(int version, long atRevision) {
         revision = atRevision;
--- a/src/main/java/io/kitepath/core/shard/JobRegistry.java
+++ b/src/main/java/io/kitepath/core/shard/JobRegistry.java
@@ -95,20 +95,14 @@
     }
 
     /**
-     * Takes over what a part's record says is done and what is, or may be, on machines: lists of
-     * task and attempt number in turn, by machine.
+     * Takes over what a part's record says is done and what is, or may be, on machines.
      *
      * @throws io.kitepath.core.model.InvalidInputException if the record is not one of a part
      */
     void restorePart(Job job, int part, Object record, long revision, double now) {
-        for (Map.Entry<?, ?> onMachine : job.readPart(part, record, revision).entrySet()) {
-            Machine machine = machines.getOrAdd((String) onMachine.getKey(), now);
-            List<?> numbers = (List<?>) onMachine.getValue();
-            for (int i = 0; i + 1 < numbers.size(); i += 2) {
-                int task = ((Number) numbers.get(i)).intValue();
-                long attempt = ((Number) numbers.get(i + 1)).longValue();
-                attempts.restore(job, task, attempt, machine, now);
-            }
+        for (PartRecord.PlacedAttempt placed : job.readPart(part, record, revision)) {
+            Machine machine = machines.getOrAdd(placed.machineId(), now);
+            attempts.restore(job, placed.task(), placed.number(), machine, now);
         }
         jobDependencies.jobStarted(job);
         if (job.isFinished) {
--- a/src/main/java/io/kitepath/core/shard/PartRecord.java
+++ b/src/main/java/io/kitepath/core/shard/PartRecord.java
@@ -1,6 +1,7 @@
 package io.kitepath.core.shard;
 
 import io.kitepath.core.model.DocumentReader;
+import io.kitepath.core.model.InvalidInputException;
 import io.kitepath.core.model.JobProgress;
 import io.kitepath.core.model.JsonSize;
 import java.util.ArrayList;
@@ -37,6 +38,9 @@
     /** Around a machine's id: quotes, colon, brackets and separators. */
     private static final int MACHINE_SEPARATOR_BYTES = 8;
 
+    /** An attempt that is, or may be, on a machine. */
+    record PlacedAttempt(String machineId, int task, long number) {}
+
     private final DocumentReader document;
 
     private PartRecord(DocumentReader document) {
@@ -102,14 +106,14 @@
     // ---- reading --------------------------------------------------------------------------------
 
     /**
-     * @throws io.kitepath.core.model.InvalidInputException if the value is not a map
+     * @throws InvalidInputException if the value is not a map
      */
     static PartRecord of(Object record) {
         return new PartRecord(DocumentReader.of(record));
     }
 
     /**
-     * @throws io.kitepath.core.model.InvalidInputException if the field is missing or not a count
+     * @throws InvalidInputException if the field is missing or not a count
      */
     long nextAttempt() {
         return document.count(NEXT_ATTEMPT);
@@ -118,32 +122,65 @@
     /**
      * A bit per task of the part, counted from the part's first task.
      *
-     * @throws io.kitepath.core.model.InvalidInputException if the field is missing or not text
-     * @throws IllegalArgumentException if it is not Base64
+     * @throws InvalidInputException if the field is missing or not text in Base64
      */
     BitSet doneTasks() {
-        return BitSet.valueOf(Base64.getDecoder().decode(document.text(DONE)));
+        try {
+            return BitSet.valueOf(Base64.getDecoder().decode(document.text(DONE)));
+        } catch (IllegalArgumentException notBase64) {
+            throw document.invalid(DONE, notBase64.getMessage());
+        }
     }
 
     /**
      * In milliseconds since 1970, 0 where the record does not say.
      *
-     * @throws io.kitepath.core.model.InvalidInputException if it is not a number of 0 or more
+     * @throws InvalidInputException if it is not a number of 0 or more
      */
     double eligibleSinceMillis() {
         return document.numberOr(ELIGIBLE_SINCE, 0, 0);
     }
 
-    /** Task and attempt number in turn, by machine id; unchecked. Empty where it is not a map. */
-    Map<?, ?> liveByMachine() {
-        return document.raw(LIVE) instanceof Map<?, ?> live ? live : Map.of();
+    /**
+     * What is, or may be, on machines.
+     *
+     * @throws InvalidInputException if the field is missing or not of the form that is written
+     */
+    List<PlacedAttempt> placedAttempts() {
+        if (!(document.raw(LIVE) instanceof Map<?, ?> byMachine)) {
+            throw document.invalid(LIVE, "must be a map");
+        }
+        List<PlacedAttempt> attempts = new ArrayList<>();
+        byMachine.forEach(
+                (machineId, tasksAndNumbers) ->
+                        attempts.addAll(attemptsOnMachine(machineId, tasksAndNumbers)));
+        return attempts;
+    }
+
+    private List<PlacedAttempt> attemptsOnMachine(Object machineId, Object tasksAndNumbers) {
+        if (!(machineId instanceof String id)
+                || !(tasksAndNumbers instanceof List<?> numbers)
+                || numbers.size() % 2 != 0) {
+            throw document.invalid(LIVE, "must have pairs of numbers by machine");
+        }
+        List<PlacedAttempt> attempts = new ArrayList<>();
+        for (int i = 0; i < numbers.size(); i += 2) {
+            if (!(numbers.get(i) instanceof Long task)
+                    || !(numbers.get(i + 1) instanceof Long number)
+                    || task < 0
+                    || task > Integer.MAX_VALUE) {
+                throw document.invalid(LIVE, "must have a task and its attempt's number");
+            }
+            attempts.add(new PlacedAttempt(id, task.intValue(), number));
+        }
+        return attempts;
     }
 
     /**
      * A job's progress as its parts' records have it, for a node that does not hold the job in
      * memory. Placed tasks count as running, as a record does not tell them apart.
      *
-     * @throws io.kitepath.core.model.InvalidInputException if a record is not one of a part
+     * @throws InvalidInputException if a record is not one of a part
      */
     public static JobProgress progress(String jobId, List<Object> records) {
         int done = 0;
@@ -151,9 +188,7 @@
         for (Object value : records) {
             PartRecord record = of(value);
             done += record.doneTasks().cardinality();
-            for (Object tasksAndNumbers : ((Map<?, ?>) record.document.raw(LIVE)).values()) {
-                placed += ((List<?>) tasksAndNumbers).size() / 2;
-            }
+            placed += record.placedAttempts().size();
         }
         return new JobProgress(jobId, done, placed, null);
     }
--- a/src/main/java/io/kitepath/core/shard/PendingReasons.java
+++ b/src/main/java/io/kitepath/core/shard/PendingReasons.java
@@ -40,6 +40,9 @@
         if (job.hasCancelledDependency()) {
             return Optional.of("is to be cancelled, as a job that it needs is");
         }
+        if (job.isUnreadable()) {
+            return Optional.of("can't be placed: a record of it is damaged");
+        }
         if (job.isHeld()) {
             return Optional.of("waits for " + describeDependencies(job));
         }
--- a/src/main/java/io/kitepath/core/shard/QuotaUsage.java
+++ b/src/main/java/io/kitepath/core/shard/QuotaUsage.java
@@ -62,10 +62,10 @@
     }
 
     /** An attempt of this kind was placed (1), or is proven over (-1). */
-    void countAttempt(JobSpec spec, int sign) {
+    void countAttempts(JobSpec spec, int change) {
         TeamUsage usage = usageByTeam.computeIfAbsent(spec.team(), key -> new TeamUsage());
-        usage.cpus += sign * spec.cpusPerTask();
-        usage.gpus += sign * spec.gpusPerTask();
+        usage.cpus += change * spec.cpusPerTask();
+        usage.gpus += change * spec.gpusPerTask();
     }
 
     private TeamUsage usage(String team) {
--- a/src/main/java/io/kitepath/core/shard/ShardState.java
+++ b/src/main/java/io/kitepath/core/shard/ShardState.java
@@ -238,6 +238,16 @@
         jobs.restorePart(job, part, record, revision, now);
     }
 
+    /**
+     * A part's record can't be read. Guards against a task that runs twice, as the record may have
+     * it on a machine: nothing of the job is placed, and all tasks of the part count against the
+     * team's quota until all jobs are loaded again.
+     */
+    public void holdUnreadable(Job job, int part) {
+        job.markUnreadable(part);
+        quotaUsage.countAttempts(job.spec, job.taskCountOfPart(part));
+    }
+
     /**
      * The job is done or cancelled in the store; whatever of it is still on machines has to be
      * stopped. Returns whether that is news here.
--- a/src/main/java/io/kitepath/core/state/StateRestorer.java
+++ b/src/main/java/io/kitepath/core/state/StateRestorer.java
@@ -101,11 +101,24 @@
         }
         int part = StoreKeys.indexOfPart(entry.key());
         if (part < job.partCount()) {
-            shard.restorePart(job, part, entry.value(), entry.revision(), now);
+            restorePart(job, part, entry, now);
         }
         return true;
     }
 
+    /**
+     * Guards against a new leader that never gets to know any job since the record of a part of one
+     * can't be read.
+     */
+    private void restorePart(Job job, int part, Entry entry, double now) {
+        try {
+            shard.restorePart(job, part, entry.value(), entry.revision(), now);
+        } catch (InvalidInputException unreadable) {
+            logUnreadable(entry.key(), unreadable);
+            shard.holdUnreadable(job, part);
+        }
+    }
+
     /** An open job's record has changed. */
     void onOpenJobChanged(Entry entry) {
         if (entry.value() != null) {
--- a/src/test/java/io/kitepath/core/MalformedRecordsTest.java
+++ b/src/test/java/io/kitepath/core/MalformedRecordsTest.java
@@ -157,7 +157,8 @@
             cluster.submit(cluster.leader(), job(other, Shape.ARRAY, 2, 1));
             cluster.run(20);
             assertEquals("done", asked(other).jobStatus().status(), "beside " + unreadable.get(i));
-            assertNotNull(cluster.ask(cluster.leader(), damaged));
+            assertTrue(asked(damaged).jobStatus().note().contains("damaged"), damaged);
+            assertEquals(Verdict.KNOWN, cluster.cancel(cluster.leader(), damaged).verdict());
         }
         assertEquals(List.of(), cluster.violations);
     }
--- a/src/test/java/io/kitepath/core/shard/QuotaUsageTest.java
+++ b/src/test/java/io/kitepath/core/shard/QuotaUsageTest.java
@@ -32,16 +32,16 @@
     void attemptsCountUntilTheyAreProvenOver() {
         limitCpusTo(6);
         assertEquals(3, quotaUsage.remainingTasks(spec));
-        quotaUsage.countAttempt(spec, 1);
+        quotaUsage.countAttempts(spec, 1);
         assertEquals(2, quotaUsage.usedCpus(spec.team()));
         assertEquals(2, quotaUsage.remainingTasks(spec));
-        quotaUsage.countAttempt(spec, -1);
+        quotaUsage.countAttempts(spec, -1);
         assertEquals(3, quotaUsage.remainingTasks(spec));
     }
 
     @Test
     void nothingRemainsWhenMoreThanTheQuotaIsUsed() {
-        quotaUsage.countAttempt(spec, 1);
+        quotaUsage.countAttempts(spec, 1);
         limitCpusTo(1);
         assertEquals(0, quotaUsage.remainingTasks(spec));
     }
@@ -49,7 +49,7 @@
     @Test
     void shareIsDescribedOnlyIfItIsLimited() {
         assertEquals("", quotaUsage.describeShare(spec.team()));
-        quotaUsage.countAttempt(spec, 1);
+        quotaUsage.countAttempts(spec, 1);
         limitCpusTo(6);
         assertEquals(
                 "; this cell may use 6.0 CPUs of it now and uses 2.0",
