--- a/src/test/java/io/kitepath/core/LeasedRolesTest.java
+++ b/src/test/java/io/kitepath/core/LeasedRolesTest.java
@@ -134,6 +134,35 @@
                         < 0.5);
     }
 
+    /**
+     * What happened: after a node had been stopped, the answer to its grant or claim made it the
+     * holder of a role that it does not perform any more, and it went on renewing the lease for as
+     * long as its process lived. Why: the grant did not ask whether the node was stopped meanwhile.
+     * What showed it: "role acquired" in the log after the stop. Stopped at each 25 ms of the first
+     * second, with answers that take 50 ms each way.
+     */
+    @Test
+    void aNodeThatIsStoppedWhileItClaimsARoleHoldsNone() {
+        int stoppedBeforeItHeldAll = 0;
+        for (double at = 0; at <= 1; at += 0.025) {
+            SimulatedCluster alone = new SimulatedCluster();
+            alone.latencySeconds = () -> 0.05;
+            alone.siblings.add("k0");
+            SimulatedNode node = alone.node("k0");
+            alone.run(at);
+            stoppedBeforeItHeldAll +=
+                    node.controller.roles().stream().allMatch(LeasedRoles.Role::isHeldHere) ? 0 : 1;
+            node.controller.stop();
+            alone.run(20);
+            for (LeasedRoles.Role role : node.controller.roles()) {
+                String when = role.name() + ", stopped after " + at + " s";
+                assertTrue(!role.isHeldHere(), when);
+                assertTrue(!alone.store.entries.containsKey(StoreKeys.ROLES + role.name()), when);
+            }
+        }
+        assertTrue(stoppedBeforeItHeldAll > 5, "swept: " + stoppedBeforeItHeldAll);
+    }
+
     @Test
     void aNodeThatWasFrozenNoticesItsLostRoleBeforeItActs() {
         nodes(3);
