A node that is stopped while it claims a role does not get it

Symptom: "role acquired" after the stop; the role then is nobody's, as its holder does not perform it and renews the lease while its process lives. Cause: the answer to a grant that was under way at the stop made the lease the node's after it had given it back, and the claim went on. Change: NodeLease ends a lease that is granted after the stop, and grants none any more.

--- a/src/main/java/io/kitepath/core/role/LeasedRoles.java
+++ b/src/main/java/io/kitepath/core/role/LeasedRoles.java
@@ -228,7 +228,7 @@
     public void stop() {
         keyWatcher.stop();
         loseAll("the node is being stopped");
-        lease.revoke();
+        lease.stop();
     }
 
     /** All roles, in the order of their workers. */
--- a/src/main/java/io/kitepath/core/role/NodeLease.java
+++ b/src/main/java/io/kitepath/core/role/NodeLease.java
@@ -25,6 +25,7 @@
     private final Runnable onExpired;
     private long id = NONE;
     private boolean isGrantInFlight;
+    private boolean isStopped;
     private double renewalRequestedAt = Double.NEGATIVE_INFINITY;
 
     /** {@code onExpired} runs when the store says that the lease has expired. */
@@ -55,6 +56,10 @@
             granted.run();
             return;
         }
+        if (isStopped) {
+            refused.run();
+            return;
+        }
         if (isGrantInFlight) {
             timers.schedule(GRANT_POLL_SECONDS, () -> whenGranted(granted, refused));
             return;
@@ -65,7 +70,11 @@
                 (long) (leaseSeconds * 1000),
                 (outcome, grantedId) -> {
                     isGrantInFlight = false;
-                    if (outcome == Outcome.OK) {
+                    if (outcome == Outcome.OK && isStopped) {
+                        // Guards against a node that is being stopped and goes on renewing a lease.
+                        store.revokeLease(grantedId);
+                        refused.run();
+                    } else if (outcome == Outcome.OK) {
                         id = grantedId;
                         renewalRequestedAt = requestedAt;
                         scheduleRenewal(grantedId);
@@ -76,8 +85,9 @@
                 });
     }
 
-    /** Gives the lease back, if there is one; its keys go with it. */
-    void revoke() {
+    /** Gives the lease back, also one that is being granted; its keys go with it. None follows. */
+    void stop() {
+        isStopped = true;
         if (isGranted()) {
             store.revokeLease(id);
             id = NONE;
