A job that waits for its image stands for no others, and waits 45 s at most

Symptoms: a job with room, and its image, on a machine is not placed since one before it waits for another image; a job waits beside a machine with room for as long as long tasks keep the machines with its image full. Causes: JobPlacer asked whether machines were left out for the image before the search had looked at any, so it never said so, and for gangs not at all; nothing bounded the wait. Change: the search is asked once it has found all that it finds, and says so only if a machine that was left out has room; a job of which nothing was placed for 45 s, half of the 90 s that the operators' rule allows, takes what there is.

--- a/src/main/java/io/kitepath/core/scheduling/GangPlacement.java
+++ b/src/main/java/io/kitepath/core/scheduling/GangPlacement.java
@@ -18,14 +18,28 @@
         this.placement = placement;
     }
 
-    /** Machines for all tasks of a gang, or empty if the gang does not fit as a whole. */
-    Optional<List<Machine>> chooseGang(JobSpec spec, List<Machine> candidates) {
+    /**
+     * What a search for machines has found.
+     *
+     * @param machines one for each task, empty if the gang does not fit as a whole
+     * @param waitingForImage whether machines were left out only because others have the image
+     */
+    record Choice(List<Machine> machines, boolean waitingForImage) {
+        static final Choice NO_ROOM = new Choice(List.of(), false);
+
+        boolean isFound() {
+            return !machines.isEmpty();
+        }
+    }
+
+    /** Chooses machines for all tasks of a gang. */
+    Choice chooseGang(JobSpec spec, List<Machine> candidates, boolean mayWaitForImage) {
         placement.counters().inspectedMachines += candidates.size();
         Map<String, Integer> slotsByZone = slotsByZone(spec, candidates);
         if (slotsByZone.values().stream().mapToInt(Integer::intValue).sum() < spec.taskCount()) {
-            return Optional.empty();
+            return Choice.NO_ROOM;
         }
-        MachineSearch search = placement.newSearch(spec, candidates);
+        MachineSearch search = placement.newSearch(spec, candidates, mayWaitForImage);
         if (!spec.isSingleZone()) {
             return findWholeGang(spec, search);
         }
@@ -33,15 +47,17 @@
         List<String> zones = new ArrayList<>(slotsByZone.keySet());
         zones.removeIf(zone -> slotsByZone.get(zone) < spec.taskCount());
         zones.sort(Comparator.comparing(slotsByZone::get));
+        boolean waitingForImage = false;
         for (String zone : zones) {
-            Optional<List<Machine>> found =
+            Choice found =
                     findWholeGang(
                             spec, search.restrictedTo(machine -> machine.zone().equals(zone)));
-            if (found.isPresent()) {
+            if (found.isFound()) {
                 return found;
             }
+            waitingForImage |= found.waitingForImage();
         }
-        return Optional.empty();
+        return new Choice(List.of(), waitingForImage);
     }
 
     /**
@@ -68,10 +84,10 @@
     }
 
     /**
-     * A machine for each task, or empty if one finds none. The machines count the tasks as placed
+     * A machine for each task, or none if one finds none. The machines count the tasks as placed
      * only while the search lasts.
      */
-    private Optional<List<Machine>> findWholeGang(JobSpec spec, MachineSearch among) {
+    private Choice findWholeGang(JobSpec spec, MachineSearch among) {
         MachineSearch search = among;
         List<Machine> found = new ArrayList<>();
         Map<String, Integer> tasksByZone = new HashMap<>();
@@ -87,9 +103,12 @@
                 search = search.restrictedTo(other -> !other.zone().equals(machine.zone()));
             }
         }
+        boolean waitingForImage = found.size() < spec.taskCount() && search.isWaitingForImage();
         for (Machine machine : found) {
             machine.countTentatively(spec, -1);
         }
-        return found.size() == spec.taskCount() ? Optional.of(found) : Optional.empty();
+        return found.size() == spec.taskCount()
+                ? new Choice(found, false)
+                : new Choice(List.of(), waitingForImage);
     }
 }
--- a/src/main/java/io/kitepath/core/scheduling/JobPlacer.java
+++ b/src/main/java/io/kitepath/core/scheduling/JobPlacer.java
@@ -39,15 +39,19 @@
         this.warmReserve = warmReserve;
     }
 
-    /** Places the gang as a whole, or at most {@code limit} tasks of another job. */
-    Result place(Job job, List<Machine> open, double now, int limit) {
+    /**
+     * Places the gang as a whole, or at most {@code limit} tasks of another job.
+     *
+     * @param mayWaitForImage whether machines may be left out since enough others have the image
+     */
+    Result place(Job job, List<Machine> open, boolean mayWaitForImage, int limit, double now) {
         return job.spec.isGang()
-                ? new Result(placeGang(job, open, now), false, false)
-                : placeTasks(job, open, now, limit);
+                ? placeGang(job, open, mayWaitForImage, now)
+                : placeTasks(job, open, mayWaitForImage, limit, now);
     }
 
     /** Places at most {@code limit} tasks of a job that is no gang. */
-    Result placeTasks(Job job, List<Machine> open, double now, int limit) {
+    Result placeTasks(Job job, List<Machine> open, boolean mayWaitForImage, int limit, double now) {
         JobSpec spec = job.spec;
         // Guards against a leader that spends seconds on where images are when no machine has room
         // for a task: on a full fleet that is so for hundreds of jobs, whatever image they need.
@@ -60,26 +64,21 @@
         }
         int tasks = taskLimit(job, now, limit);
         List<Machine> candidates = candidateMachines(job, open, now);
-        MachineSearch search = placement.newSearch(spec, candidates);
-        boolean waitingForImage = search.isWaitingForImage();
+        MachineSearch search = placement.newSearch(spec, candidates, mayWaitForImage);
         ZoneConstraints zones = ZoneConstraints.of(job);
         if (spec.isSingleZone() && !zones.isDecided()) {
             Optional<String> zone =
                     gangPlacement.chooseZone(spec, Math.min(tasks, job.waitingTasks()), candidates);
             search = search.restrictedTo(machine -> machine.zone().equals(zone.orElse(null)));
         }
-        return placeFound(job, search, zones, waitingForImage, tasks, now);
+        return placeFound(job, search, zones, tasks, now);
     }
 
     private Result placeFound(
-            Job job,
-            MachineSearch firstSearch,
-            ZoneConstraints zones,
-            boolean waitingForImage,
-            int limit,
-            double now) {
+            Job job, MachineSearch firstSearch, ZoneConstraints zones, int limit, double now) {
         MachineSearch search = firstSearch;
         int placed = 0;
+        boolean waitingForImage = false;
         boolean recordsFull = false;
         for (int task = job.nextWaitingTask(0);
                 task >= 0 && placed < limit;
@@ -96,6 +95,7 @@
             }
             Optional<Machine> found = search.nextMachine();
             if (found.isEmpty()) {
+                waitingForImage = search.isWaitingForImage();
                 break;
             }
             Machine machine = found.get();
@@ -121,30 +121,31 @@
         return tasks;
     }
 
-    private int placeGang(Job job, List<Machine> open, double now) {
+    private Result placeGang(Job job, List<Machine> open, boolean mayWaitForImage, double now) {
         // Until every task of the old attempt is proven over, the gang can't start anew.
         if (!job.liveAttempts().isEmpty()) {
             shard.restartGangOnceImagesFetched(job);
-            return 0;
+            return Result.NONE;
         }
         if (shard.quotaUsage().remainingTasks(job.spec) < job.spec.taskCount()) {
-            return 0;
+            return Result.NONE;
         }
         if (!shard.fitsRecord(job)) {
             shard.requestMigration(job);
-            return 0;
+            return Result.NONE;
         }
-        Optional<List<Machine>> found =
-                gangPlacement.chooseGang(job.spec, candidateMachines(job, open, now));
-        if (found.isEmpty()) {
-            return 0;
+        GangPlacement.Choice choice =
+                gangPlacement.chooseGang(
+                        job.spec, candidateMachines(job, open, now), mayWaitForImage);
+        if (!choice.isFound()) {
+            return new Result(0, choice.waitingForImage(), false);
         }
-        List<Machine> machines = found.get();
+        List<Machine> machines = choice.machines();
         for (int task = 0; task < machines.size(); task++) {
             shard.place(job, task, machines.get(task), now);
         }
         shard.advanceAttemptNumber(job);
-        return machines.size();
+        return new Result(machines.size(), false, false);
     }
 
     /**
--- a/src/main/java/io/kitepath/core/scheduling/MachineSearch.java
+++ b/src/main/java/io/kitepath/core/scheduling/MachineSearch.java
@@ -28,6 +28,9 @@
     private final JobSpec spec;
     private final List<Machine> candidates;
 
+    /** Whether machines without the image may be left out where enough others have it. */
+    private final boolean mayWaitForImage;
+
     /** Which candidates come first, which after those, and so on. */
     private final List<Predicate<Machine>> stages = new ArrayList<>();
 
@@ -51,10 +54,15 @@
      */
     private Optional<StageSearch> stageSearch = Optional.empty();
 
-    MachineSearch(ProbePlacement placement, JobSpec spec, List<Machine> candidates) {
+    MachineSearch(
+            ProbePlacement placement,
+            JobSpec spec,
+            List<Machine> candidates,
+            boolean mayWaitForImage) {
         this.placement = placement;
         this.spec = spec;
         this.candidates = candidates;
+        this.mayWaitForImage = mayWaitForImage;
         if (!spec.allowsSpot()) {
             if (fillsWholeMachine()) {
                 stages.add(this::hasImage);
@@ -158,7 +166,9 @@
     private boolean hasEnoughSlotsWithImage() {
         if (!slotsWithImageCounted) {
             slotsWithImageCounted = true;
-            enoughSlotsWithImage = countSlotsWithImage() >= IMAGE_SLOTS_FACTOR * spec.taskCount();
+            enoughSlotsWithImage =
+                    mayWaitForImage
+                            && countSlotsWithImage() >= IMAGE_SLOTS_FACTOR * spec.taskCount();
         }
         return enoughSlotsWithImage;
     }
@@ -183,9 +193,14 @@
         return slots;
     }
 
-    /** Whether the search left out machines only because others have the image. */
+    /**
+     * Whether the search, which has found all that it finds, left out a machine with room only
+     * because others have the image.
+     */
     boolean isWaitingForImage() {
-        return slotsWithImageCounted && enoughSlotsWithImage;
+        return enoughSlotsWithImage
+                && machinesWithRoom.orElse(List.of()).stream()
+                        .anyMatch(machine -> placement.hasRoom(machine, spec));
     }
 
     /**
@@ -199,6 +214,7 @@
 
     /** The same search among those of the candidates, begun anew. */
     MachineSearch restrictedTo(Predicate<Machine> among) {
-        return new MachineSearch(placement, spec, candidates.stream().filter(among).toList());
+        return new MachineSearch(
+                placement, spec, candidates.stream().filter(among).toList(), mayWaitForImage);
     }
 }
--- a/src/main/java/io/kitepath/core/scheduling/ProbePlacement.java
+++ b/src/main/java/io/kitepath/core/scheduling/ProbePlacement.java
@@ -100,9 +100,13 @@
         return machine.fits(spec, typeOf(machine));
     }
 
-    /** Searches machines for the tasks of one job, among candidates that are all allowed. */
-    MachineSearch newSearch(JobSpec spec, List<Machine> candidates) {
-        return new MachineSearch(this, spec, candidates);
+    /**
+     * Searches machines for the tasks of one job, among candidates that are all allowed.
+     *
+     * @param mayWaitForImage whether machines may be left out since enough others have the image
+     */
+    MachineSearch newSearch(JobSpec spec, List<Machine> candidates, boolean mayWaitForImage) {
+        return new MachineSearch(this, spec, candidates, mayWaitForImage);
     }
 
     /** How many of the job's tasks fit on the machine now. */
--- a/src/main/java/io/kitepath/core/scheduling/Scheduler.java
+++ b/src/main/java/io/kitepath/core/scheduling/Scheduler.java
@@ -28,6 +28,12 @@
     /** The part of that time after which a large job is served first. */
     private static final double PROMOTE_AFTER_FRACTION = 0.5;
 
+    /**
+     * For how long a job of which nothing is placed may leave out machines without its image: half
+     * of the 90 s within which it has to be placed where there is room.
+     */
+    private static final double MAX_IMAGE_WAIT_SECONDS = 45;
+
     private final ShardState shard;
     private final ProbePlacement probePlacement;
     private final PreemptionRules preemptionRules;
@@ -204,12 +210,29 @@
             if (now >= job.notBefore()) {
                 boolean comparable = isComparable(job) && !withReservation.contains(job);
                 boolean waits = preemptionRules.isWaitingForFreeRoom(job, wallMillis);
-                placed += placeJob(job, open, comparable, waits, limit - placed, now);
+                boolean mayWaitForImage = mayWaitForImage(job, now, wallMillis);
+                placed +=
+                        placeJob(
+                                job, open, comparable, waits, mayWaitForImage, limit - placed, now);
             }
         }
         return placed;
     }
 
+    private static boolean isKnown(UnschedulableShapes shapes, Job job, boolean mayWaitForImage) {
+        return mayWaitForImage ? shapes.contains(job) : shapes.containsForAnyImage(job);
+    }
+
+    /**
+     * Whether the job may still wait for machines that have its image. Guards against a job that
+     * waits beside a machine with room for as long as long tasks keep those with its image full:
+     * once none of it was placed for a while, it takes what there is.
+     */
+    private static boolean mayWaitForImage(Job job, double now, double wallMillis) {
+        return wallMillis - job.eligibleSinceMillis() < 1000 * MAX_IMAGE_WAIT_SECONDS
+                || now - job.lastPlacedAt() < MAX_IMAGE_WAIT_SECONDS;
+    }
+
     /**
      * Whether what such a job finds holds for other jobs of its shape as well; not for a job that
      * failed, or that has to look at where its other tasks are.
@@ -228,15 +251,25 @@
      *
      * @param comparable whether the outcome holds for other jobs of the shape, and theirs for it
      * @param waits whether the job still waits for room that comes free by itself
+     * @param mayWaitForImage whether it leaves out machines since enough others have its image
      */
     private int placeJob(
-            Job job, List<Machine> open, boolean comparable, boolean waits, int limit, double now) {
-        boolean knownWithoutRoom = comparable && withoutFreeRoom.contains(job);
-        if (waits && knownWithoutRoom || comparable && beyondPreemption.contains(job)) {
+            Job job,
+            List<Machine> open,
+            boolean comparable,
+            boolean waits,
+            boolean mayWaitForImage,
+            int limit,
+            double now) {
+        boolean knownWithoutRoom = comparable && isKnown(withoutFreeRoom, job, mayWaitForImage);
+        if (waits && knownWithoutRoom
+                || comparable && isKnown(beyondPreemption, job, mayWaitForImage)) {
             return 0;
         }
         JobPlacer.Result result =
-                knownWithoutRoom ? JobPlacer.Result.NONE : placer.place(job, open, now, limit);
+                knownWithoutRoom
+                        ? JobPlacer.Result.NONE
+                        : placer.place(job, open, mayWaitForImage, limit, now);
         int placed = result.placed();
         // Guards against a job whose records are full for now, although machines are idle, standing
         // for all others that would fit there: hundreds of tasks waited behind it.
@@ -256,7 +289,7 @@
         } else if (!job.spec.isGang()) {
             // Placings that were not written yet free their room at once. Guards against the work
             // that gave way taking it again in the same round, over and over.
-            placed += placer.placeTasks(job, open, now, limit - placed).placed();
+            placed += placer.placeTasks(job, open, mayWaitForImage, limit - placed, now).placed();
         }
         return placed;
     }
--- a/src/main/java/io/kitepath/core/scheduling/UnschedulableShapes.java
+++ b/src/main/java/io/kitepath/core/scheduling/UnschedulableShapes.java
@@ -79,8 +79,12 @@
 
     /** Whether the job can't find room, judged by those that did not. */
     boolean contains(Job job) {
-        return contains(job, Optional.empty())
-                || contains(job, Optional.ofNullable(job.spec.image()));
+        return containsForAnyImage(job) || contains(job, Optional.ofNullable(job.spec.image()));
+    }
+
+    /** The same for a job that does not leave machines out because they lack its image. */
+    boolean containsForAnyImage(Job job) {
+        return contains(job, Optional.empty());
     }
 
     private boolean contains(Job job, Optional<String> image) {
--- a/src/main/java/io/kitepath/core/shard/EventTimes.java
+++ b/src/main/java/io/kitepath/core/shard/EventTimes.java
@@ -12,6 +12,11 @@
         last = Math.max(last, at);
     }
 
+    /** The latest of them; negative infinity if there is none. */
+    double last() {
+        return isEmpty() ? Double.NEGATIVE_INFINITY : last;
+    }
+
     boolean isEmpty() {
         return count == 0;
     }
--- a/src/main/java/io/kitepath/core/shard/Job.java
+++ b/src/main/java/io/kitepath/core/shard/Job.java
@@ -295,6 +295,11 @@
 
     // ---- attempts -------------------------------------------------------------------------------
 
+    /** When a task of it was last placed by this leader; negative infinity if none was. */
+    public double lastPlacedAt() {
+        return placementTimes.last();
+    }
+
     /** The number that the job's next attempts get; higher than all before, in any cell. */
     public long nextAttempt() {
         return nextAttempt;
