--- a/src/main/java/io/kitepath/core/shard/AttemptLedger.java
+++ b/src/main/java/io/kitepath/core/shard/AttemptLedger.java
@@ -64,7 +64,7 @@
         JobPart part = job.markPlacementDirty(task);
         writes.dirtyParts().addPlacement(part);
         add(new Attempt(job, task, job.nextAttempt, machine, now, job.version()));
-        job.placementTimes.add(now);
+        job.timeline.recordPlacement(now);
         LOG.debug("placed {}/{}#{} on {}", job.spec.id(), task, job.nextAttempt, machine.id);
     }
 
--- a/src/main/java/io/kitepath/core/shard/HeartbeatProcessor.java
+++ b/src/main/java/io/kitepath/core/shard/HeartbeatProcessor.java
@@ -197,7 +197,7 @@
 
     private void recordRunning(Attempt attempt, double now) {
         attempt.runningSince = now;
-        attempt.job.startTimes.add(now);
+        attempt.job.timeline.recordStart(now);
         if (attempt.placedVersion > 0) { // Placed by this leader, which knows when.
             shard.startLatencies().recordStart(attempt.job.spec.jobClass(), now - attempt.placedAt);
         }
--- a/src/main/java/io/kitepath/core/shard/Job.java
+++ b/src/main/java/io/kitepath/core/shard/Job.java
@@ -1,7 +1,6 @@
 package io.kitepath.core.shard;
 
 import io.kitepath.core.model.ClusterSettings;
-import io.kitepath.core.model.InvalidInputException;
 import io.kitepath.core.model.JobProgress;
 import io.kitepath.core.model.JobRecord;
 import io.kitepath.core.model.JobSpec;
@@ -86,29 +85,16 @@
     /** Past all its objectives; set once, when that is counted. */
     boolean hasMissedAllGoals;
 
-    /** Whether a job fitted into its team's guarantee when this leader saw it first. */
-    private enum GuaranteeClaim {
-        UNKNOWN,
-        WITHIN,
-        BEYOND
-    }
-
-    private GuaranteeClaim claimOnArrival = GuaranteeClaim.UNKNOWN;
-    private boolean isWithinGuarantee;
+    private final GuaranteeStanding guarantee = new GuaranteeStanding();
 
     /** For {@link FailureDiagnosis}. */
     final FailureHistory failureHistory = new FailureHistory();
 
     // ---- for display and the log ----------------------------------------------------------------
 
-    /** When this leader placed tasks of the job. */
-    final EventTimes placementTimes = new EventTimes();
+    final JobTimeline timeline = new JobTimeline();
 
-    /** When this leader saw tasks of the job start to run. */
-    final EventTimes startTimes = new EventTimes();
-
-    private JobProgress progress;
-    private double progressCountedAt;
+    private final ProgressCache progress = new ProgressCache();
 
     /**
      * @param submittedMillis in milliseconds since 1970
@@ -290,14 +276,14 @@
 
     /** Whether any task has run, or was seen on a machine, as far as this leader knows. */
     public boolean hasStarted() {
-        return !startTimes.isEmpty() || tasks.doneCount() > 0 || attempts.isAnySeen();
+        return timeline.hasAnyStarted() || tasks.doneCount() > 0 || attempts.isAnySeen();
     }
 
     // ---- attempts -------------------------------------------------------------------------------
 
     /** When a task of it was last placed by this leader; negative infinity if none was. */
     public double lastPlacedAt() {
-        return placementTimes.last();
+        return timeline.lastPlacedAt();
     }
 
     /** The number that the job's next attempts get; higher than all before, in any cell. */
@@ -424,17 +410,17 @@
 
     /** Whether it is known if the job fitted into its team's guarantee when it came. */
     public boolean isGuaranteeClaimKnown() {
-        return claimOnArrival != GuaranteeClaim.UNKNOWN;
+        return guarantee.isClaimKnown();
     }
 
     /** Sets, once, whether the job fits into its team's guarantee as it comes. */
     public void setGuaranteeClaim(boolean fits) {
-        claimOnArrival = fits ? GuaranteeClaim.WITHIN : GuaranteeClaim.BEYOND;
+        guarantee.setClaim(fits);
     }
 
     /** Whether the job is known to have fitted into its team's guarantee when it came. */
     public boolean wasWithinGuaranteeOnArrival() {
-        return claimOnArrival == GuaranteeClaim.WITHIN;
+        return guarantee.wasWithinOnArrival();
     }
 
     /**
@@ -442,12 +428,12 @@
      * jobs.
      */
     public boolean isWithinGuarantee() {
-        return isWithinGuarantee;
+        return guarantee.isWithin();
     }
 
     /** Set anew in each round of scheduling; see {@link #isWithinGuarantee}. */
     public void setWithinGuarantee(boolean within) {
-        isWithinGuarantee = within;
+        guarantee.setWithin(within);
     }
 
     /**
@@ -455,7 +441,7 @@
      * before all other, then by priority.
      */
     public int queueRank() {
-        return (isWithinGuarantee ? 0 : JobSpec.Priority.values().length)
+        return (guarantee.isWithin() ? 0 : JobSpec.Priority.values().length)
                 + effectivePriority().ordinal();
     }
 
@@ -641,7 +627,7 @@
      * Takes over a part's done tasks and the attempt counter from its record. The attempts are for
      * the caller, which knows the machines.
      *
-     * @throws InvalidInputException if it is not this part's record
+     * @throws io.kitepath.core.model.InvalidInputException if it is not this part's record
      */
     List<PartRecord.PlacedAttempt> readPart(int part, Object value, long partRevision) {
         PartRecord partRecord = PartRecord.of(value);
@@ -650,7 +636,7 @@
         int firstTask = parts.firstTask(part);
         BitSet done = partRecord.doneTasks();
         List<PartRecord.PlacedAttempt> placed = partRecord.placedAttempts();
-        requireOwnTasks(firstTask + done.length(), placed);
+        PartRecord.requireTasksBelow(spec.taskCount(), firstTask + done.length(), placed);
         for (int i = done.nextSetBit(0); i >= 0; i = done.nextSetBit(i + 1)) {
             tasks.markDone(firstTask + i);
         }
@@ -660,13 +646,6 @@
         return placed;
     }
 
-    private void requireOwnTasks(int endTask, List<PartRecord.PlacedAttempt> placed) {
-        if (endTask > spec.taskCount()
-                || placed.stream().anyMatch(attempt -> attempt.task() >= spec.taskCount())) {
-            throw new InvalidInputException("names tasks that job " + spec.id() + " does not have");
-        }
-    }
-
     /** How many tasks the part has. */
     int taskCountOfPart(int part) {
         return Math.min(spec.taskCount(), parts.endTask(part)) - parts.firstTask(part);
@@ -695,16 +674,15 @@
      * @param now in seconds on the steady clock
      */
     JobProgress progress(double now, double everySeconds, PendingReasons pendingReasons) {
-        if (progress == null || now - progressCountedAt > everySeconds) {
-            progress =
-                    new JobProgress(
-                            spec.id(),
-                            tasks.doneCount(),
-                            attempts.runningCount(),
-                            pendingReasons.describe(this, now).orElse(null));
-            progressCountedAt = now;
-        }
-        return progress;
+        return progress.get(
+                now,
+                everySeconds,
+                () ->
+                        new JobProgress(
+                                spec.id(),
+                                tasks.doneCount(),
+                                attempts.runningCount(),
+                                pendingReasons.describe(this, now).orElse(null)));
     }
 
     /**
@@ -715,18 +693,6 @@
      * @param wallMillis in milliseconds since 1970
      */
     public String describeTimings(double now, double wallMillis) {
-        String deadline =
-                spec.deadlineSeconds() == null
-                        ? ""
-                        : String.format(" of %.1f", spec.deadlineSeconds());
-        return String.format(
-                "%s, %d tasks of %.0f s, after %.1f s%s; placed %s, begun %s before",
-                spec.jobClass(),
-                spec.taskCount(),
-                spec.estimatedSeconds(),
-                (wallMillis - submittedMillis) / 1000,
-                deadline,
-                placementTimes.describeBefore(now),
-                startTimes.describeBefore(now));
+        return timeline.describe(spec, (wallMillis - submittedMillis) / 1000, now);
     }
 }
--- a/src/main/java/io/kitepath/core/shard/PartRecord.java
+++ b/src/main/java/io/kitepath/core/shard/PartRecord.java
@@ -176,6 +176,19 @@
         return attempts;
     }
 
+    /**
+     * Checks what a record names against the job that it is of.
+     *
+     * @param endTask the task after the last one that is done
+     * @throws InvalidInputException if the job does not have these tasks
+     */
+    static void requireTasksBelow(int taskCount, int endTask, List<PlacedAttempt> placed) {
+        if (endTask > taskCount
+                || placed.stream().anyMatch(attempt -> attempt.task() >= taskCount)) {
+            throw new InvalidInputException("names tasks that the job does not have");
+        }
+    }
+
     /**
      * A job's progress as its parts' records have it, for a node that does not hold the job in
      * memory. Placed tasks count as running, as a record does not tell them apart.
