A load of all jobs leaves nothing of their former objects behind

Symptoms: after each load a job counts as one more arrival, so that the rates from which machines are kept ready double; a machine stays reserved for an object of a job that nothing is placed for any more, until the reservation's time is over. Change: RecentArrivals keeps one entry a job, the latest; reservations end with the load. A job that ended meanwhile still tells what comes next.

--- a/src/main/java/io/kitepath/core/shard/Machine.java
+++ b/src/main/java/io/kitepath/core/shard/Machine.java
@@ -380,7 +380,9 @@
         }
     }
 
-    void forgetAttempts() {
+    /** The jobs are loaded anew: nothing refers to their former objects any more. */
+    void forgetJobs() {
+        reservation.clear();
         images.invalidateFetching();
         placedWork.forgetAttempts();
         failuresByJob.clear();
--- a/src/main/java/io/kitepath/core/shard/RecentArrivals.java
+++ b/src/main/java/io/kitepath/core/shard/RecentArrivals.java
@@ -1,9 +1,10 @@
 package io.kitepath.core.shard;
 
 import io.kitepath.core.model.JobSpec;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -16,13 +17,20 @@
     /** A class whose next job is late by that many of its usual gaps is not expected any more. */
     private static final int MAX_GAPS_LATE = 10;
 
-    /** Newest last. */
-    private final ArrayDeque<Job> jobs = new ArrayDeque<>();
+    /** By id, newest last. */
+    private final Map<String, Job> jobsById = new LinkedHashMap<>();
 
+    /**
+     * Adds a job, in place of what was known under its id. Guards against jobs that count as one
+     * more arrival each time that a leader loads them all again.
+     */
     void add(Job job) {
-        jobs.addLast(job);
-        if (jobs.size() > MAX_JOBS) {
-            jobs.removeFirst();
+        jobsById.remove(job.spec.id());
+        jobsById.put(job.spec.id(), job);
+        if (jobsById.size() > MAX_JOBS) {
+            Iterator<Job> oldestFirst = jobsById.values().iterator();
+            oldestFirst.next();
+            oldestFirst.remove();
         }
     }
 
@@ -38,7 +46,7 @@
     public JobSpec typicalSpec(
             String jobClass, double quantile, double wallMillis, double patienceSeconds) {
         List<Job> ofClass =
-                jobs.stream()
+                jobsById.values().stream()
                         .filter(job -> job.spec.jobClass().equals(jobClass))
                         .sorted(Comparator.comparingDouble(Job::eligibleSinceMillis))
                         .toList();
@@ -74,7 +82,7 @@
      */
     public List<ArrivalRate> gangArrivalRates(double wallMillis) {
         Map<String, List<Job>> byClass = new TreeMap<>();
-        for (Job job : jobs) {
+        for (Job job : jobsById.values()) {
             if (job.spec.isGang() && !job.isHeld()) {
                 byClass.computeIfAbsent(job.spec.jobClass(), name -> new ArrayList<>()).add(job);
             }
@@ -97,7 +105,7 @@
      */
     public double jobsPerSecond(String jobClass, double wallMillis) {
         return ratePerSecond(
-                jobs.stream()
+                jobsById.values().stream()
                         .filter(job -> job.spec.jobClass().equals(jobClass) && !job.isHeld())
                         .toList(),
                 wallMillis,
--- a/src/main/java/io/kitepath/core/shard/RoomReservation.java
+++ b/src/main/java/io/kitepath/core/shard/RoomReservation.java
@@ -33,6 +33,12 @@
         startsAt = from;
     }
 
+    /** Ends the reservation, as the jobs are loaded anew. */
+    void clear() {
+        reservedFor = null;
+        backfillAllowed = false;
+    }
+
     /** Null while nothing is reserved. */
     Job reservedFor() {
         return reservedFor;
@@ -56,8 +62,7 @@
         if (backfillAllowed
                 || now >= reservedUntil
                 || reservedFor != null && reservedFor.waitingTasks() == 0) {
-            reservedFor = null;
-            backfillAllowed = false;
+            clear();
         }
     }
 }
--- a/src/main/java/io/kitepath/core/shard/ShardState.java
+++ b/src/main/java/io/kitepath/core/shard/ShardState.java
@@ -216,7 +216,7 @@
         jobs.clear();
         quotaUsage.clear();
         writes.clear();
-        machines.machines().values().forEach(Machine::forgetAttempts);
+        machines.machines().values().forEach(Machine::forgetJobs);
     }
 
     /** A job has become known, by its submission or from the store. */
