--- a/src/test/java/io/kitepath/core/MalformedRecordsTest.java
+++ b/src/test/java/io/kitepath/core/MalformedRecordsTest.java
@@ -125,6 +125,27 @@
         assertNotEquals(held, cluster.leader().name);
     }
 
+    // ---- layout ---------------------------------------------------------------------------------
+
+    /** Without the layout no record of a part can be read, so nothing is placed until it can be. */
+    @Test
+    void aNewLeaderLoadsTheJobsOnceTheirLayoutCanBeRead() {
+        Object sound = cluster.store.entries.get(StoreKeys.LAYOUT).value();
+        for (Object unreadable : List.of(NO_DOCUMENT, Map.of("partTasks", "x"))) {
+            put(StoreKeys.LAYOUT, unreadable);
+            SimulatedNode first = cluster.leader();
+            first.crash();
+            cluster.run(8);
+            put(StoreKeys.LAYOUT, sound);
+            cluster.node(first.name);
+            String id = "j-" + cluster.store.revision;
+            cluster.submit(cluster.leader(), job(id, Shape.ARRAY, 2, 1));
+            cluster.run(40);
+            assertEquals("done", asked(id).jobStatus().status());
+        }
+        assertEquals(List.of(), cluster.violations);
+    }
+
     // ---- parts of open jobs ---------------------------------------------------------------------
 
     @Test
