--- a/src/test/java/io/kitepath/simulation/InvariantCheckerTest.java
+++ b/src/test/java/io/kitepath/simulation/InvariantCheckerTest.java
@@ -70,6 +70,17 @@
         finds("quota: team red has 3.0 CPUs");
     }
 
+    /** The worker's own rule, on which the proof stands that an attempt never started. */
+    @Test
+    void aWorkerWithTwoHeartbeatsInFlight() {
+        SimulatedWorker worker = cluster.workers.get("i-000000");
+        cluster.run(10);
+        assertEquals(List.of(), cluster.violations);
+        worker.report();
+        worker.report();
+        finds("two heartbeats in flight: i-000000");
+    }
+
     @Test
     void wrongPlaces() {
         placedAs(job("j-1"), List.of("other"), null, false, false);
