Read once more: one place says what is placeable, and one names how a job ends

No change of behaviour. Job.isPlaceable has the check for a record that can't be read, which stood as a special case in HeartbeatProcessor only. FinalStates takes the names of a job's end from EndStatus, which had them already. GangPlacement asks once whether a gang was found whole; two methods of StateRestorer had one name; the comments of QuotaUsage.countAttempts and HolderRecord.highestFencingToken say what they do.

--- a/src/main/java/io/kitepath/core/leadership/HolderRecord.java
+++ b/src/main/java/io/kitepath/core/leadership/HolderRecord.java
@@ -57,8 +57,9 @@
      *
      * <p>Guards against a role, or leadership, that nobody can claim any more as that record can't
      * be read. The revision takes its place then: each claim is a change of the store and raises
-     * the token by one, or to one above a revision that was passed, so no token that was given out
-     * is above the record's revision.
+     * the token by one, or to one above a revision that was passed, so no token that the store gave
+     * out is above the record's revision. Who claims also goes above every token that it has heard
+     * of.
      */
     public static long highestFencingToken(Store.Entry entry) {
         try {
--- a/src/main/java/io/kitepath/core/scheduling/GangPlacement.java
+++ b/src/main/java/io/kitepath/core/scheduling/GangPlacement.java
@@ -103,12 +103,11 @@
                 search = search.restrictedTo(other -> !other.zone().equals(machine.zone()));
             }
         }
-        boolean waitingForImage = found.size() < spec.taskCount() && search.isWaitingForImage();
+        boolean isWhole = found.size() == spec.taskCount();
+        boolean waitingForImage = !isWhole && search.isWaitingForImage();
         for (Machine machine : found) {
             machine.countTentatively(spec, -1);
         }
-        return found.size() == spec.taskCount()
-                ? new Choice(found, false)
-                : new Choice(List.of(), waitingForImage);
+        return new Choice(isWhole ? found : List.of(), waitingForImage);
     }
 }
--- a/src/main/java/io/kitepath/core/service/FinalStates.java
+++ b/src/main/java/io/kitepath/core/service/FinalStates.java
@@ -9,6 +9,7 @@
 import io.kitepath.core.port.Store.Entry;
 import io.kitepath.core.service.JobSubmissionService.JobResponse;
 import io.kitepath.core.service.JobSubmissionService.Verdict;
+import io.kitepath.core.state.EndStatus;
 import io.kitepath.core.state.StoreKeys;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -23,8 +24,7 @@
 final class FinalStates {
     private static final Logger LOG = LoggerFactory.getLogger(FinalStates.class);
 
-    static final String CANCELLED = "cancelled";
-    private static final String DONE = "done";
+    static final String CANCELLED = EndStatus.CANCELLED.storedName();
 
     /** The fields of a record of a job's end that are read here. */
     private static final String STATUS = "status";
@@ -116,8 +116,8 @@
 
     private static JobStatus fromRecord(String jobId, DocumentReader document) {
         String status = document.text(STATUS);
-        if (!status.equals(DONE) && !status.equals(CANCELLED)) {
-            throw document.invalid(STATUS, "must be " + DONE + " or " + CANCELLED);
+        if (!EndStatus.isStoredName(status)) {
+            throw document.invalid(STATUS, "must be the name of a job's end");
         }
         return new JobStatus(jobId, status, doneTasks(document), 0);
     }
--- a/src/main/java/io/kitepath/core/shard/HeartbeatProcessor.java
+++ b/src/main/java/io/kitepath/core/shard/HeartbeatProcessor.java
@@ -288,7 +288,6 @@
                 && status.task() < job.spec.taskCount()
                 && !job.liveAttempts.containsKey(status.task())
                 && !job.isDone(status.task())
-                && !job.isUnreadable()
                 && job.isPlaceable(status.task());
     }
 
--- a/src/main/java/io/kitepath/core/shard/Job.java
+++ b/src/main/java/io/kitepath/core/shard/Job.java
@@ -257,9 +257,9 @@
         return spec.shape() != JobSpec.Shape.SERVICE && unfinishedTasks() == 0;
     }
 
-    /** Whether the task is this cell's to place, and neither done nor on a machine. */
+    /** Whether the task is this cell's to place, and known to be neither done nor on a machine. */
     public boolean isPlaceable(int task) {
-        return tasks.isWaiting(task);
+        return !isUnreadable && tasks.isWaiting(task);
     }
 
     /** How many tasks wait to be placed; none while the job as a whole may not start. */
--- a/src/main/java/io/kitepath/core/shard/QuotaUsage.java
+++ b/src/main/java/io/kitepath/core/shard/QuotaUsage.java
@@ -61,7 +61,10 @@
         usageByTeam.clear();
     }
 
-    /** An attempt of this kind was placed (1), or is proven over (-1). */
+    /**
+     * So many attempts of this kind were placed, or may be on machines for all that is known; less
+     * than 0: are proven over.
+     */
     void countAttempts(JobSpec spec, int change) {
         TeamUsage usage = usageByTeam.computeIfAbsent(spec.team(), key -> new TeamUsage());
         usage.cpus += change * spec.cpusPerTask();
--- a/src/main/java/io/kitepath/core/state/EndStatus.java
+++ b/src/main/java/io/kitepath/core/state/EndStatus.java
@@ -1,7 +1,9 @@
 package io.kitepath.core.state;
 
+import java.util.Arrays;
+
 /** How a job ended, by the name that its stored record and its {@code JobStatus} have for it. */
-enum EndStatus {
+public enum EndStatus {
     DONE("done"),
     CANCELLED("cancelled");
 
@@ -11,7 +13,13 @@
         this.storedName = storedName;
     }
 
-    String storedName() {
+    /** The name in records and in what users are told. */
+    public String storedName() {
         return storedName;
     }
+
+    /** Whether a job's end has that name. */
+    public static boolean isStoredName(String name) {
+        return Arrays.stream(values()).anyMatch(status -> status.storedName.equals(name));
+    }
 }
--- a/src/main/java/io/kitepath/core/state/StateRestorer.java
+++ b/src/main/java/io/kitepath/core/state/StateRestorer.java
@@ -114,7 +114,7 @@
         }
         int part = StoreKeys.indexOfPart(entry.key());
         if (part < job.partCount()) {
-            restorePart(job, part, entry, now);
+            restoreOrHold(job, part, entry, now);
         }
         return true;
     }
@@ -123,7 +123,7 @@
      * Guards against a new leader that never gets to know any job since the record of a part of one
      * can't be read.
      */
-    private void restorePart(Job job, int part, Entry entry, double now) {
+    private void restoreOrHold(Job job, int part, Entry entry, double now) {
         try {
             shard.restorePart(job, part, entry.value(), entry.revision(), now);
         } catch (InvalidInputException unreadable) {
