Tests, red: a job is cancelled since a record of another job's end can't be read

Found by reading the whole change once more: FinalStates is strict about how a job ended, its twin DependencyOutcomes takes every other text for "cancelled".

--- a/src/test/java/io/kitepath/core/MalformedRecordsTest.java
+++ b/src/test/java/io/kitepath/core/MalformedRecordsTest.java
@@ -69,6 +69,19 @@
         assertEquals("done", asked("j-901").jobStatus().status());
     }
 
+    /** Read by the leader, for a job that depends on it, as strictly as for its own user. */
+    @Test
+    void noJobIsCancelledSinceTheRecordOfWhatItDependsOnCannotBeRead() {
+        put(StoreKeys.ENDED_JOBS + "j-900", Map.of("status", "odd"));
+        cluster.submit(cluster.leader(), job("j-1", Shape.ARRAY, 1, 1), "j-900");
+        cluster.run(10);
+        assertEquals("pending", asked("j-1").jobStatus().status());
+        put(StoreKeys.ENDED_JOBS + "j-900", Map.of("status", "done", "done", 1L));
+        cluster.run(60);
+        assertEquals("done", asked("j-1").jobStatus().status());
+        assertEquals(List.of(), cluster.violations);
+    }
+
     // ---- tokens and holders ---------------------------------------------------------------------
 
     @Test
