How a job ended is read in one place, as strictly for its dependents as for its user

Symptom: a job is cancelled that nobody asked to cancel, since the record of the end of one that it depends on is damaged. Cause: DependencyOutcomes took every text but "done" for "cancelled", beside the strict reading of FinalStates. Change: both read by EndStatus.fromRecord. The dependent job waits, with the key in the log, until the record can be read. Records that this program writes are read as before.

--- a/src/main/java/io/kitepath/core/service/FinalStates.java
+++ b/src/main/java/io/kitepath/core/service/FinalStates.java
@@ -26,9 +26,7 @@
 
     static final String CANCELLED = EndStatus.CANCELLED.storedName();
 
-    /** The fields of a record of a job's end that are read here. */
-    private static final String STATUS = "status";
-
+    /** The field of a record of a job's end that says how many of its tasks are done. */
     private static final String DONE_TASKS = "done";
 
     private static final int MAX_REMEMBERED = 5000;
@@ -115,10 +113,7 @@
     }
 
     private static JobStatus fromRecord(String jobId, DocumentReader document) {
-        String status = document.text(STATUS);
-        if (!EndStatus.isStoredName(status)) {
-            throw document.invalid(STATUS, "must be the name of a job's end");
-        }
+        String status = EndStatus.fromRecord(document).storedName();
         return new JobStatus(jobId, status, doneTasks(document), 0);
     }
 
--- a/src/main/java/io/kitepath/core/state/DependencyOutcomes.java
+++ b/src/main/java/io/kitepath/core/state/DependencyOutcomes.java
@@ -133,7 +133,7 @@
     private boolean recordOutcome(String id, Object record) {
         try {
             DocumentReader document = DocumentReader.of(record);
-            boolean done = document.text("status").equals(EndStatus.DONE.storedName());
+            boolean done = EndStatus.fromRecord(document) == EndStatus.DONE;
             // Earlier versions did not write when a job ended.
             double endedMillis = document.numberOr("endedMs", 0, timers.wallClockMillis());
             dependencies.recordOutcome(id, done, endedMillis);
--- a/src/main/java/io/kitepath/core/state/EndStatus.java
+++ b/src/main/java/io/kitepath/core/state/EndStatus.java
@@ -1,5 +1,7 @@
 package io.kitepath.core.state;
 
+import io.kitepath.core.model.DocumentReader;
+import io.kitepath.core.model.InvalidInputException;
 import java.util.Arrays;
 
 /** How a job ended, by the name that its stored record and its {@code JobStatus} have for it. */
@@ -7,6 +9,9 @@
     DONE("done"),
     CANCELLED("cancelled");
 
+    /** The field of the record. */
+    private static final String FIELD = "status";
+
     private final String storedName;
 
     EndStatus(String storedName) {
@@ -18,8 +23,16 @@
         return storedName;
     }
 
-    /** Whether a job's end has that name. */
-    public static boolean isStoredName(String name) {
-        return Arrays.stream(values()).anyMatch(status -> status.storedName.equals(name));
+    /**
+     * Reads it from the record of a job's end.
+     *
+     * @throws InvalidInputException if the record does not say how the job ended
+     */
+    public static EndStatus fromRecord(DocumentReader record) {
+        String name = record.text(FIELD);
+        return Arrays.stream(values())
+                .filter(status -> status.storedName.equals(name))
+                .findFirst()
+                .orElseThrow(() -> record.invalid(FIELD, "is not how a job ends: " + name));
     }
 }
--- a/src/test/java/io/kitepath/core/MalformedRecordsTest.java
+++ b/src/test/java/io/kitepath/core/MalformedRecordsTest.java
@@ -72,11 +72,17 @@
     /** Read by the leader, for a job that depends on it, as strictly as for its own user. */
     @Test
     void noJobIsCancelledSinceTheRecordOfWhatItDependsOnCannotBeRead() {
-        put(StoreKeys.ENDED_JOBS + "j-900", Map.of("status", "odd"));
+        cluster.submit(cluster.leader(), job("j-900", Shape.ARRAY, 1, 1));
+        cluster.run(40);
+        String key = StoreKeys.ENDED_JOBS + "j-900";
+        Object sound = cluster.store.entries.get(key).value();
+        put(key, Map.of("status", "odd"));
+        cluster.leader().crash(); // The next one has to read it.
+        cluster.run(8);
         cluster.submit(cluster.leader(), job("j-1", Shape.ARRAY, 1, 1), "j-900");
         cluster.run(10);
         assertEquals("pending", asked("j-1").jobStatus().status());
-        put(StoreKeys.ENDED_JOBS + "j-900", Map.of("status", "done", "done", 1L));
+        put(key, sound);
         cluster.run(60);
         assertEquals("done", asked("j-1").jobStatus().status());
         assertEquals(List.of(), cluster.violations);
