--- a/src/main/java/io/kitepath/core/scaling/CloudReconciler.java
+++ b/src/main/java/io/kitepath/core/scaling/CloudReconciler.java
@@ -138,6 +138,12 @@
                 && intentBucket.tryTake(1, now)) {
             intents.requestRelease(release);
         }
+        if (!plan.countsToRent().isEmpty()) {
+            LOG.debug(
+                    "rentals planned: counts={} unsettledRentals={}",
+                    plan.countsToRent(),
+                    intents.unsettledRentals().size());
+        }
         // One plan's rentals at a time: the next plan has to know what came of them.
         if (intents.unsettledRentals().isEmpty()) {
             plan.countsToRent().entrySet().stream()
--- a/src/main/java/io/kitepath/core/scaling/ScaleOutPlanner.java
+++ b/src/main/java/io/kitepath/core/scaling/ScaleOutPlanner.java
@@ -7,12 +7,16 @@
 import io.kitepath.core.shard.Job;
 import io.kitepath.core.shard.ShardState;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Packs waiting jobs onto the room that will be free by the time a new machine could be up, and
  * rents machines for what does not fit.
  */
 final class ScaleOutPlanner {
+    private static final Logger LOG = LoggerFactory.getLogger(ScaleOutPlanner.class);
+
     /** Leases in which an array whose class has no objective should be done. */
     private static final double DEFAULT_FINISH_LEASES = 10;
 
@@ -54,18 +58,32 @@
         }
         int tasks = tasksToPlace(job);
         if (tasks == 0) {
+            LOG.debug(
+                    "no capacity planned: job={} waitingTasks={} remainingQuotaTasks={}",
+                    job.spec.id(),
+                    job.waitingTasks(),
+                    shard.quotaUsage().remainingTasks(job.spec));
             return;
         }
         JobSpec spec = job.spec;
         ZoneConstraints zones = ZoneConstraints.of(job);
         rentals.chooseZone(zones, spec, tasks, capacities);
         int missing = tasks - fillCapacities(job, tasks, zones);
-        capacities.addAll(
+        List<FreeCapacity> rented =
                 rentals.addMachinesFor(
                         spec,
                         missing,
                         zones,
-                        kind -> !spec.allowsSpot() || kind.spot() || !mayFinishOnSpot(job)));
+                        kind -> !spec.allowsSpot() || kind.spot() || !mayFinishOnSpot(job));
+        capacities.addAll(rented);
+        LOG.debug(
+                "capacity planned: job={} waitingTasks={} slotsWanted={} withoutRoom={}"
+                        + " machinesToRent={}",
+                spec.id(),
+                job.waitingTasks(),
+                tasks,
+                missing,
+                rented.size());
     }
 
     /** How many of the job's waiting tasks need a slot of their own. */
--- a/src/main/java/io/kitepath/core/scheduling/Preemption.java
+++ b/src/main/java/io/kitepath/core/scheduling/Preemption.java
@@ -8,6 +8,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Makes room for jobs that find none: evicts work that has to give way where that loses least, or
@@ -15,6 +17,8 @@
  * used on the event loop only.
  */
 public final class Preemption {
+    private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
+
     /**
      * Report intervals for which the room of evicted work is held for the job: by then the stopped
      * tasks can have been reported as ended.
@@ -143,6 +147,7 @@
             // An attempt that is not on record yet is taken back at once, and frees its room
             // itself.
             boolean durable = attempt.isDurable();
+            logEviction(attempt, job, candidate.machine());
             shard.stopAttempt(attempt, attempt.job.spec.stopGraceSeconds());
             countEviction(attempt.job, job);
             if (durable) {
@@ -152,12 +157,30 @@
         return wanted;
     }
 
+    private void logEviction(Attempt victim, Job job, Machine machine) {
+        LOG.debug(
+                "attempt evicted: attempt={} forJob={} rule={} victimTeam={} forTeam={}"
+                        + " victimRank={} forRank={} machineReserved={}",
+                victim,
+                job.spec.id(),
+                isForPriority(victim.job, job) ? "priority" : "guarantee",
+                victim.job.spec.team(),
+                job.spec.team(),
+                victim.job.queueRank(),
+                job.queueRank(),
+                machine.reservedFor() == job);
+    }
+
+    private static boolean isForPriority(Job victim, Job job) {
+        return victim.effectivePriority().compareTo(job.effectivePriority()) > 0;
+    }
+
     private void countEviction(Job victim, Job job) {
         evictions++;
         if (!rules.isSmall(job.spec)) {
             evictionsForGangs++;
         }
-        if (victim.effectivePriority().compareTo(job.effectivePriority()) <= 0) {
+        if (!isForPriority(victim, job)) {
             evictionsForGuarantees++;
         }
     }
