Room made by eviction is kept from the work that was evicted

Cause: a job counted the room of work that is being stopped as its own, whatever it was stopped for. The evicted job, bound to one zone, so reserved the machine that it was leaving; the evictor, whose small tasks reserve nothing, found it reserved and the evicted job was placed there again.

It was not, because it was stopped again and again.

Now an evicted attempt remembers for which job it was evicted; while that job waits, the room counts for no job that is served after it or yields to it.

--- a/src/main/java/io/kitepath/core/scheduling/Preemption.java
+++ b/src/main/java/io/kitepath/core/scheduling/Preemption.java
@@ -148,7 +148,7 @@
             // itself.
             boolean durable = attempt.isDurable();
             logEviction(attempt, job, candidate.machine());
-            shard.stopAttempt(attempt, attempt.job.spec.stopGraceSeconds());
+            shard.evictAttempt(attempt, job);
             countEviction(attempt.job, job);
             if (durable) {
                 freed.add(attempt);
--- a/src/main/java/io/kitepath/core/scheduling/PreemptionRules.java
+++ b/src/main/java/io/kitepath/core/scheduling/PreemptionRules.java
@@ -23,9 +23,23 @@
         this.shard = shard;
     }
 
-    /** Whether the attempt may be stopped to make room for the job. */
+    /**
+     * Whether the job may have the room of the attempt: it is stopped already, though not for a job
+     * that goes before this one, or may be stopped.
+     */
     boolean mayEvict(Job job, Attempt victim) {
-        return victim.isUnwanted() || mustYield(victim.job, job); // Unwanted work goes anyway.
+        return victim.isUnwanted()
+                ? victim.roomPromisedTo().filter(other -> goesBefore(other, job)).isEmpty()
+                : mustYield(victim.job, job);
+    }
+
+    /**
+     * Whether room that is made for one job is kept from the other: that one is served later, or
+     * would have to give way. Guards against evicted work that reserves its own room, since that is
+     * about to come free, so that it is placed there again and evicted again without end.
+     */
+    private boolean goesBefore(Job job, Job other) {
+        return job.queueRank() < other.queueRank() || mustYield(other, job);
     }
 
     /**
--- a/src/main/java/io/kitepath/core/shard/Attempt.java
+++ b/src/main/java/io/kitepath/core/shard/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.kitepath.core.model.Heartbeat;
 import io.kitepath.core.model.JobSpec;
+import java.util.Optional;
 
 /**
  * One placement of one task on one machine. It counts against every limit until something proves
@@ -62,6 +63,11 @@
     /** How long its task has to save its work before it is killed; NaN while it may run on. */
     double stopGraceSeconds = Double.NaN;
 
+    /**
+     * The job that it was evicted for; empty while it was not, or was before this leader's term.
+     */
+    Optional<Job> evictedFor = Optional.empty();
+
     /** Whether it was told to stop by a direct command. */
     boolean isStopSent;
 
@@ -107,6 +113,14 @@
         return job.isFinished || isStopping();
     }
 
+    /**
+     * The job that is to have the room of this attempt, since it was evicted for it; empty if there
+     * is none, or if that job has nothing to place any more.
+     */
+    public Optional<Job> roomPromisedTo() {
+        return evictedFor.filter(other -> !other.isFinished && other.waitingTasks() > 0);
+    }
+
     /**
      * How many seconds it will probably still run, by its owner's estimate: at least a fifth of
      * that, as estimates are exceeded; without end for a service.
--- a/src/main/java/io/kitepath/core/shard/ShardState.java
+++ b/src/main/java/io/kitepath/core/shard/ShardState.java
@@ -12,6 +12,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -323,6 +324,12 @@
         attempts.stop(attempt, graceSeconds);
     }
 
+    /** Stops an attempt, as {@link #stopAttempt} does, so that the other job gets its room. */
+    public void evictAttempt(Attempt attempt, Job other) {
+        attempt.evictedFor = Optional.of(other);
+        attempts.stop(attempt, attempt.job.spec.stopGraceSeconds());
+    }
+
     /**
      * Stops the rest of an incomplete gang once none of it fetches its image any more, so that all
      * of it restarts together.
