Work gives way only to jobs that are served before it

Users saw jobs of two teams that never end, without any trouble: each is started, stopped a few seconds later for the other, and started again.

Cause: higher priority may stop lower, and a guarantee may stop what another team borrows; together these have circles. The earlier mend looked at what the urgent job's team used before it was placed, and not within a team.

--- a/src/main/java/io/kitepath/core/scheduling/PreemptionRules.java
+++ b/src/main/java/io/kitepath/core/scheduling/PreemptionRules.java
@@ -46,18 +46,19 @@
      * Whether the running job gives way to the other one. Work gives way to work of higher
      * priority, and what a team borrows gives way to the guarantee of another team.
      *
-     * <p>Guards against two jobs that stop each other without end, so that neither is ever done:
-     * work within a guarantee does not give way to more urgent work that would have to return the
-     * room.
+     * <p>Guards against jobs that stop each other in a circle, so that none is ever done: a job
+     * gives way only to jobs that are served before it, and to those whose own work never gives
+     * way. Priorities and guarantees by themselves have circles: urgent work beyond its guarantee,
+     * guaranteed work of lower priority, and guaranteed work of another team.
      */
     boolean mustYield(Job running, Job job) {
         if (isNonPreemptible(running)) {
             return false;
         }
         if (running.effectivePriority().compareTo(job.effectivePriority()) > 0) {
-            return isNonPreemptible(job) || !isBorrowingAgainst(job, running, 0);
+            return isNonPreemptible(job) || job.queueRank() < running.queueRank();
         }
-        return isBorrowingAgainst(running, job, running.spec.cpusPerTask());
+        return isBorrowingAgainst(running, job);
     }
 
     /** Whether the job's own attempts are never stopped for others: gangs and services. */
@@ -66,16 +67,17 @@
     }
 
     /**
-     * Whether the job is beyond its team's guarantee, not counting {@code ownCpus} of its own, and
-     * the other job, of another team, is within that team's.
+     * Whether the running job and its team are beyond the team's guarantee, and the other job, of
+     * another team, is within that team's.
      */
-    private boolean isBorrowingAgainst(Job job, Job other, double ownCpus) {
-        ClusterSettings.Team team = shard.settings().teams().get(job.spec.team());
-        return other.isWithinGuarantee()
-                && !job.isWithinGuarantee()
-                && !job.spec.team().equals(other.spec.team())
+    private boolean isBorrowingAgainst(Job running, Job job) {
+        ClusterSettings.Team team = shard.settings().teams().get(running.spec.team());
+        return job.isWithinGuarantee()
+                && !running.isWithinGuarantee()
+                && !running.spec.team().equals(job.spec.team())
                 && team != null
-                && shard.quotaUsage().usedCpus(job.spec.team()) - ownCpus >= team.guaranteedCpus();
+                && shard.quotaUsage().usedCpus(running.spec.team()) - running.spec.cpusPerTask()
+                        >= team.guaranteedCpus();
     }
 
     /**
