A regular machine stays while work waits that has no spot machine

Users saw a job stop halfway while the cloud is short of machines: the regular machine that ran it was returned as soon as its tasks ended, though others of its tasks waited, and none came in its place.

Cause: a regular machine was drained, so that it gets no work that could run on spot machines, whenever the cloud had not refused spot machines lately, whether or not there was one.

Now a machine is not drained while work waits that can run on its kind and for which no spot machine is up or booting: that work runs there, or a spot machine is there for it.

--- a/src/main/java/io/kitepath/core/scaling/ScaleIn.java
+++ b/src/main/java/io/kitepath/core/scaling/ScaleIn.java
@@ -45,9 +45,14 @@
      * Decides which machines to release, by id, and marks them; marks those to drain as well.
      *
      * @param reserved machines kept for work that may come
+     * @param regularDemand the regular machines that waiting work depends on
      * @param spareCpus those of the CPUs that are up or booting that no guarantee needs
      */
-    List<String> machinesToRelease(double now, Set<Machine> reserved, double spareCpus) {
+    List<String> machinesToRelease(
+            double now,
+            Set<Machine> reserved,
+            RegularMachineDemand regularDemand,
+            double spareCpus) {
         SilenceSurvey survey =
                 SilenceSurvey.of(
                         shard, machineLiveness, machine -> isDeafForLong(machine, now), now);
@@ -57,7 +62,7 @@
             // A machine is surplus only if its type is known.
             Optional<MachineType> surplus =
                     reserved.contains(machine) ? Optional.empty() : surplus(machine, spare, now);
-            markNeededOrDraining(machine, surplus, now);
+            markNeededOrDraining(machine, surplus, regularDemand, now);
             boolean release = machine.isReleasing() || shouldRelease(machine, surplus, survey, now);
             if (surplus.isPresent() && (release || machine.isDraining())) {
                 spare -= surplus.get().cpus();
@@ -91,7 +96,11 @@
      * Notes whether the machine has work that may not use spot machines, and drains surplus regular
      * machines that only have work which cheaper spot machines could do.
      */
-    private void markNeededOrDraining(Machine machine, Optional<MachineType> surplus, double now) {
+    private void markNeededOrDraining(
+            Machine machine,
+            Optional<MachineType> surplus,
+            RegularMachineDemand regularDemand,
+            double now) {
         if (!machine.isSpot()
                 && machine.attempts().stream()
                         .anyMatch(attempt -> !attempt.job.spec.allowsSpot())) {
@@ -101,6 +110,7 @@
                 machine.isTokenConfirmed()
                         && !machine.isSpot()
                         && machine.lastNeededAt() < now
+                        && !regularDemand.needs(machine)
                         && surplus.filter(
                                         type -> instanceSelection.isCheaperSpotAvailable(type, now))
                                 .isPresent());
--- a/src/main/java/io/kitepath/core/scaling/ScalingPlanner.java
+++ b/src/main/java/io/kitepath/core/scaling/ScalingPlanner.java
@@ -81,7 +81,11 @@
         double guaranteedCpus = survey.guaranteedCpus();
         rentals.addMachinesUpTo(guaranteedCpus - survey.usableCpus());
         List<String> released =
-                scaleIn.machinesToRelease(now, reserved, survey.usableCpus() - guaranteedCpus);
+                scaleIn.machinesToRelease(
+                        now,
+                        reserved,
+                        new RegularMachineDemand(shard, machineLiveness, queue, now),
+                        survey.usableCpus() - guaranteedCpus);
         scaleIn.moveTasksToSpot(now, wallMillis);
         return new Plan(rentals.countsToRent(), released);
     }
