Work is evicted only where the job that it is for may be placed

Users saw lesser work started and stopped every second or two without end, for a job that stayed pending all the same.

Cause: making room looked at every machine that the job's shape allows, placing only at those that it may use now (not where it failed if there are others, not drained ones if it may use spot machines, not those kept warm for gangs).

Now placing, evicting and reserving ask one class, CandidateMachines, which machines a job may use. A gang whose records don't fit makes no room either until it is migrated; that is not shown by a test of its own.

--- a/src/main/java/io/kitepath/core/scheduling/EvictionCandidates.java
+++ b/src/main/java/io/kitepath/core/scheduling/EvictionCandidates.java
@@ -56,18 +56,12 @@
     private final ShardState shard;
     private final ProbePlacement placement;
     private final PreemptionRules rules;
-    private final PromisedRoom promisedRoom;
     private final Map<Claim, YieldingWork> yieldingWorkByClaim = new HashMap<>();
 
-    EvictionCandidates(
-            ShardState shard,
-            ProbePlacement placement,
-            PreemptionRules rules,
-            PromisedRoom promisedRoom) {
+    EvictionCandidates(ShardState shard, ProbePlacement placement, PreemptionRules rules) {
         this.shard = shard;
         this.placement = placement;
         this.rules = rules;
-        this.promisedRoom = promisedRoom;
     }
 
     /** Forgets what was worked out in the last round. */
@@ -81,23 +75,16 @@
     }
 
     /**
-     * The machines that the job may use, by zone if it has to stay in one, otherwise all under
-     * {@link RoomReservations#ANY_ZONE}.
+     * What making room on each of the machines would bring, by zone if the job has to stay in one,
+     * otherwise all under {@link RoomReservations#ANY_ZONE}.
      */
-    Map<String, List<EvictionCandidate>> byZone(Job job, List<Machine> open, double now) {
-        JobSpec spec = job.spec;
+    Map<String, List<EvictionCandidate>> byZone(Job job, List<Machine> machines, double now) {
         YieldingWork yielding = yieldingWork(job);
-        ZoneConstraints zones = ZoneConstraints.of(job);
         Map<String, List<EvictionCandidate>> byZone = new LinkedHashMap<>();
-        for (Machine machine : open) {
-            if (RoomReservations.isFreeFor(job, machine)
-                    && !promisedRoom.isKeptFrom(job, machine)
-                    && placement.isAllowed(machine, spec)
-                    && zones.remainingTasks(machine.zone()) > 0) {
-                String zone = spec.isSingleZone() ? machine.zone() : RoomReservations.ANY_ZONE;
-                byZone.computeIfAbsent(zone, key -> new ArrayList<>())
-                        .add(candidate(job, machine, yielding, now));
-            }
+        for (Machine machine : machines) {
+            String zone = job.spec.isSingleZone() ? machine.zone() : RoomReservations.ANY_ZONE;
+            byZone.computeIfAbsent(zone, key -> new ArrayList<>())
+                    .add(candidate(job, machine, yielding, now));
         }
         return byZone;
     }
--- a/src/main/java/io/kitepath/core/scheduling/JobPlacer.java
+++ b/src/main/java/io/kitepath/core/scheduling/JobPlacer.java
@@ -4,7 +4,6 @@
 import io.kitepath.core.shard.Job;
 import io.kitepath.core.shard.Machine;
 import io.kitepath.core.shard.ShardState;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -15,7 +14,7 @@
      *
      * @param placed tasks that got a machine
      * @param waitingForImage whether machines were left out only because others have the image
-     * @param recordsFull whether tasks were left out because their parts' records are full
+     * @param recordsFull whether tasks were left out because they don't fit their records now
      */
     record Result(int placed, boolean waitingForImage, boolean recordsFull) {
         static final Result NONE = new Result(0, false, false);
@@ -24,22 +23,13 @@
     private final ShardState shard;
     private final ProbePlacement placement;
     private final GangPlacement gangPlacement;
-    private final PreemptionRules rules;
-    private final WarmReserve warmReserve;
-    private final PromisedRoom promisedRoom;
+    private final CandidateMachines candidateMachines;
 
-    JobPlacer(
-            ShardState shard,
-            ProbePlacement placement,
-            PreemptionRules rules,
-            WarmReserve warmReserve,
-            PromisedRoom promisedRoom) {
+    JobPlacer(ShardState shard, ProbePlacement placement, CandidateMachines candidateMachines) {
         this.shard = shard;
         this.placement = placement;
         this.gangPlacement = new GangPlacement(placement);
-        this.rules = rules;
-        this.warmReserve = warmReserve;
-        this.promisedRoom = promisedRoom;
+        this.candidateMachines = candidateMachines;
     }
 
     /**
@@ -66,7 +56,7 @@
             return Result.NONE;
         }
         int tasks = taskLimit(job, now, limit);
-        List<Machine> candidates = candidateMachines(job, open, now);
+        List<Machine> candidates = candidateMachines.forPlacing(job, open, now);
         MachineSearch search = placement.newSearch(spec, candidates, mayWaitForImage);
         ZoneConstraints zones = ZoneConstraints.of(job);
         if (spec.isSingleZone() && !zones.isDecided()) {
@@ -135,11 +125,11 @@
         }
         if (!shard.fitsRecord(job)) {
             shard.requestMigration(job);
-            return Result.NONE;
+            return new Result(0, false, true);
         }
         GangPlacement.Choice choice =
                 gangPlacement.chooseGang(
-                        job.spec, candidateMachines(job, open, now), mayWaitForImage);
+                        job.spec, candidateMachines.forPlacing(job, open, now), mayWaitForImage);
         if (!choice.isFound()) {
             return new Result(0, choice.waitingForImage(), false);
         }
@@ -150,40 +140,4 @@
         shard.advanceAttemptNumber(job);
         return new Result(machines.size(), false, false);
     }
-
-    /**
-     * The open machines that the job may use now. Guards against retries that land where they
-     * failed: machines on which the job failed are returned only when there is no other.
-     */
-    private List<Machine> candidateMachines(Job job, List<Machine> open, double now) {
-        List<Machine> candidates = new ArrayList<>();
-        List<Machine> failed = new ArrayList<>();
-        ZoneConstraints zones = ZoneConstraints.of(job);
-        for (Machine machine : open) {
-            if (isCandidate(job, machine, zones, now)) {
-                (job.failedMachines().contains(machine.id) ? failed : candidates).add(machine);
-            }
-        }
-        return candidates.isEmpty() ? failed : candidates;
-    }
-
-    private boolean isCandidate(Job job, Machine machine, ZoneConstraints zones, double now) {
-        return mayUseReserved(job, machine, now)
-                && placement.isAllowed(machine, job.spec)
-                && zones.remainingTasks(machine.zone()) > 0
-                && !(machine.isDraining() && job.spec.allowsSpot())
-                && !promisedRoom.isKeptFrom(job, machine)
-                && !warmReserve.isReservedAgainst(machine, job);
-    }
-
-    /**
-     * Whether the machine is not reserved for another job, or only until other work ends and this
-     * job gives way to that one or is over before it starts.
-     */
-    private boolean mayUseReserved(Job job, Machine machine, double now) {
-        return RoomReservations.isFreeFor(job, machine)
-                || machine.isBackfillAllowed()
-                        && (rules.mustYield(job, machine.reservedFor())
-                                || machine.mayBackfill(job, now));
-    }
 }
--- a/src/main/java/io/kitepath/core/scheduling/Preemption.java
+++ b/src/main/java/io/kitepath/core/scheduling/Preemption.java
@@ -30,6 +30,7 @@
     private final PreemptionRules rules;
     private final EvictionCandidates candidates;
     private final RoomReservations reservations;
+    private final CandidateMachines candidateMachines;
     private final PromisedRoom promisedRoom;
     private long evictions;
     private long evictionsForGuarantees;
@@ -46,13 +47,15 @@
             ShardState shard,
             ProbePlacement placement,
             PreemptionRules rules,
+            CandidateMachines candidateMachines,
             PromisedRoom promisedRoom) {
         this.shard = shard;
         this.placement = placement;
         this.rules = rules;
-        this.candidates = new EvictionCandidates(shard, placement, rules, promisedRoom);
+        this.candidates = new EvictionCandidates(shard, placement, rules);
+        this.candidateMachines = candidateMachines;
         this.promisedRoom = promisedRoom;
-        this.reservations = new RoomReservations(shard, placement, rules, promisedRoom);
+        this.reservations = new RoomReservations(shard, placement, rules);
     }
 
     /** Attempts stopped for other work since this node started. */
@@ -98,7 +101,8 @@
                 job.spec.isGang()
                         ? job.waitingTasks()
                         : Math.min(job.waitingTasks(), shard.quotaUsage().remainingTasks(job.spec));
-        var byZone = candidates.byZone(job, open, now);
+        List<Machine> machines = candidateMachines.forMakingRoom(job, open, now);
+        var byZone = candidates.byZone(job, machines, now);
         Optional<List<EvictionCandidate>> cheapest =
                 EvictionCandidates.cheapest(job, tasks, byZone.values());
         if (cheapest.isPresent()) {
@@ -108,7 +112,7 @@
         if (small) {
             return false; // Small tasks find gaps by themselves.
         }
-        return reservations.reserveSoonest(job, tasks, byZone.keySet(), open, now);
+        return reservations.reserveSoonest(job, tasks, byZone.keySet(), machines, now);
     }
 
     private void evict(Job job, List<EvictionCandidate> chosen, int tasks, double now) {
--- a/src/main/java/io/kitepath/core/scheduling/RoomReservations.java
+++ b/src/main/java/io/kitepath/core/scheduling/RoomReservations.java
@@ -1,6 +1,5 @@
 package io.kitepath.core.scheduling;
 
-import io.kitepath.core.model.JobSpec;
 import io.kitepath.core.shard.Attempt;
 import io.kitepath.core.shard.Job;
 import io.kitepath.core.shard.Machine;
@@ -28,20 +27,14 @@
     private final ShardState shard;
     private final ProbePlacement placement;
     private final PreemptionRules rules;
-    private final PromisedRoom promisedRoom;
 
     /** For how many jobs machines are reserved in this round, by zone. */
     private final Map<String, Integer> jobsByZone = new HashMap<>();
 
-    RoomReservations(
-            ShardState shard,
-            ProbePlacement placement,
-            PreemptionRules rules,
-            PromisedRoom promisedRoom) {
+    RoomReservations(ShardState shard, ProbePlacement placement, PreemptionRules rules) {
         this.shard = shard;
         this.placement = placement;
         this.rules = rules;
-        this.promisedRoom = promisedRoom;
     }
 
     /** Forgets the last round's reservations, which are decided anew. */
@@ -60,14 +53,15 @@
      * machines, so that a fifth of the fleet idles in gaps that would together hold several of
      * them: in each zone only the first one reserves room, the others take what is free.
      */
-    boolean reserveSoonest(Job job, int tasks, Set<String> zones, List<Machine> open, double now) {
+    boolean reserveSoonest(
+            Job job, int tasks, Set<String> zones, List<Machine> machines, double now) {
         List<ExpectedRoom> best = List.of();
         Optional<String> bestZone = Optional.empty();
         for (String zone : zones) {
             if (jobsByZone.getOrDefault(zone, 0) >= maxJobs(zone)) {
                 continue;
             }
-            List<ExpectedRoom> expected = expectedRoom(job, zone, open, now);
+            List<ExpectedRoom> expected = expectedRoom(job, zone, machines, now);
             Optional<List<ExpectedRoom>> chosen =
                     chooseSoonest(expected, tasks, ZoneConstraints.of(job));
             if (chosen.isPresent()
@@ -90,14 +84,11 @@
         return zone.equals(ANY_ZONE) ? shard.settings().zones().size() : 1;
     }
 
-    private List<ExpectedRoom> expectedRoom(Job job, String zone, List<Machine> open, double now) {
-        JobSpec spec = job.spec;
+    private List<ExpectedRoom> expectedRoom(
+            Job job, String zone, List<Machine> machines, double now) {
         List<ExpectedRoom> expected = new ArrayList<>();
-        for (Machine machine : open) {
-            if (isFreeFor(job, machine)
-                    && !promisedRoom.isKeptFrom(job, machine)
-                    && placement.isAllowed(machine, spec)
-                    && (zone.equals(ANY_ZONE) || zone.equals(machine.zone()))) {
+        for (Machine machine : machines) {
+            if (zone.equals(ANY_ZONE) || zone.equals(machine.zone())) {
                 addExpectedRoom(job, machine, now, expected);
             }
         }
--- a/src/main/java/io/kitepath/core/scheduling/Scheduler.java
+++ b/src/main/java/io/kitepath/core/scheduling/Scheduler.java
@@ -71,11 +71,14 @@
         this.probePlacement = new ProbePlacement(random, shard.machineTypes());
         this.preemptionRules = new PreemptionRules(shard);
         this.promisedRoom = new PromisedRoom();
-        this.preemption = new Preemption(shard, probePlacement, preemptionRules, promisedRoom);
         this.guarantees = new GuaranteeAllocation(shard);
         this.warmReserve = new WarmReserve(shard, probePlacement);
-        this.placer =
-                new JobPlacer(shard, probePlacement, preemptionRules, warmReserve, promisedRoom);
+        CandidateMachines candidateMachines =
+                new CandidateMachines(probePlacement, preemptionRules, warmReserve, promisedRoom);
+        this.preemption =
+                new Preemption(
+                        shard, probePlacement, preemptionRules, candidateMachines, promisedRoom);
+        this.placer = new JobPlacer(shard, probePlacement, candidateMachines);
     }
 
     /** The choice of machines, for its counters. */
