Urgent work goes before guaranteed work of its own team again

The mend of circles of preemption let work give way only to jobs that are served before it. Users with urgent work beyond their team's guarantee would have waited behind lesser work of their own team.

Now a job that goes by priority before a job of its team which is within the guarantee shares in that guarantee; work that shares gives way only to work of higher priority that shares too, or never gives way. No circle: at each step the next job shares where the one before does not, or has a higher priority.

--- a/src/main/java/io/kitepath/core/scheduling/PreemptionRules.java
+++ b/src/main/java/io/kitepath/core/scheduling/PreemptionRules.java
@@ -7,6 +7,8 @@
 import io.kitepath.core.shard.Job;
 import io.kitepath.core.shard.Machine;
 import io.kitepath.core.shard.ShardState;
+import java.util.HashMap;
+import java.util.Map;
 
 /** Which work has to give way to which, by priority and by the teams' guarantees. */
 final class PreemptionRules {
@@ -19,6 +21,9 @@
 
     private final ShardState shard;
 
+    /** The lowest priority of the work within each team's guarantee, by team. */
+    private final Map<String, JobSpec.Priority> lowestGuaranteed = new HashMap<>();
+
     PreemptionRules(ShardState shard) {
         this.shard = shard;
     }
@@ -42,38 +47,65 @@
         return job.queueRank() < other.queueRank() || mustYield(other, job);
     }
 
+    /** A new round, in which the jobs within their teams' guarantees are known. */
+    void beginRound() {
+        lowestGuaranteed.clear();
+        for (Job job : shard.jobs().values()) {
+            if (job.isWithinGuarantee() && !job.isFinished() && !job.isHeld()) {
+                lowestGuaranteed.merge(
+                        job.spec.team(), job.effectivePriority(), PreemptionRules::lower);
+            }
+        }
+    }
+
+    private static JobSpec.Priority lower(JobSpec.Priority one, JobSpec.Priority other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
+
     /**
      * Whether the running job gives way to the other one. Work gives way to work of higher
      * priority, and what a team borrows gives way to the guarantee of another team.
      *
-     * <p>Guards against jobs that stop each other in a circle, so that none is ever done: a job
-     * gives way only to jobs that are served before it, and to those whose own work never gives
-     * way. Priorities and guarantees by themselves have circles: urgent work beyond its guarantee,
-     * guaranteed work of lower priority, and guaranteed work of another team.
+     * <p>Guards against jobs that stop each other in a circle, so that none is ever done.
+     * Priorities and guarantees by themselves have circles: urgent work beyond its guarantee,
+     * guaranteed work of lower priority, and guaranteed work of another team. So work that shares
+     * in a guarantee gives way only to work that does as well, and among all that gives way at all,
+     * the one that it gives way to shares in a guarantee where it does not, or has a higher
+     * priority.
      */
     boolean mustYield(Job running, Job job) {
         if (isNonPreemptible(running)) {
             return false;
         }
         if (running.effectivePriority().compareTo(job.effectivePriority()) > 0) {
-            return isNonPreemptible(job) || job.queueRank() < running.queueRank();
+            return isNonPreemptible(job) || sharesInGuarantee(job) || !sharesInGuarantee(running);
         }
         return isBorrowingAgainst(running, job);
     }
 
+    /**
+     * Whether the job is within its team's guarantee, or goes before a job of its team that is: it
+     * could have that job's room.
+     */
+    private boolean sharesInGuarantee(Job job) {
+        JobSpec.Priority lowest = lowestGuaranteed.get(job.spec.team());
+        return job.isWithinGuarantee()
+                || lowest != null && job.effectivePriority().compareTo(lowest) < 0;
+    }
+
     /** Whether the job's own attempts are never stopped for others: gangs and services. */
     static boolean isNonPreemptible(Job job) {
         return job.spec.isGang() || job.spec.shape() == JobSpec.Shape.SERVICE;
     }
 
     /**
-     * Whether the running job and its team are beyond the team's guarantee, and the other job, of
-     * another team, is within that team's.
+     * Whether the running job has no share in its team's guarantee, which the team has used up, and
+     * the other job, of another team, is within that team's.
      */
     private boolean isBorrowingAgainst(Job running, Job job) {
         ClusterSettings.Team team = shard.settings().teams().get(running.spec.team());
         return job.isWithinGuarantee()
-                && !running.isWithinGuarantee()
+                && !sharesInGuarantee(running)
                 && !running.spec.team().equals(job.spec.team())
                 && team != null
                 && shard.quotaUsage().usedCpus(running.spec.team()) - running.spec.cpusPerTask()
--- a/src/main/java/io/kitepath/core/scheduling/Scheduler.java
+++ b/src/main/java/io/kitepath/core/scheduling/Scheduler.java
@@ -204,6 +204,7 @@
     public int placeWaitingTasks(double now, double wallMillis, int limit) {
         shard.beginSchedulingRound(now);
         List<Job> order = orderedJobs(now, wallMillis);
+        preemptionRules.beginRound();
         preemption.beginRound();
         promisedRoom.beginRound(promotedJob, now);
         List<Machine> open =
