No work is evicted for a job that waits for a machine with its image

Users saw lesser work on spot machines started and stopped every few seconds for up to 45 s, for a job that is not placed there.

Cause: placing leaves out machines without the image while enough others have it, making room did not. Evidence: the log of ImageWaitEvictionTest, where each 'attempt evicted: ... forJob=j-3' is followed by the evicted work being placed again on the same machine.

Now making room leaves out the same machines; what it did not find then stands only for jobs with the same image.

--- a/src/main/java/io/kitepath/core/scheduling/CandidateMachines.java
+++ b/src/main/java/io/kitepath/core/scheduling/CandidateMachines.java
@@ -38,9 +38,20 @@
         return usable(job, open, machine -> mayUseReserved(job, machine, now), now);
     }
 
-    /** The open machines on which room may be made or reserved for the job now. */
-    List<Machine> forMakingRoom(Job job, List<Machine> open, double now) {
-        return usable(job, open, machine -> RoomReservations.isFreeFor(job, machine), now);
+    /**
+     * The open machines on which room may be made or reserved for the job now.
+     *
+     * @param mayWaitForImage whether machines may be left out since enough others have the image
+     */
+    List<Machine> forMakingRoom(Job job, List<Machine> open, boolean mayWaitForImage, double now) {
+        List<Machine> machines =
+                usable(job, open, machine -> RoomReservations.isFreeFor(job, machine), now);
+        if (!job.spec.allowsSpot() || !mayWaitForImage) {
+            return machines;
+        }
+        MachineSearch search =
+                placement.newSearch(job.spec, forPlacing(job, open, now), mayWaitForImage);
+        return machines.stream().filter(machine -> !search.leavesOut(machine)).toList();
     }
 
     private List<Machine> usable(
--- a/src/main/java/io/kitepath/core/scheduling/MachineSearch.java
+++ b/src/main/java/io/kitepath/core/scheduling/MachineSearch.java
@@ -193,6 +193,14 @@
         return slots;
     }
 
+    /**
+     * Whether the search leaves the machine out, even if it had room, as enough others have the
+     * image.
+     */
+    boolean leavesOut(Machine machine) {
+        return spec.allowsSpot() && !hasImage(machine) && hasEnoughSlotsWithImage();
+    }
+
     /**
      * Whether the search, which has found all that it finds, left out a machine with room only
      * because others have the image.
--- a/src/main/java/io/kitepath/core/scheduling/Preemption.java
+++ b/src/main/java/io/kitepath/core/scheduling/Preemption.java
@@ -84,9 +84,10 @@
      * For a job that found no room: evicts lesser work where that is enough, or else reserves
      * machines for the job, so that smaller work behind it does not take every gap.
      *
+     * @param mayWaitForImage whether machines may be left out since enough others have the image
      * @return whether anything was stopped or reserved
      */
-    boolean makeRoom(Job job, List<Machine> open, double now) {
+    boolean makeRoom(Job job, List<Machine> open, boolean mayWaitForImage, double now) {
         boolean small = rules.isSmall(job.spec);
         if (small) {
             if (hasSearchedForSmallJobs) {
@@ -101,7 +102,7 @@
                 job.spec.isGang()
                         ? job.waitingTasks()
                         : Math.min(job.waitingTasks(), shard.quotaUsage().remainingTasks(job.spec));
-        List<Machine> machines = candidateMachines.forMakingRoom(job, open, now);
+        List<Machine> machines = candidateMachines.forMakingRoom(job, open, mayWaitForImage, now);
         var byZone = candidates.byZone(job, machines, now);
         Optional<List<EvictionCandidate>> cheapest =
                 EvictionCandidates.cheapest(job, tasks, byZone.values());
--- a/src/main/java/io/kitepath/core/scheduling/Scheduler.java
+++ b/src/main/java/io/kitepath/core/scheduling/Scheduler.java
@@ -296,9 +296,10 @@
         if (waits) {
             return placed;
         }
-        if (!makeRoom(job, open, now)) {
+        if (!makeRoom(job, open, mayWaitForImage, now)) {
             if (comparable) {
-                beyondPreemption.add(job, result.waitingForImage());
+                // Making room may have left out machines that lack this job's image.
+                beyondPreemption.add(job, mayWaitForImage && job.spec.allowsSpot());
             }
         } else if (!job.spec.isGang()) {
             // Placings that were not written yet free their room at once. Guards against the work
@@ -319,9 +320,9 @@
                         >= (job.spec.isGang() ? job.spec.taskCount() : 1);
     }
 
-    private boolean makeRoom(Job job, List<Machine> open, double now) {
+    private boolean makeRoom(Job job, List<Machine> open, boolean mayWaitForImage, double now) {
         double began = loopTime.now();
-        boolean made = preemption.makeRoom(job, open, now);
+        boolean made = preemption.makeRoom(job, open, mayWaitForImage, now);
         loopTime.record(Activity.GIVING_WAY, began);
         return made;
     }
