--- a/src/main/java/io/kitepath/core/scaling/FreeCapacity.java
+++ b/src/main/java/io/kitepath/core/scaling/FreeCapacity.java
@@ -42,10 +42,7 @@
         return new FreeCapacity(type, kind, Optional.empty());
     }
 
-    /**
-     * Whether it has CPUs for one task. Cheap: it is asked of hundreds of machines for each of
-     * hundreds of jobs.
-     */
+    /** Whether it has CPUs for one task. Cheap, as it is asked of every machine for every job. */
     boolean hasCpusFor(JobSpec spec, boolean atOnce) {
         return afterBoot.cpus + ROUNDING_SLACK >= spec.cpusPerTask()
                 && (!atOnce || immediately.cpus + ROUNDING_SLACK >= spec.cpusPerTask());
--- a/src/main/java/io/kitepath/core/scheduling/JobPlacer.java
+++ b/src/main/java/io/kitepath/core/scheduling/JobPlacer.java
@@ -46,8 +46,7 @@
     /** Places at most {@code limit} tasks of a job that is no gang. */
     Result placeTasks(Job job, List<Machine> open, boolean mayWaitForImage, int limit, double now) {
         JobSpec spec = job.spec;
-        // Guards against a leader that spends seconds on where images are when no machine has room
-        // for a task: on a full fleet that is so for hundreds of jobs, whatever image they need.
+        // Where images are takes long to find out, and says nothing if no machine has room.
         if (open.stream()
                 .noneMatch(
                         machine ->
--- a/src/main/java/io/kitepath/core/scheduling/MachineSearch.java
+++ b/src/main/java/io/kitepath/core/scheduling/MachineSearch.java
@@ -110,10 +110,7 @@
                 continue;
             }
             Predicate<Machine> stage = stages.get(nextStage++);
-            // Without room, probes would miss and a scan would find nothing. On a full fleet that
-            // is
-            // nearly every stage of nearly every search, and asking hundreds of machines for an
-            // image takes time.
+            // Without room, probes would miss and a scan would find nothing.
             if (machinesWithRoom.orElseThrow().stream().anyMatch(stage)) {
                 List<Machine> ofStage = candidates.stream().filter(stage).toList();
                 stageSearch = Optional.of(new StageSearch(placement, spec, ofStage));
--- a/src/main/java/io/kitepath/core/scheduling/Preemption.java
+++ b/src/main/java/io/kitepath/core/scheduling/Preemption.java
@@ -37,9 +37,8 @@
     private long evictionsForGangs;
 
     /**
-     * Whether this round has searched for room for small tasks. Guards against rounds of which two
-     * thirds go into inspecting every attempt of a full fleet for one small job after the other,
-     * when the next round comes in a moment.
+     * Whether this round has searched for room for small tasks. One search a round is enough, as it
+     * inspects every attempt and the next round comes in a moment.
      */
     private boolean hasSearchedForSmallJobs;
 
--- a/src/main/java/io/kitepath/core/scheduling/PreemptionRules.java
+++ b/src/main/java/io/kitepath/core/scheduling/PreemptionRules.java
@@ -14,8 +14,7 @@
 final class PreemptionRules {
     /**
      * Report intervals for which small tasks wait for room that comes free by itself, before others
-     * are stopped for them. Guards against work that is stopped by the ten thousand on a full
-     * fleet, half done, for tasks that would have had the room of one that ended a second later.
+     * are stopped for them: on a full fleet some task ends soon.
      */
     private static final double WAIT_REPORT_INTERVALS = 2;
 
--- a/src/main/java/io/kitepath/core/scheduling/RoomReservations.java
+++ b/src/main/java/io/kitepath/core/scheduling/RoomReservations.java
@@ -49,9 +49,9 @@
 
     /**
      * Reserves room for that many tasks in the one of the zones where all of it comes free soonest;
-     * returns whether there is such a zone. Guards against a burst of gangs each of which reserves
-     * machines, so that a fifth of the fleet idles in gaps that would together hold several of
-     * them: in each zone only the first one reserves room, the others take what is free.
+     * returns whether there is such a zone. In each zone only the first job reserves room, the
+     * others take what is free, so that machines don't idle in gaps that each wait for another
+     * gang.
      */
     boolean reserveSoonest(
             Job job, int tasks, Set<String> zones, List<Machine> machines, double now) {
--- a/src/main/java/io/kitepath/core/scheduling/Scheduler.java
+++ b/src/main/java/io/kitepath/core/scheduling/Scheduler.java
@@ -113,8 +113,7 @@
      */
     public List<Job> orderedJobs(double now, double wallMillis) {
         double began = loopTime.now();
-        // Guards against a round of which most goes into sorting thousands of jobs that wait for
-        // others.
+        // There may be many jobs that wait for others, which need no order.
         List<Job> jobs = shard.jobs().values().stream().filter(job -> !job.isHeld()).toList();
         shard.serviceLevels().update(jobs, this::startLatencySeconds, wallMillis);
         guarantees.mark(jobs);
@@ -285,8 +284,7 @@
                         ? JobPlacer.Result.NONE
                         : placer.place(job, open, mayWaitForImage, limit, now);
         int placed = result.placed();
-        // Guards against a job whose records are full for now, although machines are idle, standing
-        // for all others that would fit there: hundreds of tasks waited behind it.
+        // A job whose records are full for now does not stand for others, which may fit.
         if (result.recordsFull() || placed >= limit || !mayPlaceMore(job, now)) {
             return placed;
         }
--- a/src/main/java/io/kitepath/core/scheduling/UnschedulableShapes.java
+++ b/src/main/java/io/kitepath/core/scheduling/UnschedulableShapes.java
@@ -10,9 +10,8 @@
 
 /**
  * What was found to have no room in a scheduling round. Within a round room only shrinks, so that a
- * job with the same rights that asks for at least as much won't find any either. Guards against an
- * inspection of the whole shard for each of hundreds of jobs that wait behind one that does not
- * fit.
+ * job with the same rights that asks for at least as much won't find any either, and the shard is
+ * not inspected for each of them.
  */
 final class UnschedulableShapes {
     /**
--- a/src/main/java/io/kitepath/core/scheduling/WarmReserve.java
+++ b/src/main/java/io/kitepath/core/scheduling/WarmReserve.java
@@ -14,9 +14,7 @@
 /**
  * Idle machines that work of lower priority leaves alone for a moment because, by their usual rate,
  * gangs of higher priority will arrive before room could be made for them. Guards against work that
- * fills every machine as soon as a gang has left it, only to be stopped for the next gang: on a
- * full fleet one start in six was lost that way, and with it the end of the array that it belonged
- * to.
+ * fills every machine as soon as a gang has left it, only to be stopped for the next gang.
  */
 final class WarmReserve {
     private final ShardState shard;
--- a/src/main/java/io/kitepath/core/shard/ServiceLevels.java
+++ b/src/main/java/io/kitepath/core/shard/ServiceLevels.java
@@ -22,8 +22,8 @@
  * outage to its users, however well the others do.
  *
  * <p>Decided jobs alone show that too late: of a class whose jobs have minutes, the first misses
- * are counted when hundreds of jobs can't be in time any more. So jobs that have used most of the
- * time in which they may wait, and still do, count as if they had been missed; see {@link
+ * are counted when many others can't be in time any more. So jobs that have used most of the time
+ * in which they may wait, and still do, count as if they had been missed; see {@link
  * ServiceGroup#share}.
  *
  * <p>Not thread-safe; belongs to the shard's thread. Times of day are milliseconds since 1970.
--- a/src/main/java/io/kitepath/core/state/BatchComposer.java
+++ b/src/main/java/io/kitepath/core/state/BatchComposer.java
@@ -105,8 +105,8 @@
     // ---- parts of jobs --------------------------------------------------------------------------
 
     /**
-     * Guards against a gang that waits for the records of hundreds of small jobs that were placed
-     * before it.
+     * By rank, so that a gang does not wait for the records of small jobs that were placed before
+     * it.
      */
     private List<JobPart> placementsByRank() {
         List<JobPart> placements = new ArrayList<>(shard.dirtyParts().withPlacements());
