--- a/src/main/java/io/kitepath/core/scheduling/Scheduler.java
+++ b/src/main/java/io/kitepath/core/scheduling/Scheduler.java
@@ -34,6 +34,21 @@
      */
     private static final double MAX_IMAGE_WAIT_SECONDS = 45;
 
+    /**
+     * What holds for a job in a scheduling round.
+     *
+     * @param comparable whether the outcome holds for other jobs of the shape, and theirs for it
+     * @param waits whether the job still waits for room that comes free by itself
+     * @param mayWaitForImage whether it leaves out machines since enough others have its image
+     */
+    private record Turn(Job job, boolean comparable, boolean waits, boolean mayWaitForImage) {
+        /** Whether the outcome for other jobs holds for this one. */
+        boolean isKnown(UnschedulableShapes shapes) {
+            return comparable
+                    && (mayWaitForImage ? shapes.contains(job) : shapes.containsForAnyImage(job));
+        }
+    }
+
     private final ShardState shard;
     private final ProbePlacement probePlacement;
     private final PreemptionRules preemptionRules;
@@ -221,21 +236,18 @@
                 break;
             }
             if (now >= job.notBefore()) {
-                boolean comparable = isComparable(job) && !withReservation.contains(job);
-                boolean waits = preemptionRules.isWaitingForFreeRoom(job, wallMillis);
-                boolean mayWaitForImage = mayWaitForImage(job, now, wallMillis);
-                placed +=
-                        placeJob(
-                                job, open, comparable, waits, mayWaitForImage, limit - placed, now);
+                Turn turn =
+                        new Turn(
+                                job,
+                                isComparable(job) && !withReservation.contains(job),
+                                preemptionRules.isWaitingForFreeRoom(job, wallMillis),
+                                mayWaitForImage(job, now, wallMillis));
+                placed += placeJob(turn, open, limit - placed, now);
             }
         }
         return placed;
     }
 
-    private static boolean isKnown(UnschedulableShapes shapes, Job job, boolean mayWaitForImage) {
-        return mayWaitForImage ? shapes.contains(job) : shapes.containsForAnyImage(job);
-    }
-
     /**
      * Whether the job may still wait for machines that have its image. Guards against a job that
      * waits beside a machine with room for as long as long tasks keep those with its image full:
@@ -259,50 +271,39 @@
                 : !job.spec.isSingleZone() && !job.spec.isSpreadAcrossZones();
     }
 
-    /**
-     * Places what it can of the job, and makes room for the rest.
-     *
-     * @param comparable whether the outcome holds for other jobs of the shape, and theirs for it
-     * @param waits whether the job still waits for room that comes free by itself
-     * @param mayWaitForImage whether it leaves out machines since enough others have its image
-     */
-    private int placeJob(
-            Job job,
-            List<Machine> open,
-            boolean comparable,
-            boolean waits,
-            boolean mayWaitForImage,
-            int limit,
-            double now) {
-        boolean knownWithoutRoom = comparable && isKnown(withoutFreeRoom, job, mayWaitForImage);
-        if (waits && knownWithoutRoom
-                || comparable && isKnown(beyondPreemption, job, mayWaitForImage)) {
+    /** Places what it can of the job, and makes room for the rest. */
+    private int placeJob(Turn turn, List<Machine> open, int limit, double now) {
+        Job job = turn.job;
+        boolean knownWithoutRoom = turn.isKnown(withoutFreeRoom);
+        if (turn.waits && knownWithoutRoom || turn.isKnown(beyondPreemption)) {
             return 0;
         }
         JobPlacer.Result result =
                 knownWithoutRoom
                         ? JobPlacer.Result.NONE
-                        : placer.place(job, open, mayWaitForImage, limit, now);
+                        : placer.place(job, open, turn.mayWaitForImage, limit, now);
         int placed = result.placed();
         // A job whose records are full for now does not stand for others, which may fit.
         if (result.recordsFull() || placed >= limit || !mayPlaceMore(job, now)) {
             return placed;
         }
-        if (comparable) {
+        if (turn.comparable) {
             withoutFreeRoom.add(job, result.waitingForImage());
         }
-        if (waits) {
+        if (turn.waits) {
             return placed;
         }
-        if (!makeRoom(job, open, mayWaitForImage, now)) {
-            if (comparable) {
+        if (!makeRoom(job, open, turn.mayWaitForImage, now)) {
+            if (turn.comparable) {
                 // Making room may have left out machines that lack this job's image.
-                beyondPreemption.add(job, mayWaitForImage && job.spec.allowsSpot());
+                beyondPreemption.add(job, turn.mayWaitForImage && job.spec.allowsSpot());
             }
         } else if (!job.spec.isGang()) {
             // Placings that were not written yet free their room at once. Guards against the work
             // that gave way taking it again in the same round, over and over.
-            placed += placer.placeTasks(job, open, mayWaitForImage, limit - placed, now).placed();
+            placed +=
+                    placer.placeTasks(job, open, turn.mayWaitForImage, limit - placed, now)
+                            .placed();
         }
         return placed;
     }
