--- a/src/main/java/io/kitepath/core/scaling/MachineLiveness.java
+++ b/src/main/java/io/kitepath/core/scaling/MachineLiveness.java
@@ -34,9 +34,7 @@
 
     /** The machine's type, if it is known. */
     Optional<MachineType> typeOf(Machine machine) {
-        return machine.type() == null
-                ? Optional.empty()
-                : Optional.ofNullable(shard.machineTypes().get(machine.type()));
+        return Optional.ofNullable(machine.typeAmong(shard.machineTypes()));
     }
 
     /** Whether the machine counts as capacity: up or booting in time, and not to be released. */
--- a/src/main/java/io/kitepath/core/scheduling/ProbePlacement.java
+++ b/src/main/java/io/kitepath/core/scheduling/ProbePlacement.java
@@ -75,12 +75,12 @@
 
     /** The machine's type; only for machines whose type is known. */
     MachineType typeOf(Machine machine) {
-        return types.get(machine.type());
+        return machine.typeAmong(types);
     }
 
     /** Whether the machine may run the job's tasks, apart from its present load. */
     boolean isAllowed(Machine machine, JobSpec spec) {
-        return types.containsKey(machine.type())
+        return typeOf(machine) != null
                 && isAllowed(machine.type(), machine.zone(), machine.isSpot(), spec);
     }
 
--- a/src/main/java/io/kitepath/core/scheduling/PromisedRoom.java
+++ b/src/main/java/io/kitepath/core/scheduling/PromisedRoom.java
@@ -46,9 +46,11 @@
      * room, for which the evicted work stops it in turn, and is evicted again, without end.
      */
     boolean isKeptFrom(Job job, Machine machine) {
+        if (promotedJob.isEmpty() || promotedJob.get() != job) {
+            return false;
+        }
         Promise promise = promises.get(machine);
         return promise != null
-                && promotedJob.filter(promoted -> promoted == job).isPresent()
                 && promise.job != job
                 && promise.job.queueRank() < job.queueRank()
                 && waits(promise.job);
--- a/src/main/java/io/kitepath/core/scheduling/WarmReserve.java
+++ b/src/main/java/io/kitepath/core/scheduling/WarmReserve.java
@@ -67,9 +67,10 @@
 
     /** Whether the job leaves the machine alone, since it would soon have to give way there. */
     boolean isReservedAgainst(Machine machine, Job job) {
+        if (reservedPriorities.isEmpty() || job.spec.isGang()) {
+            return false;
+        }
         JobSpec.Priority reserved = reservedPriorities.get(machine);
-        return reserved != null
-                && !job.spec.isGang()
-                && job.effectivePriority().compareTo(reserved) > 0;
+        return reserved != null && job.effectivePriority().compareTo(reserved) > 0;
     }
 }
--- a/src/main/java/io/kitepath/core/shard/Machine.java
+++ b/src/main/java/io/kitepath/core/shard/Machine.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -37,6 +38,10 @@
     private final RoomReservation reservation = new RoomReservation();
 
     private String type;
+
+    /** The machine type of that name, once it was looked up; null before. */
+    private MachineType knownType;
+
     private String zone;
     private String address = "";
     private boolean spot;
@@ -67,6 +72,24 @@
         return type;
     }
 
+    /**
+     * Its type, as it is on offer now; null if that is not known. Cheap, as it is asked of every
+     * machine for every job.
+     *
+     * @param types the shard's machine types by name
+     */
+    public MachineType typeAmong(Map<String, MachineType> types) {
+        if (knownType == null && type != null) {
+            knownType = types.get(type);
+        }
+        return knownType;
+    }
+
+    /** The machine types on offer have changed: its own is to be looked up again. */
+    void forgetKnownType() {
+        knownType = null;
+    }
+
     /** Its zone; null until its type is known. */
     public String zone() {
         return zone;
@@ -88,7 +111,10 @@
     }
 
     private void setKind(String newType, String newZone, boolean isSpot) {
-        type = newType;
+        if (!Objects.equals(type, newType)) {
+            type = newType;
+            forgetKnownType();
+        }
         zone = newZone;
         spot = isSpot;
     }
--- a/src/main/java/io/kitepath/core/shard/MachineRegistry.java
+++ b/src/main/java/io/kitepath/core/shard/MachineRegistry.java
@@ -60,6 +60,7 @@
     void setTypes(Collection<MachineType> all) {
         types.clear();
         all.forEach(type -> types.put(type.name(), type));
+        machines.values().forEach(Machine::forgetKnownType);
     }
 
     /** How long the job's image takes to fetch on the slowest type of machine. */
