--- a/src/test/java/io/kitepath/core/ClusterFixture.java
+++ b/src/test/java/io/kitepath/core/ClusterFixture.java
@@ -34,6 +34,11 @@
         return cluster.leader();
     }
 
+    /** Attempts that the node has stopped to make room for others. */
+    long evictions(SimulatedNode node) {
+        return node.controller.scheduler.preemption().evictions();
+    }
+
     /** The first node that is not the given one. */
     SimulatedNode otherThan(SimulatedNode leader) {
         return cluster.nodes.values().stream()
--- a/src/test/java/io/kitepath/core/EvictedRoomTest.java
+++ b/src/test/java/io/kitepath/core/EvictedRoomTest.java
@@ -26,10 +26,6 @@
     /** Enough to tell that a larger job is one of the largest of its class. */
     private static final int SMALL_JOBS_OF_CLASS = 8;
 
-    private long evictions(SimulatedNode node) {
-        return node.controller.scheduler.preemption().evictions();
-    }
-
     // Guards against work that is evicted and placed on the same machine again, without end.
     @Test
     void evictedWorkDoesNotReserveTheRoomThatWasMadeForAMoreUrgentJob() {
--- a/src/test/java/io/kitepath/core/EvictionOrderTest.java
+++ b/src/test/java/io/kitepath/core/EvictionOrderTest.java
@@ -37,7 +37,7 @@
         for (JobSpec spec : specs) {
             assertEquals("done", cluster.status(node, spec.id()), spec.id());
         }
-        long evictions = node.controller.scheduler.preemption().evictions();
+        long evictions = evictions(node);
         assertTrue(evictions <= tasks, evictions + " evictions of " + tasks + " tasks");
     }
 
--- a/src/test/java/io/kitepath/core/EvictionRandomizedTest.java
+++ b/src/test/java/io/kitepath/core/EvictionRandomizedTest.java
@@ -24,7 +24,7 @@
     private static final double LONGEST_PAUSE_SECONDS = 12;
     private static final List<String> TEAMS = List.of("red", "blue", "green");
 
-    /** Within it all of the work would end even if one task ran at a time. */
+    /** Over twice the mean time in which all of the work ends if one task runs at a time. */
     private static final double WORK_SECONDS = 3000;
 
     private final List<String> failures = new ArrayList<>();
--- a/src/test/java/io/kitepath/core/FailedMachineRoomTest.java
+++ b/src/test/java/io/kitepath/core/FailedMachineRoomTest.java
@@ -49,7 +49,7 @@
         SimulatedNode node = withAJobThatFailedOnce();
         cluster.submit(node, with(job("j-3", Shape.ARRAY, 4, 1), "red", Priority.LOW, false));
         cluster.run(120);
-        long evictions = node.controller.scheduler.preemption().evictions();
+        long evictions = evictions(node);
         assertTrue(evictions <= 4, evictions + " evictions");
         assertEquals("done", cluster.status(node, "j-2"));
     }
--- a/src/test/java/io/kitepath/core/ImageWaitEvictionTest.java
+++ b/src/test/java/io/kitepath/core/ImageWaitEvictionTest.java
@@ -38,7 +38,7 @@
         cluster.run(4);
         cluster.submit(node, spot("j-3", Shape.ARRAY, 1, Priority.NORMAL, "one"));
         cluster.run(90);
-        long evictions = node.controller.scheduler.preemption().evictions();
+        long evictions = evictions(node);
         assertTrue(evictions <= 1, evictions + " evictions");
         assertEquals(1, cluster.onMachines("j-3"));
     }
--- a/src/test/java/io/kitepath/core/PreemptionTest.java
+++ b/src/test/java/io/kitepath/core/PreemptionTest.java
@@ -74,7 +74,7 @@
         cluster.run(6);
         assertEquals(2, cluster.onMachines("j-2"));
         assertEquals(2, cluster.onMachines("j-1"));
-        assertEquals(6, node.controller.scheduler.preemption().evictions());
+        assertEquals(6, evictions(node));
     }
 
     @Test
