Log and count status queries without an answer, refused connections, phases of loads

What an on-call engineer lacked at about 4,000 machines: why a status query got no answer (an enum, counted by metric, a line every five seconds at most), how long the longest unanswered job has been asked about, connections open and refused, requests whose asker had left, which leader a node follows under which token, what a load read, at which revision, in which time. A node that has not answered about an asked-about job within 75 s while the store responds logs an error and counts it (kitepath.invariant.unanswered). No behaviour changes.

--- a/src/main/java/io/kitepath/cli/Node.java
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -51,6 +51,7 @@
     /** Null without other cells. */
     private final CellsFile cells;
 
+    private HttpServer server;
     private PrometheusMetrics metrics;
 
     Node(SettingsFile settings, CellsFile cells) {
@@ -85,7 +86,7 @@
                         Optional.ofNullable(cells).map(file -> cellNetwork(file, loop, random)));
         UsersApi users = new UsersApi(controller);
         WorkersApi workers = new WorkersApi(controller);
-        HttpServer server =
+        server =
                 new HttpServer(
                         (request, out) -> route(controller, users, workers, request, out),
                         MAX_BODY,
@@ -145,7 +146,7 @@
                                         .toList()));
             } else {
                 if (metrics == null) {
-                    metrics = new PrometheusMetrics(controller);
+                    metrics = new PrometheusMetrics(controller, server);
                 }
                 out.reply(200, metrics.scrape());
             }
--- a/src/main/java/io/kitepath/cli/PrometheusMetrics.java
+++ b/src/main/java/io/kitepath/cli/PrometheusMetrics.java
@@ -1,6 +1,8 @@
 package io.kitepath.cli;
 
 import io.kitepath.core.Controller;
+import io.kitepath.core.model.Metric;
+import io.kitepath.net.HttpServer;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -15,23 +17,34 @@
     private final PrometheusMeterRegistry registry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
-    PrometheusMetrics(Controller controller) {
-        controller
-                .metrics()
-                .forEach(
-                        (name, f) -> {
-                            if (f.counter()) {
-                                FunctionCounter.builder(
-                                                "kitepath." + name, f, x -> x.value().getAsDouble())
-                                        .description(f.description())
-                                        .register(registry);
-                            } else {
-                                Gauge.builder("kitepath." + name, f, x -> x.value().getAsDouble())
-                                        .description(f.description())
-                                        .strongReference(true)
-                                        .register(registry);
-                            }
-                        });
+    PrometheusMetrics(Controller controller, HttpServer server) {
+        controller.metrics().forEach(this::register);
+        register(
+                "connections.open",
+                Metric.gauge("connections of users and workers", server::openConnections));
+        register(
+                "connections.refused",
+                Metric.counter(
+                        "connections closed at once, as too many were open",
+                        server::refusedConnections));
+        register(
+                "requests.abandoned",
+                Metric.counter(
+                        "requests whose connection was closed before their response",
+                        server::abandonedRequests));
+    }
+
+    private void register(String name, Metric metric) {
+        if (metric.counter()) {
+            FunctionCounter.builder("kitepath." + name, metric, m -> m.value().getAsDouble())
+                    .description(metric.description())
+                    .register(registry);
+        } else {
+            Gauge.builder("kitepath." + name, metric, m -> m.value().getAsDouble())
+                    .description(metric.description())
+                    .strongReference(true)
+                    .register(registry);
+        }
     }
 
     byte[] scrape() {
--- a/src/main/java/io/kitepath/core/NodeMetrics.java
+++ b/src/main/java/io/kitepath/core/NodeMetrics.java
@@ -1,9 +1,11 @@
 package io.kitepath.core;
 
+import io.kitepath.core.service.QueryOutcomes;
 import io.kitepath.core.shard.Job;
 import io.kitepath.core.shard.Machine;
 import io.kitepath.core.shard.ServiceLevels;
 import io.kitepath.core.shard.ShardState;
+import java.util.Locale;
 import java.util.function.Predicate;
 
 /** Defines the metrics of a node's leadership, shard, workers and store. */
@@ -26,6 +28,7 @@
         addServiceLevels(metrics);
         addScheduling(metrics);
         addWrites(metrics);
+        addStatusQueries(metrics);
     }
 
     private void addLeadership(MetricCollector metrics) {
@@ -195,6 +198,24 @@
                 node.stateWriter::transactionsSent);
     }
 
+    private void addStatusQueries(MetricCollector metrics) {
+        QueryOutcomes outcomes = node.submissions.queryOutcomes();
+        for (QueryOutcomes.UnansweredReason reason : QueryOutcomes.UnansweredReason.values()) {
+            metrics.counter(
+                    "queries.unanswered." + reason.name().toLowerCase(Locale.ROOT),
+                    "status queries without an answer for that reason",
+                    () -> outcomes.unansweredCount(reason));
+        }
+        metrics.gauge(
+                "queries.unanswered.longest",
+                "seconds for which a job has been asked about in vain, the longest one",
+                outcomes::longestUnansweredSeconds);
+        metrics.counter(
+                "invariant.unanswered",
+                "times that a job was unanswered for too long while the state service answered",
+                outcomes::overdueCount);
+    }
+
     private boolean isJobAtFault(Job job) {
         return shard.failureDiagnosis().isJobAtFault(job, node.timers.nowSeconds());
     }
--- a/src/main/java/io/kitepath/core/leadership/Leadership.java
+++ b/src/main/java/io/kitepath/core/leadership/Leadership.java
@@ -325,7 +325,7 @@
         boolean isChanged = isNewTerm || !node.equals(leader);
         leader = node;
         if (isChanged) {
-            LOG.debug("leader changed: leader={} fencingToken={}", node, highestFencingToken);
+            LOG.info("leader changed: leader={} fencingToken={}", node, highestFencingToken);
             listener.onLeaderChanged(node);
         }
     }
--- a/src/main/java/io/kitepath/core/service/FinalStates.java
+++ b/src/main/java/io/kitepath/core/service/FinalStates.java
@@ -9,6 +9,7 @@
 import io.kitepath.core.port.Store.Entry;
 import io.kitepath.core.service.JobSubmissionService.JobResponse;
 import io.kitepath.core.service.JobSubmissionService.Verdict;
+import io.kitepath.core.service.QueryOutcomes.UnansweredReason;
 import io.kitepath.core.state.EndStatus;
 import io.kitepath.core.state.StoreKeys;
 import java.util.Optional;
@@ -40,16 +41,23 @@
      */
     private final BooleanSupplier isStoreReachable;
 
+    private final QueryOutcomes outcomes;
     private final Consumer<String> onCancelled;
     private final Cache<String, JobStatus> statusByJob =
             Caffeine.newBuilder().maximumSize(MAX_REMEMBERED).build();
 
     /**
      * @param isStoreReachable whether the store responds to this node
+     * @param outcomes records the queries that get no answer
      * @param onCancelled notified of every job that is found to be cancelled, before any user is
      */
-    FinalStates(Store store, BooleanSupplier isStoreReachable, Consumer<String> onCancelled) {
+    FinalStates(
+            Store store,
+            BooleanSupplier isStoreReachable,
+            QueryOutcomes outcomes,
+            Consumer<String> onCancelled) {
         this.store = store;
+        this.outcomes = outcomes;
         this.isStoreReachable = isStoreReachable;
         this.onCancelled = onCancelled;
     }
@@ -62,6 +70,7 @@
     /** Caches a final state that is committed to the store. */
     void remember(JobStatus status) {
         statusByJob.put(status.jobId(), status);
+        outcomes.recordAnswered(status.jobId());
         if (status.status().equals(CANCELLED)) {
             onCancelled.accept(status.jobId());
         }
@@ -78,7 +87,7 @@
         if (finalState.isPresent()) {
             onResponse.accept(new JobResponse(Verdict.KNOWN, finalState.get()));
         } else if (!isStoreReachable.getAsBoolean()) {
-            onResponse.accept(JobResponse.LATER);
+            onResponse.accept(outcomes.unanswered(jobId, UnansweredReason.STORE_UNREACHABLE));
         } else {
             return false;
         }
@@ -96,7 +105,9 @@
                     switch (outcome) {
                         case OK -> onResponse.accept(parseAndRemember(jobId, entry));
                         case REJECTED -> onResponse.accept(JobResponse.NOT_FOUND);
-                        default -> onResponse.accept(JobResponse.LATER);
+                        default ->
+                                onResponse.accept(
+                                        outcomes.unanswered(jobId, UnansweredReason.STORE_FAILED));
                     }
                 });
     }
@@ -112,7 +123,7 @@
             return new JobResponse(Verdict.KNOWN, status);
         } catch (InvalidInputException invalid) {
             LOG.error("record unreadable: key={} reason={}", entry.key(), invalid.getMessage());
-            return JobResponse.LATER;
+            return outcomes.unanswered(jobId, UnansweredReason.RECORD_UNREADABLE);
         }
     }
 
--- a/src/main/java/io/kitepath/core/service/JobStatusQueries.java
+++ b/src/main/java/io/kitepath/core/service/JobStatusQueries.java
@@ -7,6 +7,7 @@
 import io.kitepath.core.port.Store.Transaction;
 import io.kitepath.core.port.Timers;
 import io.kitepath.core.service.JobSubmissionService.JobResponse;
+import io.kitepath.core.service.QueryOutcomes.UnansweredReason;
 import io.kitepath.core.state.StoreKeys;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -55,6 +56,7 @@
     private final Store store;
     private final Timers timers;
     private final FinalStates finalStates;
+    private final QueryOutcomes outcomes;
     private final OpenJobResponder openJobResponder;
     private final TokenBucket requestBudget;
     private int maxJobsPerComparison;
@@ -72,12 +74,15 @@
             Store store,
             Timers timers,
             ProgressSource progressSource,
-            FinalStates finalStates) {
+            FinalStates finalStates,
+            QueryOutcomes outcomes) {
         this.store = store;
         this.timers = timers;
         this.finalStates = finalStates;
+        this.outcomes = outcomes;
         this.openJobResponder =
-                new OpenJobResponder(settings, store, timers, progressSource, finalStates);
+                new OpenJobResponder(
+                        settings, store, timers, progressSource, finalStates, outcomes);
         int nodeCount = settings.peers().size() + 1;
         this.requestBudget =
                 new TokenBucket(settings.store().requestsPerSecond() * RATE_SHARE / nodeCount);
@@ -106,7 +111,7 @@
      */
     void query(String jobId, Consumer<JobResponse> onResponse) {
         if (waitingCallerCount >= maxWaitingCallers) {
-            onResponse.accept(JobResponse.LATER);
+            onResponse.accept(outcomes.unanswered(jobId, UnansweredReason.QUEUE_FULL));
             return;
         }
         waitingCallerCount++;
@@ -156,7 +161,7 @@
                         case INVALID -> {
                             // The store now accepts fewer conditions than the settings say.
                             maxJobsPerComparison = Math.max(1, batch.size() / 2);
-                            batch.respondToAll(JobResponse.LATER);
+                            respondUnansweredToAll(batch, UnansweredReason.COMPARISON_REFUSED);
                         }
                         default -> retry(comparison, batch, triesLeft - 1);
                     }
@@ -165,7 +170,7 @@
 
     private void retry(Transaction comparison, QueryBatch batch, int triesLeft) {
         if (triesLeft == 0) {
-            batch.respondToAll(JobResponse.LATER);
+            respondUnansweredToAll(batch, UnansweredReason.STORE_FAILED);
             return;
         }
         timers.schedule(
@@ -173,6 +178,12 @@
                 () -> send(comparison, batch, triesLeft));
     }
 
+    private void respondUnansweredToAll(QueryBatch batch, UnansweredReason reason) {
+        for (String jobId : batch.jobIds()) {
+            batch.respond(jobId, outcomes.unanswered(jobId, reason));
+        }
+    }
+
     private void dispatch(QueryBatch batch, Set<String> existingKeys) {
         List<String> openJobs = new ArrayList<>();
         for (String jobId : batch.jobIds()) {
@@ -204,7 +215,10 @@
                         // A job moves from open to ended and never back, so a job without either
                         // record was never accepted.
                         case REJECTED -> readFinalState(batch, jobId);
-                        default -> batch.respond(jobId, JobResponse.LATER);
+                        default ->
+                                batch.respond(
+                                        jobId,
+                                        outcomes.unanswered(jobId, UnansweredReason.STORE_FAILED));
                     }
                 });
     }
--- a/src/main/java/io/kitepath/core/service/JobSubmissionService.java
+++ b/src/main/java/io/kitepath/core/service/JobSubmissionService.java
@@ -72,6 +72,7 @@
     private final Timers timers;
     private final DependencyCheck dependencyCheck;
     private final FinalStates finalStates;
+    private final QueryOutcomes queryOutcomes;
     private final JobCancellation cancellation;
     private final JobStatusQueries statusQueries;
     private Consumer<String> knownCancelledListener = id -> {};
@@ -94,10 +95,13 @@
         this.store = store;
         this.timers = timers;
         this.dependencyCheck = new DependencyCheck(settings, store);
-        this.finalStates = new FinalStates(store, isStoreReachable, this::onFoundCancelled);
+        this.queryOutcomes = new QueryOutcomes(settings, timers, isStoreReachable);
+        this.finalStates =
+                new FinalStates(store, isStoreReachable, queryOutcomes, this::onFoundCancelled);
         this.cancellation = new JobCancellation(settings, store, timers, finalStates, mayLendTasks);
         this.statusQueries =
-                new JobStatusQueries(settings, store, timers, progressSource, finalStates);
+                new JobStatusQueries(
+                        settings, store, timers, progressSource, finalStates, queryOutcomes);
     }
 
     /**
@@ -120,6 +124,11 @@
         knownCancelledListener.accept(id);
     }
 
+    /** Returns what is recorded about status queries without an answer. */
+    public QueryOutcomes queryOutcomes() {
+        return queryOutcomes;
+    }
+
     /**
      * Caches a final state that another node committed and sent to this one, which saves a read.
      */
@@ -264,7 +273,15 @@
     @Override
     public void status(String id, Consumer<JobResponse> onResponse) {
         if (!finalStates.respondWithoutStore(id, onResponse)) {
-            statusQueries.query(id, response -> onResponse.accept(latestResponse(id, response)));
+            statusQueries.query(
+                    id,
+                    response -> {
+                        JobResponse latest = latestResponse(id, response);
+                        if (latest.verdict() != Verdict.LATER) {
+                            queryOutcomes.recordAnswered(id);
+                        }
+                        onResponse.accept(latest);
+                    });
         }
     }
 
@@ -281,7 +298,7 @@
                     finalState.get());
         }
         return response.verdict() == Verdict.NOT_FOUND && statusQueries.isKnownAccepted(id)
-                ? JobResponse.LATER
+                ? queryOutcomes.unanswered(id, QueryOutcomes.UnansweredReason.OUTDATED)
                 : response;
     }
 
--- a/src/main/java/io/kitepath/core/service/OpenJobResponder.java
+++ b/src/main/java/io/kitepath/core/service/OpenJobResponder.java
@@ -15,6 +15,7 @@
 import io.kitepath.core.service.JobStatusQueries.ProgressSource;
 import io.kitepath.core.service.JobSubmissionService.JobResponse;
 import io.kitepath.core.service.JobSubmissionService.Verdict;
+import io.kitepath.core.service.QueryOutcomes.UnansweredReason;
 import io.kitepath.core.shard.PartRecord;
 import io.kitepath.core.state.PagedScan;
 import io.kitepath.core.state.StoreKeys;
@@ -46,6 +47,7 @@
     private final Timers timers;
     private final ProgressSource progressSource;
     private final FinalStates finalStates;
+    private final QueryOutcomes outcomes;
 
     /**
      * Separate from the budget of comparisons. Guards against jobs whose queries never get a
@@ -69,11 +71,13 @@
             Store store,
             Timers timers,
             ProgressSource progressSource,
-            FinalStates finalStates) {
+            FinalStates finalStates,
+            QueryOutcomes outcomes) {
         this.store = store;
         this.timers = timers;
         this.progressSource = progressSource;
         this.finalStates = finalStates;
+        this.outcomes = outcomes;
         int nodeCount = settings.peers().size() + 1;
         this.readBudget =
                 new TokenBucket(
@@ -159,10 +163,14 @@
         } else if (readBudget.tryTake(1, timers.nowSeconds())) {
             readDependencies(batch, jobId, received, isLeaderReportEmpty);
         } else {
-            batch.respond(jobId, JobResponse.LATER);
+            respondUnanswered(batch, jobId, UnansweredReason.RATE_USED_UP);
         }
     }
 
+    private void respondUnanswered(QueryBatch batch, String jobId, UnansweredReason reason) {
+        batch.respond(jobId, outcomes.unanswered(jobId, reason));
+    }
+
     private boolean isRecent(ReceivedProgress received) {
         return timers.nowSeconds() - received.receivedAtSeconds < maxProgressAgeSeconds;
     }
@@ -185,8 +193,10 @@
                 (outcome, entry) -> {
                     if (outcome == Outcome.REJECTED) {
                         finalStates.read(jobId, response -> batch.respond(jobId, response));
-                    } else if (outcome != Outcome.OK || mayHaveDependencies(jobId, entry.value())) {
-                        batch.respond(jobId, JobResponse.LATER);
+                    } else if (outcome != Outcome.OK) {
+                        respondUnanswered(batch, jobId, UnansweredReason.STORE_FAILED);
+                    } else if (mayHaveDependencies(jobId, entry.value())) {
+                        respondUnanswered(batch, jobId, UnansweredReason.LEADER_UNKNOWN);
                     } else {
                         independentJobs.put(jobId, true);
                         respondUnreported(batch, jobId, received, isLeaderReportEmpty);
@@ -205,7 +215,7 @@
     /** Reads the job's parts, as neither the leader nor this node's memory has the progress. */
     private void respondFromParts(QueryBatch batch, String jobId) {
         if (!readBudget.tryTake(1, timers.nowSeconds())) {
-            batch.respond(jobId, JobResponse.LATER);
+            respondUnanswered(batch, jobId, UnansweredReason.RATE_USED_UP);
             return;
         }
         PagedScan.read(
@@ -215,7 +225,7 @@
                 MAX_PAGE_ATTEMPTS,
                 parts -> {
                     if (parts.outcome() != Outcome.OK) {
-                        batch.respond(jobId, JobResponse.LATER);
+                        respondUnanswered(batch, jobId, UnansweredReason.STORE_FAILED);
                         return;
                     }
                     List<Object> records = parts.entries().stream().map(Entry::value).toList();
@@ -230,7 +240,7 @@
             return unfinishedResponse(progress);
         } catch (InvalidInputException unreadable) {
             LOG.error("job part unreadable: job={} reason={}", jobId, unreadable.getMessage());
-            return JobResponse.LATER;
+            return outcomes.unanswered(jobId, UnansweredReason.RECORD_UNREADABLE);
         }
     }
 }
--- a/src/main/java/io/kitepath/core/state/StateLoader.java
+++ b/src/main/java/io/kitepath/core/state/StateLoader.java
@@ -12,16 +12,21 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reads the records of all jobs that are open or still have parts, once, for a new leader. Runs on
  * the event loop.
  */
 public final class StateLoader {
+    private static final Logger LOG = LoggerFactory.getLogger(StateLoader.class);
+
     /** Number of attempts to read a page before the whole load fails. */
     private static final int MAX_PAGE_ATTEMPTS = 20;
 
@@ -180,6 +185,7 @@
     }
 
     private void readAll(String prefix, Consumer<ListResult> onRead) {
+        double startedAtSeconds = timers.nowSeconds();
         PagedScan.read(
                 store,
                 timers,
@@ -189,6 +195,7 @@
                     if (epoch.isStale()) {
                         return;
                     }
+                    logRead(prefix, listing, timers.nowSeconds() - startedAtSeconds);
                     if (listing.outcome() == Outcome.OK) {
                         onRead.accept(listing);
                     } else {
@@ -197,6 +204,27 @@
                 });
     }
 
+    private static void logRead(String prefix, ListResult listing, double seconds) {
+        if (listing.outcome() == Outcome.OK) {
+            LOG.debug(
+                    "records read: prefix={} records={} revision={} seconds={}",
+                    prefix,
+                    listing.entries().size(),
+                    listing.revision(),
+                    formatSeconds(seconds));
+        } else {
+            LOG.warn(
+                    "records not read, the load starts again: prefix={} outcome={} seconds={}",
+                    prefix,
+                    listing.outcome(),
+                    formatSeconds(seconds));
+        }
+    }
+
+    private static String formatSeconds(double seconds) {
+        return String.format(Locale.ROOT, "%.2f", seconds);
+    }
+
     // ---- sequential reads -----------------------------------------------------------------------
 
     private void readLayout() {
--- a/src/main/java/io/kitepath/core/state/StateWriter.java
+++ b/src/main/java/io/kitepath/core/state/StateWriter.java
@@ -11,6 +11,7 @@
 import io.kitepath.core.shard.ShardState;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.slf4j.Logger;
@@ -252,6 +253,7 @@
         batcher.stop();
         readServiceLevels(token);
         double readStartedMillis = timers.wallClockMillis();
+        double startedAtSeconds = timers.nowSeconds();
         StateLoader loader =
                 new StateLoader(
                         store,
@@ -265,8 +267,22 @@
         loader.load(
                 loadedState -> {
                     if (loadedState.isPresent() && restore(loadedState.get())) {
+                        LOG.info(
+                                "state loaded: jobs={} parts={} endedJobsWithParts={} revision={}"
+                                        + " seconds={}",
+                                shard.jobs().size(),
+                                loadedState.get().parts().size(),
+                                loadedState.get().endedJobs().size(),
+                                loadedState.get().revision(),
+                                String.format(
+                                        Locale.ROOT,
+                                        "%.2f",
+                                        timers.nowSeconds() - startedAtSeconds));
                         onLoaded(token, loadedState.get(), onChange);
                     } else {
+                        LOG.info(
+                                "state not loaded, reading it again: read={}",
+                                loadedState.isPresent());
                         timers.schedule(RELOAD_DELAY_SECONDS, () -> load(token, onChange));
                     }
                 });
@@ -296,7 +312,6 @@
         // Guards against records that were read before a cancellation which other nodes reported
         // during the load.
         List.copyOf(listener.reportedCancelledJobIds()).forEach(shard::finishJob);
-        LOG.info("state loaded: jobs={} parts={}", shard.jobs().size(), loadedState.parts().size());
         return true;
     }
 
--- a/src/main/java/io/kitepath/net/HttpServer.java
+++ b/src/main/java/io/kitepath/net/HttpServer.java
@@ -1,5 +1,6 @@
 package io.kitepath.net;
 
+import io.kitepath.core.model.LogThrottle;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -41,6 +42,8 @@
     private static final int MAX_CHUNK_BYTES = 8192;
     private static final int LISTEN_BACKLOG = 256;
     private static final int NO_RETRY_AFTER = 0;
+    private static final double REFUSAL_LOG_INTERVAL_SECONDS = 5;
+    private static final double NANOS_PER_SECOND = 1e9;
     private static final byte[] EMPTY_BODY = new byte[0];
 
     /** Handles requests. */
@@ -96,6 +99,9 @@
     private final int maxConnections;
     private final int idleSeconds;
     private int openConnections;
+    private long refusedConnections;
+    private long abandonedRequests;
+    private final LogThrottle refusalLog = new LogThrottle(REFUSAL_LOG_INTERVAL_SECONDS);
 
     /**
      * @param maxBodyBytes the size of the largest accepted request body; a larger one gets status
@@ -123,13 +129,40 @@
                 .bind(address);
     }
 
+    /** Returns the number of open connections. */
+    public int openConnections() {
+        return openConnections;
+    }
+
+    /** Returns how many connections were closed at once because too many were open. */
+    public long refusedConnections() {
+        return refusedConnections;
+    }
+
+    /** Returns how many requests got their response only after their connection was closed. */
+    public long abandonedRequests() {
+        return abandonedRequests;
+    }
+
+    private void refuse(Channel channel) {
+        refusedConnections++;
+        channel.close();
+        if (refusalLog.tryLog(System.nanoTime() / NANOS_PER_SECOND)) {
+            LOG.warn(
+                    "connection refused, too many are open: open={} limit={} others={}",
+                    openConnections,
+                    maxConnections,
+                    refusalLog.takeSuppressed());
+        }
+    }
+
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
             // The operating system limits the sockets of a process: beyond the limit all new
             // connections fail, including outgoing ones.
             if (openConnections >= maxConnections) {
-                channel.close();
+                refuse(channel);
                 return;
             }
             openConnections++;
@@ -179,7 +212,7 @@
         return message;
     }
 
-    private static final class ChannelResponder implements Responder {
+    private final class ChannelResponder implements Responder {
         private final Channel channel;
         private final Connection connection;
         private final boolean keepAlive;
@@ -198,6 +231,7 @@
             }
             isReplied = true;
             connection.hasRequestInFlight = false;
+            abandonedRequests += channel.isActive() ? 0 : 1;
             byte[] content = body == null ? EMPTY_BODY : body;
             ChannelFuture write =
                     channel.writeAndFlush(response(status, content, retryAfterSeconds, keepAlive));
