Workers' idle connections give way when a node has too many

What callers saw: at about 4,000 machines users and the load balancer's probes were closed at once by a node as soon as they connected, with no end.

Cause: all workers report to the leader on connections that stay open, and HttpServer admitted whoever came first, up to three quarters of the sockets. With more workers than that a node has no room for anybody else, for as long as workers report, so also when all troubles are over. The balancer prefers the node with the fewest user connections, which is the full one.

Why it works: from three quarters of the limit on, an answered worker is told to close its connection, which the protocol allows at any time; at the limit the longest idle worker's connection is closed for a new one. Only requests in flight hold their places; held responses take a quarter of the sockets at the most, as parked heartbeats take a half. The backlog of the listening socket grows with the limit, as all workers come to a new leader at once.

--- a/src/main/java/io/kitepath/cli/Node.java
+++ b/src/main/java/io/kitepath/cli/Node.java
@@ -6,6 +6,7 @@
 import io.kitepath.core.NodeEnvironment;
 import io.kitepath.core.model.ClusterSettings;
 import io.kitepath.core.role.LeasedRoles;
+import io.kitepath.net.ConnectionPolicy;
 import io.kitepath.net.HttpClient;
 import io.kitepath.net.HttpServer;
 import io.kitepath.net.HttpServer.Request;
@@ -90,8 +91,10 @@
                 new HttpServer(
                         (request, out) -> route(controller, users, workers, request, out),
                         MAX_BODY,
-                        facts.limits().maxSockets() * 3 / 4,
-                        60);
+                        new ConnectionPolicy(
+                                facts.limits().maxSockets() * 3 / 4,
+                                60,
+                                request -> request.path().equals(WorkersApi.CHECK_IN)));
         // Guards the leader's lease against a second process started by mistake: one whose
         // addresses are taken must end before it says in the store that it is this node now.
         loop.submit(() -> peers.start(controller, settings.internalAddress()))
--- a/src/main/java/io/kitepath/cli/PrometheusMetrics.java
+++ b/src/main/java/io/kitepath/cli/PrometheusMetrics.java
@@ -27,6 +27,11 @@
                 Metric.counter(
                         "connections closed at once, as too many were open",
                         server::refusedConnections));
+        register(
+                "connections.replaced",
+                Metric.counter(
+                        "idle connections of workers closed for new ones",
+                        server::replacedConnections));
         register(
                 "requests.abandoned",
                 Metric.counter(
--- a/src/main/java/io/kitepath/core/service/HeartbeatResponder.java
+++ b/src/main/java/io/kitepath/core/service/HeartbeatResponder.java
@@ -31,6 +31,9 @@
             List<WorkerCommand> commands,
             long fencingToken) {}
 
+    /** Each held response occupies a connection. */
+    private static final int SOCKETS_PER_HELD_RESPONSE = 4;
+
     private final ShardState shard;
     private final HeartbeatProcessor heartbeatProcessor;
     private final Leadership leadership;
@@ -87,7 +90,7 @@
         releaseHeldResponse(machineId);
         HeartbeatResponse response = process(heartbeat, true);
         double holdSeconds = isIdle(response) ? holdSeconds(machineId) : 0;
-        if (holdSeconds == 0) {
+        if (holdSeconds == 0 || heldResponses.size() >= maxHeldResponses()) {
             onResponse.accept(response);
             return;
         }
@@ -103,6 +106,10 @@
                 });
     }
 
+    private int maxHeldResponses() {
+        return shard.settings().limits().maxSockets() / SOCKETS_PER_HELD_RESPONSE;
+    }
+
     /** Returns whether the response contains no commands but to forget tasks that have ended. */
     private static boolean isIdle(HeartbeatResponse response) {
         return response.fencingToken() > 0
--- a/src/main/java/io/kitepath/net/HttpServer.java
+++ b/src/main/java/io/kitepath/net/HttpServer.java
@@ -1,6 +1,5 @@
 package io.kitepath.net;
 
-import io.kitepath.core.model.LogThrottle;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -40,10 +39,8 @@
     private static final int MAX_INITIAL_LINE_BYTES = 4096;
     private static final int MAX_HEADER_BYTES = 8192;
     private static final int MAX_CHUNK_BYTES = 8192;
-    private static final int LISTEN_BACKLOG = 256;
+    private static final int MIN_LISTEN_BACKLOG = 256;
     private static final int NO_RETRY_AFTER = 0;
-    private static final double REFUSAL_LOG_INTERVAL_SECONDS = 5;
-    private static final double NANOS_PER_SECOND = 1e9;
     private static final byte[] EMPTY_BODY = new byte[0];
 
     /** Handles requests. */
@@ -96,25 +93,29 @@
 
     private final Handler handler;
     private final int maxBodyBytes;
-    private final int maxConnections;
-    private final int idleSeconds;
-    private int openConnections;
-    private long refusedConnections;
+    private final ConnectionPolicy policy;
+    private final OpenConnections connections;
     private long abandonedRequests;
-    private final LogThrottle refusalLog = new LogThrottle(REFUSAL_LOG_INTERVAL_SECONDS);
 
     /**
      * @param maxBodyBytes the size of the largest accepted request body; a larger one gets status
      *     400
-     * @param maxConnections the maximum number of open connections; further ones are closed
-     * @param idleSeconds the time without a request after which a connection is closed, so that
-     *     abandoned connections don't accumulate
      */
-    public HttpServer(Handler handler, int maxBodyBytes, int maxConnections, int idleSeconds) {
+    public HttpServer(Handler handler, int maxBodyBytes, ConnectionPolicy policy) {
         this.handler = handler;
         this.maxBodyBytes = maxBodyBytes;
-        this.maxConnections = maxConnections;
-        this.idleSeconds = idleSeconds;
+        this.policy = policy;
+        this.connections = new OpenConnections(policy);
+    }
+
+    /**
+     * Creates a server no client's connection of which gives way to others.
+     *
+     * @param maxConnections the maximum number of open connections; further ones are closed
+     * @param idleSeconds the time without a request after which a connection is closed
+     */
+    public HttpServer(Handler handler, int maxBodyBytes, int maxConnections, int idleSeconds) {
+        this(handler, maxBodyBytes, new ConnectionPolicy(maxConnections, idleSeconds));
     }
 
     /** Starts listening; the future fails if the address can't be bound. */
@@ -122,7 +123,10 @@
         return new ServerBootstrap()
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
+                // All workers connect at once to a new leader.
+                .option(
+                        ChannelOption.SO_BACKLOG,
+                        Math.max(MIN_LISTEN_BACKLOG, policy.maxConnections()))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ConnectionInitializer())
@@ -131,12 +135,17 @@
 
     /** Returns the number of open connections. */
     public int openConnections() {
-        return openConnections;
+        return connections.openCount();
     }
 
     /** Returns how many connections were closed at once because too many were open. */
     public long refusedConnections() {
-        return refusedConnections;
+        return connections.refusedCount();
+    }
+
+    /** Returns how many idle connections were closed because others needed their places. */
+    public long replacedConnections() {
+        return connections.replacedCount();
     }
 
     /** Returns how many requests got their response only after their connection was closed. */
@@ -144,35 +153,20 @@
         return abandonedRequests;
     }
 
-    private void refuse(Channel channel) {
-        refusedConnections++;
-        channel.close();
-        if (refusalLog.tryLog(System.nanoTime() / NANOS_PER_SECOND)) {
-            LOG.warn(
-                    "connection refused, too many are open: open={} limit={} others={}",
-                    openConnections,
-                    maxConnections,
-                    refusalLog.takeSuppressed());
-        }
-    }
-
     private final class ConnectionInitializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
             // The operating system limits the sockets of a process: beyond the limit all new
             // connections fail, including outgoing ones.
-            if (openConnections >= maxConnections) {
-                refuse(channel);
+            if (!connections.admit(channel)) {
                 return;
             }
-            openConnections++;
-            channel.closeFuture().addListener(closed -> openConnections--);
             channel.pipeline()
                     .addLast(
                             new HttpServerCodec(
                                     MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
                             new BodyAggregator(maxBodyBytes),
-                            new IdleStateHandler(0, 0, idleSeconds),
+                            new IdleStateHandler(0, 0, policy.idleSeconds()),
                             new Connection());
         }
     }
@@ -215,13 +209,19 @@
     private final class ChannelResponder implements Responder {
         private final Channel channel;
         private final Connection connection;
-        private final boolean keepAlive;
+        private final boolean clientKeepsAlive;
+        private final boolean mayGiveWay;
         private boolean isReplied;
 
-        ChannelResponder(Channel channel, Connection connection, boolean keepAlive) {
+        ChannelResponder(
+                Channel channel,
+                Connection connection,
+                boolean clientKeepsAlive,
+                boolean mayGiveWay) {
             this.channel = channel;
             this.connection = connection;
-            this.keepAlive = keepAlive;
+            this.clientKeepsAlive = clientKeepsAlive;
+            this.mayGiveWay = mayGiveWay;
         }
 
         @Override
@@ -232,6 +232,10 @@
             isReplied = true;
             connection.hasRequestInFlight = false;
             abandonedRequests += channel.isActive() ? 0 : 1;
+            boolean keepAlive = clientKeepsAlive && !(mayGiveWay && connections.areScarce());
+            if (mayGiveWay && keepAlive) {
+                connections.onReplaceable(channel);
+            }
             byte[] content = body == null ? EMPTY_BODY : body;
             ChannelFuture write =
                     channel.writeAndFlush(response(status, content, retryAfterSeconds, keepAlive));
@@ -254,10 +258,16 @@
                 return;
             }
             hasRequestInFlight = true;
-            boolean keepAlive = HttpUtil.isKeepAlive(message);
-            Responder responder = new ChannelResponder(context.channel(), this, keepAlive);
+            connections.onRequest(context.channel());
+            Request request = Request.of(message);
+            Responder responder =
+                    new ChannelResponder(
+                            context.channel(),
+                            this,
+                            HttpUtil.isKeepAlive(message),
+                            policy.mayGiveWay().test(request));
             try {
-                handler.handle(Request.of(message), responder);
+                handler.handle(request, responder);
             } catch (RuntimeException e) {
                 LOG.error(
                         "request handler failed: method={} path={}",
