kitepath soak: random faults on real processes, checked from outside

Nodes are processes; relays on loopback hold back, delay and reset what passes between them, the state service, workers and users; kills, freezes, outages, lost answers, late writes, throttling, hanging and deaf machines, late copies of heartbeats and late commands overlap, all from one seed. Users submit, ask at every node, repeat and cancel the whole time. Checked by what the sockets showed: the checker's rules, an answer from each node within 75 s once faults are over, jobs done, machines returned, processes that end by themselves, and what nodes log of broken invariants. Half of the seeds give a node fewer sockets than workers have connections.

--- a/src/main/java/io/kitepath/cli/CommandLineEntry.java
+++ b/src/main/java/io/kitepath/cli/CommandLineEntry.java
@@ -36,6 +36,7 @@
             CommandLineEntry.Duties.class,
             StateCommand.class,
             LocalCommand.class,
+            SoakCommand.class,
             RehearseCommand.class
         })
 final class CommandLineEntry implements Callable<Integer> {
--- a/src/main/java/io/kitepath/cli/LocalNodeSettings.java
+++ b/src/main/java/io/kitepath/cli/LocalNodeSettings.java
@@ -14,13 +14,32 @@
  *
  * @param publicAddresses where each node listens, by its index
  * @param internalAddresses where each node listens for its siblings, by its index
+ * @param socketLimit how many sockets a node may have open
  */
 record LocalNodeSettings(
         List<InetSocketAddress> publicAddresses,
         List<InetSocketAddress> internalAddresses,
         InetSocketAddress stateAddress,
         InetSocketAddress cloudAddress,
-        SimulatedCluster cluster) {
+        SimulatedCluster cluster,
+        int socketLimit) {
+    private static final int DEFAULT_SOCKET_LIMIT = 1000;
+
+    /** Settings with a limit of sockets that no local deployment reaches. */
+    LocalNodeSettings(
+            List<InetSocketAddress> publicAddresses,
+            List<InetSocketAddress> internalAddresses,
+            InetSocketAddress stateAddress,
+            InetSocketAddress cloudAddress,
+            SimulatedCluster cluster) {
+        this(
+                publicAddresses,
+                internalAddresses,
+                stateAddress,
+                cloudAddress,
+                cluster,
+                DEFAULT_SOCKET_LIMIT);
+    }
 
     /** The label of the node with that index. */
     static String label(int index) {
@@ -42,7 +61,7 @@
                         LoopbackAddresses.text(stateAddress),
                         "cloud",
                         LoopbackAddresses.text(cloudAddress)));
-        document.put("facts", facts(cluster));
+        document.put("facts", facts());
         return document;
     }
 
@@ -63,7 +82,7 @@
         return siblings;
     }
 
-    private static Map<String, Object> facts(SimulatedCluster cluster) {
+    private Map<String, Object> facts() {
         return Map.of(
                 "zones",
                 cluster.zones,
@@ -76,7 +95,7 @@
                 "cloud",
                 Map.of("rps", 10, "list_lag_s", 2),
                 "limits",
-                Map.of("cpu", 1, "ram_mb", 200, "sockets", 1000));
+                Map.of("cpu", 1, "ram_mb", 200, "sockets", socketLimit));
     }
 
     private static Map<String, Object> workers(SimulatedCluster cluster) {
--- a/src/main/java/io/kitepath/cli/LocalNodes.java
+++ b/src/main/java/io/kitepath/cli/LocalNodes.java
@@ -4,10 +4,13 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
  * Nodes as processes of their own on this machine. Each has its settings file and its log in one
@@ -26,6 +29,10 @@
     /** Nodes that have been started with this version. */
     private final Set<String> upgraded = ConcurrentHashMap.newKeySet();
 
+    /** Processes that were killed on purpose. */
+    private final Set<Long> killedProcessIds = ConcurrentHashMap.newKeySet();
+
+    private final Queue<String> unexpectedEnds = new ConcurrentLinkedQueue<>();
     private volatile boolean isEnding;
 
     /**
@@ -68,7 +75,9 @@
 
     /** Kills a node's process with SIGKILL and waits until it has ended. */
     void kill(String node) throws InterruptedException {
-        processes.get(node).destroyForcibly().waitFor();
+        Process process = processes.get(node);
+        killedProcessIds.add(process.pid());
+        process.destroyForcibly().waitFor();
     }
 
     /** Starts a node after that time, unless its process is alive by then. */
@@ -83,6 +92,33 @@
                 });
     }
 
+    /** Starts a node unless its process is alive. */
+    void startIfEnded(String node) {
+        if (!processes.get(node).isAlive()) {
+            start(node);
+        }
+    }
+
+    /** Whether the node's process is alive. */
+    boolean isAlive(String node) {
+        return processes.get(node).isAlive();
+    }
+
+    /** Stops a node's process with SIGSTOP until {@link #unfreeze}. */
+    void freeze(String node) {
+        signal(processes.get(node), "STOP");
+    }
+
+    /** Lets a node's process go on. */
+    void unfreeze(String node) {
+        signal(processes.get(node), "CONT");
+    }
+
+    /** Nodes whose processes ended without being killed, with their exit codes. */
+    List<String> unexpectedEnds() {
+        return List.copyOf(unexpectedEnds);
+    }
+
     /** Kills all processes; none is started from now on by what is due later. */
     void endAll() {
         isEnding = true;
@@ -91,12 +127,20 @@
 
     private void start(String node) {
         try {
-            processes.put(node, processBuilder(node, classPath(node)).start());
+            Process process = processBuilder(node, classPath(node)).start();
+            processes.put(node, process);
+            process.onExit().thenAccept(ended -> onEnd(node, ended));
         } catch (IOException failure) {
             System.err.println("kitepath: " + node + " can't be started: " + failure);
         }
     }
 
+    private void onEnd(String node, Process ended) {
+        if (!isEnding && !killedProcessIds.contains(ended.pid())) {
+            unexpectedEnds.add(node + " with exit code " + ended.exitValue());
+        }
+    }
+
     /** The version that the node's next process runs. */
     private String classPath(String node) {
         if (earlierVersion.isPresent() && !toUpgrade.contains(node)) {
--- /dev/null
+++ b/src/main/java/io/kitepath/cli/SoakUsers.java
@@ -0,0 +1,277 @@
+package io.kitepath.cli;
+
+import io.kitepath.core.model.JobSpec;
+import io.kitepath.core.model.JobStatus;
+import io.kitepath.core.service.JobSubmissionService.JobResponse;
+import io.kitepath.core.service.JobSubmissionService.Verdict;
+import io.kitepath.simulation.LoopbackEmulator;
+import io.kitepath.simulation.SimulatedCluster;
+import io.kitepath.wire.MessagePackCodec;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Users of a soak run: they submit jobs, ask about them at all nodes for as long as the run lasts,
+ * submit them again and cancel some. What they are told goes to the cluster's checker of rules.
+ */
+final class SoakUsers {
+    /** About an accepted job, each node has to answer within this time once troubles are over. */
+    static final double MAX_UNANSWERED_SECONDS = 75;
+
+    private static final Duration QUERY_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration SUBMIT_TIMEOUT = Duration.ofSeconds(5);
+    private static final long QUERY_INTERVAL_MILLIS = 5000;
+    private static final long RETRY_MILLIS = 1500;
+    private static final int MAX_TASKS = 12;
+
+    /** One job in so many is cancelled, and one in so many is submitted again. */
+    private static final int ONE_IN = 4;
+
+    private static final Map<String, String> STATUS_NAMES = Map.of("withdrawn", "cancelled");
+
+    /** A job and a node that was asked about it. */
+    private record Asked(String jobId, int node) {}
+
+    private final LoopbackEmulator emulator;
+    private final SimulatedCluster cluster;
+    private final List<InetSocketAddress> nodes;
+    private final Random random;
+    private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(4);
+    private final HttpClient http =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(QUERY_TIMEOUT)
+                    .executor(executor)
+                    .build();
+
+    private final Set<String> accepted = ConcurrentHashMap.newKeySet();
+    private final Set<String> ended = ConcurrentHashMap.newKeySet();
+
+    /** Jobs whose cancellation was requested, confirmed or not. */
+    private final Set<String> cancelling = ConcurrentHashMap.newKeySet();
+
+    private final Map<Asked, Double> answeredAt = new ConcurrentHashMap<>();
+    private final AtomicInteger jobCount = new AtomicInteger();
+    private final AtomicInteger answerCount = new AtomicInteger();
+    private final AtomicInteger unansweredCount = new AtomicInteger();
+
+    SoakUsers(LoopbackEmulator emulator, List<InetSocketAddress> nodes, long seed) {
+        this.emulator = emulator;
+        this.cluster = emulator.cluster;
+        this.nodes = nodes;
+        this.random = new Random(seed);
+    }
+
+    /** Submits a new job, whose user asks about it from then on. */
+    void submitNextJob() {
+        String id = String.format("j-%06d", jobCount.incrementAndGet());
+        int taskCount = 1 + random.nextInt(MAX_TASKS);
+        boolean isToBeCancelled = random.nextInt(ONE_IN) == 0;
+        boolean isToBeRepeated = random.nextInt(ONE_IN) == 0;
+        long cancelAfterMillis = random.nextInt(15_000);
+        emulator.run(
+                () ->
+                        cluster.specs.put(
+                                id, SimulatedCluster.job(id, JobSpec.Shape.ARRAY, taskCount, 1)));
+        submit(id, taskCount, random.nextInt(nodes.size()));
+        if (isToBeRepeated) {
+            later(cancelAfterMillis / 2, () -> submit(id, taskCount, 0));
+        }
+        if (isToBeCancelled) {
+            later(cancelAfterMillis, () -> cancel(id, 0));
+        }
+    }
+
+    /** Ends all requests. */
+    void stop() {
+        executor.shutdownNow();
+    }
+
+    int jobCount() {
+        return jobCount.get();
+    }
+
+    int answerCount() {
+        return answerCount.get();
+    }
+
+    int unansweredCount() {
+        return unansweredCount.get();
+    }
+
+    int cancelledCount() {
+        return cancelling.size();
+    }
+
+    /** Returns the accepted jobs that users were told neither done nor cancelled. */
+    List<String> unfinished() {
+        return accepted.stream().filter(id -> !ended.contains(id)).sorted().toList();
+    }
+
+    /** Returns whether every node has answered about every accepted job since that time. */
+    boolean isAllAnsweredSince(double seconds) {
+        return unansweredSince(seconds).isEmpty();
+    }
+
+    /** Returns the jobs, with the node, about which that node has not answered since that time. */
+    List<String> unansweredSince(double seconds) {
+        List<String> unanswered = new ArrayList<>();
+        for (String id : accepted) {
+            for (int node = 0; node < nodes.size(); node++) {
+                if (answeredAt.getOrDefault(new Asked(id, node), 0.0) < seconds) {
+                    unanswered.add(id + " at " + LocalNodeSettings.label(node));
+                }
+            }
+        }
+        unanswered.sort(null);
+        return unanswered;
+    }
+
+    // ---- requests -------------------------------------------------------------------------------
+
+    private void submit(String id, int taskCount, int node) {
+        byte[] body = MessagePackCodec.encode(LocalUser.jobDocument(id, taskCount, List.of()));
+        send(
+                id,
+                node,
+                "/submissions",
+                body,
+                SUBMIT_TIMEOUT,
+                isAnswered -> {
+                    if (!isAnswered) {
+                        later(RETRY_MILLIS, () -> submit(id, taskCount, (node + 1) % nodes.size()));
+                    } else if (accepted.add(id)) {
+                        emulator.run(() -> cluster.invariants.acceptedByUser(id));
+                        for (int other = 0; other < nodes.size(); other++) {
+                            askForever(id, other);
+                        }
+                    }
+                });
+    }
+
+    private void askForever(String id, int node) {
+        ask(id, node);
+        later(QUERY_INTERVAL_MILLIS, () -> askForever(id, node));
+    }
+
+    private void ask(String id, int node) {
+        double askedAt = RealTime.nowSeconds();
+        send(
+                id,
+                node,
+                "/submissions/" + id,
+                null,
+                QUERY_TIMEOUT,
+                isAnswered -> {
+                    if (isAnswered) {
+                        answeredAt.merge(new Asked(id, node), askedAt, Math::max);
+                    }
+                });
+    }
+
+    private void cancel(String id, int node) {
+        cancelling.add(id);
+        emulator.run(() -> cluster.invariants.cancellationRequested(id));
+        send(
+                id,
+                node,
+                "/submissions/" + id + "/withdraw",
+                new byte[0],
+                SUBMIT_TIMEOUT,
+                isAnswered -> {
+                    if (isAnswered && accepted.contains(id)) {
+                        for (int other = 0; other < nodes.size(); other++) {
+                            ask(id, other);
+                        }
+                    } else {
+                        later(RETRY_MILLIS, () -> cancel(id, (node + 1) % nodes.size()));
+                    }
+                });
+    }
+
+    /** Receives whether a node answered in time; a job that it does not know is an answer too. */
+    private interface AnswerListener {
+        void onAnswer(boolean isAnswered);
+    }
+
+    /** Sends a request; without a body it is a query. */
+    private void send(
+            String id,
+            int node,
+            String path,
+            byte[] body,
+            Duration timeout,
+            AnswerListener listener) {
+        double askedAt = emulator.nowSeconds();
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(
+                                URI.create(
+                                        "http://" + LoopbackAddresses.text(nodes.get(node)) + path))
+                        .timeout(timeout);
+        if (body != null) {
+            request.POST(BodyPublishers.ofByteArray(body));
+        }
+        http.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray())
+                .whenCompleteAsync(
+                        (response, failure) ->
+                                listener.onAnswer(
+                                        failure == null && isAnswer(id, response, askedAt)),
+                        executor);
+    }
+
+    private boolean isAnswer(String id, HttpResponse<byte[]> response, double askedAt) {
+        boolean isAnswer =
+                switch (response.statusCode()) {
+                    case 200, 201 -> {
+                        check(id, response, askedAt);
+                        yield true;
+                    }
+                    case 404 -> {
+                        hear(id, new JobResponse(Verdict.NOT_FOUND, null), askedAt);
+                        yield false;
+                    }
+                    case 400, 422 -> {
+                        hear(id, new JobResponse(Verdict.REFUSED, null), askedAt);
+                        yield false;
+                    }
+                    default -> false;
+                };
+        (isAnswer ? answerCount : unansweredCount).incrementAndGet();
+        return isAnswer;
+    }
+
+    private void check(String id, HttpResponse<byte[]> response, double askedAt) {
+        Map<?, ?> document = (Map<?, ?>) MessagePackCodec.decode(response.body());
+        String name = (String) document.get("status");
+        String status = STATUS_NAMES.getOrDefault(name, name);
+        hear(id, new JobResponse(Verdict.KNOWN, new JobStatus(id, status, 0, 0)), askedAt);
+        if (status.equals("done") || status.equals("cancelled")) {
+            ended.add(id);
+        }
+    }
+
+    private void hear(String id, JobResponse response, double askedAt) {
+        emulator.run(() -> cluster.invariants.checkAnswerToUser(id, response, askedAt));
+    }
+
+    private void later(long millis, Runnable action) {
+        if (!executor.isShutdown()) {
+            executor.schedule(action, millis, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- a/src/main/java/io/kitepath/simulation/InMemoryStore.java
+++ b/src/main/java/io/kitepath/simulation/InMemoryStore.java
@@ -109,6 +109,13 @@
     /** How many keys transactions have written. */
     public long writeCount;
 
+    /** Enforces these rates from now on, whatever the settings say. */
+    public void throttle(double requestsPerSecond, double writesPerSecond) {
+        enforcesRates = true;
+        requests = new TokenBucket(requestsPerSecond);
+        writes = new TokenBucket(writesPerSecond);
+    }
+
     /** Whether a request with that many writes exceeds a rate; if not, it takes its tokens. */
     boolean exceedsRate(int requestedWrites) {
         if (!enforcesRates) {
--- a/src/main/java/io/kitepath/simulation/InvariantChecker.java
+++ b/src/main/java/io/kitepath/simulation/InvariantChecker.java
@@ -100,6 +100,20 @@
         cluster.acceptedAt.putIfAbsent(id, cluster.clock.now);
     }
 
+    /** A user outside the simulation was told that the job is accepted. */
+    public void acceptedByUser(String id) {
+        accepted(id);
+    }
+
+    /**
+     * Checks an answer to a user outside the simulation, against all answers that users received
+     * strictly before that moment.
+     */
+    public void checkAnswerToUser(
+            String id, JobSubmissionService.JobResponse response, double askedAtSeconds) {
+        checkAnswer(id, response, Math.nextDown(askedAtSeconds));
+    }
+
     /**
      * What a user is told, against the rules about what users are told. An answer is an old one if
      * another was given before it was asked for; of two questions at the same time either may be
--- a/src/main/java/io/kitepath/simulation/LoopbackEmulator.java
+++ b/src/main/java/io/kitepath/simulation/LoopbackEmulator.java
@@ -70,28 +70,47 @@
                     @Override
                     public void heartbeat(
                             String node, Heartbeat heartbeat, Consumer<HeartbeatResponse> answer) {
-                        LoopbackEmulator.this
-                                .nodes
-                                .get(node)
-                                .call(
-                                        HttpClient.Request.post(
-                                                "/checkin",
-                                                EmulatorCodec.encodeHeartbeat(heartbeat)),
-                                        TIMEOUT_MS,
-                                        reply -> {
-                                            HeartbeatResponse response =
-                                                    EmulatorCodec.decodeHeartbeatResponse(
-                                                            reply.status(), reply.body());
-                                            answer.accept(
-                                                    response == null
-                                                            ? HeartbeatResponse.redirectTo(null)
-                                                            : response);
-                                        });
+                        double duplicateDelay = cluster.duplicateDelaySeconds.getAsDouble();
+                        if (duplicateDelay > 0) {
+                            cluster.after(
+                                    duplicateDelay,
+                                    () ->
+                                            labels.forEach(
+                                                    label ->
+                                                            sendHeartbeat(
+                                                                    label, heartbeat, late -> {})));
+                        }
+                        sendHeartbeat(node, heartbeat, answer);
                     }
                 };
         cluster.onWorkerCreated = this::workerCreated;
     }
 
+    private void sendHeartbeat(
+            String node, Heartbeat heartbeat, Consumer<HeartbeatResponse> answer) {
+        nodes.get(node)
+                .call(
+                        HttpClient.Request.post(
+                                "/checkin", EmulatorCodec.encodeHeartbeat(heartbeat)),
+                        TIMEOUT_MS,
+                        reply -> {
+                            HeartbeatResponse response =
+                                    EmulatorCodec.decodeHeartbeatResponse(
+                                            reply.status(), reply.body());
+                            answer.accept(
+                                    response == null
+                                            ? HeartbeatResponse.redirectTo(null)
+                                            : response);
+                        });
+    }
+
+    /** Returns the cluster's time, as an answer to a request that is sent now is checked by it. */
+    public double nowSeconds() {
+        double[] now = new double[1];
+        run(() -> now[0] = cluster.clock.now);
+        return now[0];
+    }
+
     /** Runs that on the loop that owns the stand-ins. */
     public void run(Runnable what) {
         loop.submit(what).syncUninterruptibly();
@@ -155,11 +174,16 @@
         try {
             EmulatorCodec.DirectCommandsRequest d =
                     EmulatorCodec.decodeDirectCommands(MessagePackCodec.decode(request.body()));
-            Heartbeat heartbeat =
-                    worker.up
-                            ? worker.executeDirectCommands(
-                                    d.fencingToken(), d.agentIncarnation(), d.commands())
-                            : null;
+            double heldSeconds = cluster.directCommandHoldSeconds.getAsDouble();
+            if (cluster.refusesDirectCommands || worker.receivesNothing || worker.isCutOff) {
+                return; // Lost on its way: the sender gets no response.
+            }
+            if (heldSeconds > 0 || worker.isHanging()) {
+                cluster.after(
+                        heldSeconds, () -> worker.onResume(() -> executeDirectCommands(worker, d)));
+                return;
+            }
+            Heartbeat heartbeat = executeDirectCommands(worker, d);
             out.reply(
                     heartbeat == null ? 409 : 200,
                     EmulatorCodec.encodeHeartbeat(
@@ -169,6 +193,15 @@
         }
     }
 
+    /** Returns the heartbeat after the commands, null if the worker executes none of them. */
+    private static Heartbeat executeDirectCommands(
+            SimulatedWorker worker, EmulatorCodec.DirectCommandsRequest request) {
+        return worker.up
+                ? worker.executeDirectCommands(
+                        request.fencingToken(), request.agentIncarnation(), request.commands())
+                : null;
+    }
+
     // ---- state service --------------------------------------------------------------------------
 
     private static void replyFailure(Outcome outcome, Responder out) {
