Soak: more load, scarce sockets, what a closed connection sent arrives late

The relay lost what a connection had sent when it closed during a cut (Netty's leak detector told); it is delivered when the link opens, as the protocol says (LoopbackRelayTest).

--- a/src/main/java/io/kitepath/cli/SoakCommand.java
+++ b/src/main/java/io/kitepath/cli/SoakCommand.java
@@ -36,7 +36,7 @@
     @Option(
             names = "--machines",
             description = "How many machines the cloud has; ${DEFAULT-VALUE}.")
-    int machines = 12;
+    int machines = 40;
 
     @Option(names = "--for", description = "Seconds of faults in each run; ${DEFAULT-VALUE}.")
     double seconds = 30;
--- a/src/main/java/io/kitepath/cli/SoakRun.java
+++ b/src/main/java/io/kitepath/cli/SoakRun.java
@@ -41,14 +41,18 @@
     private static final double RELEASED_WITHIN_SECONDS = 120;
     private static final double HEARTBEAT_SECONDS = 1;
     private static final double LEASE_SECONDS = 8;
-    private static final double TASK_SECONDS = 2;
+    private static final double MIN_TASK_SECONDS = 2;
+
+    /** Some tasks run for longer than a lease, so that they outlive a change of leader. */
+    private static final int TASK_SECONDS_SPREAD = 10;
+
     private static final double IMAGE_SECONDS = 0.2;
     private static final double BOOT_SECONDS = 0.5;
     private static final int INITIAL_JOBS = 3;
-    private static final double JOBS_PER_SECOND_AND_MACHINE = 1 / 30.0;
+    private static final double JOBS_PER_SECOND_AND_MACHINE = 1 / 15.0;
 
-    /** Fewer sockets than the workers have connections, so that these are scarce. */
-    private static final int SCARCE_SOCKETS = 64;
+    /** Fewer than workers and users would take together. */
+    private static final int SCARCE_SOCKETS = 32;
 
     private static final int AMPLE_SOCKETS = 1000;
     private static final int LOG_LINES = 25;
@@ -75,12 +79,21 @@
         this.nodes = new LocalNodes(directory, Optional.empty());
     }
 
-    /** Runs, checks, and prints the result; returns whether no rule was broken. */
+    /**
+     * Runs, checks, and prints the result; the logs are kept if a rule was broken.
+     *
+     * @return whether no rule was broken
+     */
     boolean run() throws IOException, InterruptedException {
         Thread endNodes = new Thread(nodes::endAll, "soak-end-nodes");
         Runtime.getRuntime().addShutdownHook(endNodes);
         try {
-            return runNodes();
+            boolean hasPassed = runNodes();
+            nodes.endAll();
+            if (hasPassed) {
+                deleteDirectory();
+            }
+            return hasPassed;
         } finally {
             nodes.endAll();
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
@@ -88,6 +101,15 @@
         }
     }
 
+    private void deleteDirectory() throws IOException {
+        try (Stream<Path> files = Files.list(directory)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(directory);
+    }
+
     private boolean runNodes() throws IOException, InterruptedException {
         SimulatedCluster cluster = cluster();
         SoakNetwork network = new SoakNetwork(group.next(), size.nodes);
@@ -126,7 +148,8 @@
         cluster.leaseSeconds = LEASE_SECONDS;
         cluster.cloud.capacity = size.machines;
         cluster.cloud.bootSeconds = machine -> BOOT_SECONDS;
-        cluster.taskSeconds = jobId -> TASK_SECONDS;
+        cluster.taskSeconds =
+                jobId -> MIN_TASK_SECONDS + Math.floorMod(jobId.hashCode(), TASK_SECONDS_SPREAD);
         cluster.imageFetchSeconds = machine -> IMAGE_SECONDS;
         cluster.reportsChangesImmediately = true;
         return cluster;
--- a/src/main/java/io/kitepath/cli/SoakUsers.java
+++ b/src/main/java/io/kitepath/cli/SoakUsers.java
@@ -38,6 +38,10 @@
     private static final long QUERY_INTERVAL_MILLIS = 5000;
     private static final long RETRY_MILLIS = 1500;
     private static final int MAX_TASKS = 12;
+    private static final int MAX_GANG_TASKS = 4;
+
+    /** Each task fills a machine. */
+    private static final double CPUS_PER_TASK = 4;
 
     /** One job in so many is cancelled, and one in so many is submitted again. */
     private static final int ONE_IN = 4;
@@ -80,17 +84,17 @@
     /** Submits a new job, whose user asks about it from then on. */
     void submitNextJob() {
         String id = String.format("j-%06d", jobCount.incrementAndGet());
-        int taskCount = 1 + random.nextInt(MAX_TASKS);
+        boolean isGang = random.nextInt(ONE_IN) == 0;
+        int taskCount = 1 + random.nextInt(isGang ? MAX_GANG_TASKS : MAX_TASKS);
         boolean isToBeCancelled = random.nextInt(ONE_IN) == 0;
         boolean isToBeRepeated = random.nextInt(ONE_IN) == 0;
         long cancelAfterMillis = random.nextInt(15_000);
-        emulator.run(
-                () ->
-                        cluster.specs.put(
-                                id, SimulatedCluster.job(id, JobSpec.Shape.ARRAY, taskCount, 1)));
-        submit(id, taskCount, random.nextInt(nodes.size()));
+        JobSpec.Shape shape = isGang ? JobSpec.Shape.GANG : JobSpec.Shape.ARRAY;
+        JobSpec spec = SimulatedCluster.job(id, shape, taskCount, CPUS_PER_TASK);
+        emulator.run(() -> cluster.specs.put(id, spec));
+        submit(spec, random.nextInt(nodes.size()));
         if (isToBeRepeated) {
-            later(cancelAfterMillis / 2, () -> submit(id, taskCount, 0));
+            later(cancelAfterMillis / 2, () -> submit(spec, 0));
         }
         if (isToBeCancelled) {
             later(cancelAfterMillis, () -> cancel(id, 0));
@@ -144,8 +148,12 @@
 
     // ---- requests -------------------------------------------------------------------------------
 
-    private void submit(String id, int taskCount, int node) {
-        byte[] body = MessagePackCodec.encode(LocalUser.jobDocument(id, taskCount, List.of()));
+    private void submit(JobSpec spec, int node) {
+        String id = spec.id();
+        Map<String, Object> document = LocalUser.jobDocument(id, spec.taskCount(), List.of());
+        document.put("shape", spec.isGang() ? "group" : "array");
+        document.put("vcpus", spec.cpusPerTask());
+        byte[] body = MessagePackCodec.encode(document);
         send(
                 id,
                 node,
@@ -154,7 +162,7 @@
                 SUBMIT_TIMEOUT,
                 isAnswered -> {
                     if (!isAnswered) {
-                        later(RETRY_MILLIS, () -> submit(id, taskCount, (node + 1) % nodes.size()));
+                        later(RETRY_MILLIS, () -> submit(spec, (node + 1) % nodes.size()));
                     } else if (accepted.add(id)) {
                         emulator.run(() -> cluster.invariants.acceptedByUser(id));
                         for (int other = 0; other < nodes.size(); other++) {
--- a/src/main/java/io/kitepath/simulation/LoopbackRelay.java
+++ b/src/main/java/io/kitepath/simulation/LoopbackRelay.java
@@ -118,7 +118,6 @@
 
     private void relay(Direction direction) {
         directions.add(direction);
-        direction.source.closeFuture().addListener(closed -> directions.remove(direction));
         direction.source.pipeline().addLast(direction);
         direction.source.config().setAutoRead(true);
     }
@@ -128,7 +127,10 @@
         channel.close();
     }
 
-    /** One direction of one relayed connection. */
+    /**
+     * One direction of one relayed connection. It lasts until what was sent on it is delivered,
+     * also if its sender has closed the connection by then.
+     */
     private final class Direction extends ChannelInboundHandlerAdapter {
         private final Channel source;
         private final Channel destination;
@@ -179,6 +181,7 @@
                 }
             }
             if (isEnded) {
+                directions.remove(this);
                 destination.close();
             }
         }
@@ -186,6 +189,7 @@
         private void reset() {
             held.forEach(ReferenceCountUtil::release);
             held.clear();
+            directions.remove(this);
             LoopbackRelay.reset(source);
         }
 
--- a/src/test/java/io/kitepath/cli/SoakTest.java
+++ b/src/test/java/io/kitepath/cli/SoakTest.java
@@ -14,11 +14,12 @@
  */
 class SoakTest {
     private static final long SEED = 57;
+    private static final int MACHINES = 40;
     private static final double FAULT_SECONDS = 15;
 
     @Test
     void noRuleIsBrokenWhileFaultsOverlap() throws Exception {
-        assertTrue(new SoakRun(SEED, new SoakRun.Size(3, 12, FAULT_SECONDS)).run());
+        assertTrue(new SoakRun(SEED, new SoakRun.Size(3, MACHINES, FAULT_SECONDS)).run());
     }
 
     @Test
--- a/src/test/java/io/kitepath/simulation/LoopbackRelayTest.java
+++ b/src/test/java/io/kitepath/simulation/LoopbackRelayTest.java
@@ -63,6 +63,23 @@
         }
     }
 
+    @Test
+    void whatAClosedConnectionSentIsDeliveredLate() throws Exception {
+        try (Socket client = new Socket(address.getAddress(), address.getPort());
+                Socket accepted = server.accept()) {
+            client.getOutputStream().write(1);
+            assertEquals(1, read(accepted, ARRIVES_WITHIN_MILLIS));
+            relay.setMode(Mode.SILENT);
+            group.submit(() -> {}).sync();
+            client.getOutputStream().write(2);
+            client.shutdownOutput();
+            assertThrows(SocketTimeoutException.class, () -> read(accepted, STAYS_AWAY_MILLIS));
+            relay.setMode(Mode.OPEN);
+            assertEquals(2, read(accepted, ARRIVES_WITHIN_MILLIS));
+            assertEquals(-1, read(accepted, ARRIVES_WITHIN_MILLIS));
+        }
+    }
+
     @Test
     void responsesAreHeldWhileRequestsPass() throws Exception {
         try (Socket client = new Socket(address.getAddress(), address.getPort());
