Soak: workers have connections of their own, users new ones, jobs keep coming

All workers of the emulator shared a pool of 64 connections to each node, of which few were open, and users' connections stayed open, so that a node without places for users was not noticed. Each worker keeps its own connection to a node now, each request of a user has a new one, and jobs keep coming until each node has answered about each job after the last fault.

--- a/src/main/java/io/kitepath/cli/SoakRun.java
+++ b/src/main/java/io/kitepath/cli/SoakRun.java
@@ -49,6 +49,7 @@
     private static final double IMAGE_SECONDS = 0.2;
     private static final double BOOT_SECONDS = 0.5;
     private static final int INITIAL_JOBS = 3;
+    private static final double MIN_JOBS_PER_SECOND = 0.5;
     private static final double JOBS_PER_SECOND_AND_MACHINE = 1 / 15.0;
 
     /** Fewer than workers and users would take together. */
@@ -126,7 +127,7 @@
                     LocalNodeSettings.label(node),
                     settings(network, node, services.get(1), cluster, socketLimit));
         }
-        SoakUsers users = new SoakUsers(emulator, network.userAddresses(), seed);
+        SoakUsers users = new SoakUsers(group.next(), emulator, network.userAddresses(), seed);
         try {
             if (!RealTime.waitUntil(
                     START_TIMEOUT_SECONDS,
@@ -199,8 +200,7 @@
             steps.add(new Step(fault.startSeconds(), () -> injector.begin(fault)));
             steps.add(new Step(fault.endSeconds(), () -> injector.end(fault)));
         }
-        double jobsPerSecond = Math.max(0.5, size.machines * JOBS_PER_SECOND_AND_MACHINE);
-        int jobCount = INITIAL_JOBS + (int) (size.faultSeconds * jobsPerSecond);
+        int jobCount = INITIAL_JOBS + (int) (size.faultSeconds * jobsPerSecond());
         for (int job = 0; job < jobCount; job++) {
             double at = job < INITIAL_JOBS ? 0 : random.nextDouble() * size.faultSeconds;
             steps.add(new Step(at, users::submitNextJob));
@@ -213,11 +213,7 @@
 
     /** Waits until all that the rules ask for has come about; what has not in time is broken. */
     private void conclude(SoakUsers users, LoopbackEmulator emulator) throws InterruptedException {
-        double overAt = RealTime.nowSeconds();
-        if (!RealTime.waitUntil(
-                SoakUsers.MAX_UNANSWERED_SECONDS, () -> users.isAllAnsweredSince(overAt))) {
-            violations.add("unanswered: " + users.unansweredSince(overAt));
-        }
+        awaitAnswers(users);
         if (!RealTime.waitUntil(DONE_WITHIN_SECONDS, () -> users.unfinished().isEmpty())) {
             violations.add("not done: " + users.unfinished());
         }
@@ -235,6 +231,24 @@
         violations.addAll(loggedFaults());
     }
 
+    /** Jobs keep coming meanwhile, so that the nodes have as much to do as before. */
+    private void awaitAnswers(SoakUsers users) throws InterruptedException {
+        double overAt = RealTime.nowSeconds();
+        List<String> jobs = users.acceptedJobs();
+        while (!users.unansweredSince(overAt, jobs).isEmpty()) {
+            if (RealTime.nowSeconds() - overAt > SoakUsers.MAX_UNANSWERED_SECONDS) {
+                violations.add("unanswered: " + users.unansweredSince(overAt, jobs));
+                return;
+            }
+            users.submitNextJob();
+            Thread.sleep(Math.round(1000 / jobsPerSecond()));
+        }
+    }
+
+    private double jobsPerSecond() {
+        return Math.max(MIN_JOBS_PER_SECOND, size.machines * JOBS_PER_SECOND_AND_MACHINE);
+    }
+
     private static boolean isEverythingReleased(LoopbackEmulator emulator) {
         boolean[] isReleased = new boolean[1];
         emulator.run(
--- a/src/main/java/io/kitepath/cli/SoakUsers.java
+++ b/src/main/java/io/kitepath/cli/SoakUsers.java
@@ -4,16 +4,13 @@
 import io.kitepath.core.model.JobStatus;
 import io.kitepath.core.service.JobSubmissionService.JobResponse;
 import io.kitepath.core.service.JobSubmissionService.Verdict;
+import io.kitepath.net.HttpClient;
+import io.kitepath.net.HttpResponse;
 import io.kitepath.simulation.LoopbackEmulator;
 import io.kitepath.simulation.SimulatedCluster;
 import io.kitepath.wire.MessagePackCodec;
+import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpRequest.BodyPublishers;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -33,8 +30,9 @@
     /** About an accepted job, each node has to answer within this time once troubles are over. */
     static final double MAX_UNANSWERED_SECONDS = 75;
 
-    private static final Duration QUERY_TIMEOUT = Duration.ofSeconds(2);
-    private static final Duration SUBMIT_TIMEOUT = Duration.ofSeconds(5);
+    private static final long QUERY_TIMEOUT_MILLIS = 2000;
+    private static final long SUBMIT_TIMEOUT_MILLIS = 5000;
+    private static final int MAX_RESPONSE_BYTES = 64 * 1024;
     private static final long QUERY_INTERVAL_MILLIS = 5000;
     private static final long RETRY_MILLIS = 1500;
     private static final int MAX_TASKS = 12;
@@ -51,17 +49,12 @@
     /** A job and a node that was asked about it. */
     private record Asked(String jobId, int node) {}
 
+    private final EventLoop loop;
     private final LoopbackEmulator emulator;
     private final SimulatedCluster cluster;
     private final List<InetSocketAddress> nodes;
     private final Random random;
     private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(4);
-    private final HttpClient http =
-            HttpClient.newBuilder()
-                    .version(HttpClient.Version.HTTP_1_1)
-                    .connectTimeout(QUERY_TIMEOUT)
-                    .executor(executor)
-                    .build();
 
     private final Set<String> accepted = ConcurrentHashMap.newKeySet();
     private final Set<String> ended = ConcurrentHashMap.newKeySet();
@@ -74,7 +67,8 @@
     private final AtomicInteger answerCount = new AtomicInteger();
     private final AtomicInteger unansweredCount = new AtomicInteger();
 
-    SoakUsers(LoopbackEmulator emulator, List<InetSocketAddress> nodes, long seed) {
+    SoakUsers(EventLoop loop, LoopbackEmulator emulator, List<InetSocketAddress> nodes, long seed) {
+        this.loop = loop;
         this.emulator = emulator;
         this.cluster = emulator.cluster;
         this.nodes = nodes;
@@ -127,22 +121,21 @@
         return accepted.stream().filter(id -> !ended.contains(id)).sorted().toList();
     }
 
-    /** Returns whether every node has answered about every accepted job since that time. */
-    boolean isAllAnsweredSince(double seconds) {
-        return unansweredSince(seconds).isEmpty();
+    /** Returns the accepted jobs, ended ones included. */
+    List<String> acceptedJobs() {
+        return accepted.stream().sorted().toList();
     }
 
     /** Returns the jobs, with the node, about which that node has not answered since that time. */
-    List<String> unansweredSince(double seconds) {
+    List<String> unansweredSince(double seconds, List<String> jobs) {
         List<String> unanswered = new ArrayList<>();
-        for (String id : accepted) {
+        for (String id : jobs) {
             for (int node = 0; node < nodes.size(); node++) {
                 if (answeredAt.getOrDefault(new Asked(id, node), 0.0) < seconds) {
                     unanswered.add(id + " at " + LocalNodeSettings.label(node));
                 }
             }
         }
-        unanswered.sort(null);
         return unanswered;
     }
 
@@ -159,7 +152,7 @@
                 node,
                 "/submissions",
                 body,
-                SUBMIT_TIMEOUT,
+                SUBMIT_TIMEOUT_MILLIS,
                 isAnswered -> {
                     if (!isAnswered) {
                         later(RETRY_MILLIS, () -> submit(spec, (node + 1) % nodes.size()));
@@ -184,7 +177,7 @@
                 node,
                 "/submissions/" + id,
                 null,
-                QUERY_TIMEOUT,
+                QUERY_TIMEOUT_MILLIS,
                 isAnswered -> {
                     if (isAnswered) {
                         answeredAt.merge(new Asked(id, node), askedAt, Math::max);
@@ -200,7 +193,7 @@
                 node,
                 "/submissions/" + id + "/withdraw",
                 new byte[0],
-                SUBMIT_TIMEOUT,
+                SUBMIT_TIMEOUT_MILLIS,
                 isAnswered -> {
                     if (isAnswered && accepted.contains(id)) {
                         for (int other = 0; other < nodes.size(); other++) {
@@ -217,34 +210,39 @@
         void onAnswer(boolean isAnswered);
     }
 
-    /** Sends a request; without a body it is a query. */
+    /**
+     * Sends a request on a connection of its own, as users behind a load balancer do; without a
+     * body it is a query.
+     */
     private void send(
             String id,
             int node,
             String path,
             byte[] body,
-            Duration timeout,
+            long timeoutMillis,
             AnswerListener listener) {
         double askedAt = emulator.nowSeconds();
-        HttpRequest.Builder request =
-                HttpRequest.newBuilder(
-                                URI.create(
-                                        "http://" + LoopbackAddresses.text(nodes.get(node)) + path))
-                        .timeout(timeout);
-        if (body != null) {
-            request.POST(BodyPublishers.ofByteArray(body));
-        }
-        http.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray())
-                .whenCompleteAsync(
-                        (response, failure) ->
-                                listener.onAnswer(
-                                        failure == null && isAnswer(id, response, askedAt)),
-                        executor);
+        HttpClient.Request request =
+                body == null ? HttpClient.Request.get(path) : HttpClient.Request.post(path, body);
+        loop.execute(
+                () ->
+                        HttpClient.callOnce(
+                                loop,
+                                nodes.get(node),
+                                MAX_RESPONSE_BYTES,
+                                request,
+                                timeoutMillis,
+                                response ->
+                                        later(
+                                                0,
+                                                () ->
+                                                        listener.onAnswer(
+                                                                isAnswer(id, response, askedAt)))));
     }
 
-    private boolean isAnswer(String id, HttpResponse<byte[]> response, double askedAt) {
+    private boolean isAnswer(String id, HttpResponse response, double askedAt) {
         boolean isAnswer =
-                switch (response.statusCode()) {
+                switch (response.status()) {
                     case 200, 201 -> {
                         check(id, response, askedAt);
                         yield true;
@@ -263,7 +261,7 @@
         return isAnswer;
     }
 
-    private void check(String id, HttpResponse<byte[]> response, double askedAt) {
+    private void check(String id, HttpResponse response, double askedAt) {
         Map<?, ?> document = (Map<?, ?>) MessagePackCodec.decode(response.body());
         String name = (String) document.get("status");
         String status = STATUS_NAMES.getOrDefault(name, name);
--- a/src/main/java/io/kitepath/simulation/LoopbackEmulator.java
+++ b/src/main/java/io/kitepath/simulation/LoopbackEmulator.java
@@ -37,6 +37,10 @@
     private static final long TIMEOUT_MS = 4000;
 
     public final SimulatedCluster cluster;
+
+    /** A worker and a node. */
+    private record WorkerLink(String machineId, String node) {}
+
     private final EventLoopGroup group;
     private final EventLoop loop;
 
@@ -45,7 +49,11 @@
 
     private final SimulatedStoreClient store;
     private final SimulatedCloudClient cloud;
-    private final Map<String, HttpClient> nodes = new HashMap<>();
+    private final Map<String, InetSocketAddress> nodes;
+
+    /** Each worker's connection to each node that it has reported to. */
+    private final Map<WorkerLink, HttpClient> workerClients = new HashMap<>();
+
     private final double offset;
 
     /** {@code nodes}: where workers reach each node, by its label. */
@@ -58,7 +66,7 @@
         this.clientIdentity = cluster::after;
         this.store = new SimulatedStoreClient(cluster, clientIdentity);
         this.cloud = new SimulatedCloudClient(cluster, clientIdentity);
-        nodes.forEach((label, at) -> this.nodes.put(label, new HttpClient(loop, at, 64, MAX_BODY)));
+        this.nodes = Map.copyOf(nodes);
         List<String> labels = List.copyOf(nodes.keySet());
         cluster.workerNetwork =
                 new SimulatedCluster.WorkerNetwork() {
@@ -88,7 +96,10 @@
 
     private void sendHeartbeat(
             String node, Heartbeat heartbeat, Consumer<HeartbeatResponse> answer) {
-        nodes.get(node)
+        workerClients
+                .computeIfAbsent(
+                        new WorkerLink(heartbeat.machineId(), node),
+                        link -> new HttpClient(loop, nodes.get(node), 1, MAX_BODY))
                 .call(
                         HttpClient.Request.post(
                                 "/checkin", EmulatorCodec.encodeHeartbeat(heartbeat)),
