--- a/src/test/java/io/kitepath/simulation/LoopbackRelayTest.java
+++ b/src/test/java/io/kitepath/simulation/LoopbackRelayTest.java
@@ -46,18 +46,27 @@
         return socket.getInputStream().read();
     }
 
+    /** Changes the link's mode and waits until it has taken effect. */
+    private void setMode(Mode mode) throws InterruptedException {
+        relay.setMode(mode);
+        group.submit(() -> {}).sync();
+    }
+
+    private static void assertPasses(int value, Socket from, Socket to) throws IOException {
+        from.getOutputStream().write(value);
+        assertEquals(value, read(to, ARRIVES_WITHIN_MILLIS));
+    }
+
     @Test
     void aSilentLinkDeliversInOrderOnceItIsOpen() throws Exception {
         try (Socket client = new Socket(address.getAddress(), address.getPort());
                 Socket accepted = server.accept()) {
-            client.getOutputStream().write(1);
-            assertEquals(1, read(accepted, ARRIVES_WITHIN_MILLIS));
-            relay.setMode(Mode.SILENT);
-            group.submit(() -> {}).sync();
+            assertPasses(1, client, accepted);
+            setMode(Mode.SILENT);
             client.getOutputStream().write(2);
             client.getOutputStream().write(3);
             assertThrows(SocketTimeoutException.class, () -> read(accepted, STAYS_AWAY_MILLIS));
-            relay.setMode(Mode.OPEN);
+            setMode(Mode.OPEN);
             assertEquals(2, read(accepted, ARRIVES_WITHIN_MILLIS));
             assertEquals(3, read(accepted, ARRIVES_WITHIN_MILLIS));
         }
@@ -67,14 +76,12 @@
     void whatAClosedConnectionSentIsDeliveredLate() throws Exception {
         try (Socket client = new Socket(address.getAddress(), address.getPort());
                 Socket accepted = server.accept()) {
-            client.getOutputStream().write(1);
-            assertEquals(1, read(accepted, ARRIVES_WITHIN_MILLIS));
-            relay.setMode(Mode.SILENT);
-            group.submit(() -> {}).sync();
+            assertPasses(1, client, accepted);
+            setMode(Mode.SILENT);
             client.getOutputStream().write(2);
             client.shutdownOutput();
             assertThrows(SocketTimeoutException.class, () -> read(accepted, STAYS_AWAY_MILLIS));
-            relay.setMode(Mode.OPEN);
+            setMode(Mode.OPEN);
             assertEquals(2, read(accepted, ARRIVES_WITHIN_MILLIS));
             assertEquals(-1, read(accepted, ARRIVES_WITHIN_MILLIS));
         }
@@ -84,13 +91,11 @@
     void responsesAreHeldWhileRequestsPass() throws Exception {
         try (Socket client = new Socket(address.getAddress(), address.getPort());
                 Socket accepted = server.accept()) {
-            relay.setMode(Mode.RESPONSES_HELD);
-            group.submit(() -> {}).sync();
-            client.getOutputStream().write(1);
-            assertEquals(1, read(accepted, ARRIVES_WITHIN_MILLIS));
+            setMode(Mode.RESPONSES_HELD);
+            assertPasses(1, client, accepted);
             accepted.getOutputStream().write(2);
             assertThrows(SocketTimeoutException.class, () -> read(client, STAYS_AWAY_MILLIS));
-            relay.setMode(Mode.OPEN);
+            setMode(Mode.OPEN);
             assertEquals(2, read(client, ARRIVES_WITHIN_MILLIS));
         }
     }
@@ -99,9 +104,8 @@
     void aResetLinkEndsConnections() throws Exception {
         try (Socket client = new Socket(address.getAddress(), address.getPort());
                 Socket accepted = server.accept()) {
-            client.getOutputStream().write(1);
-            assertEquals(1, read(accepted, ARRIVES_WITHIN_MILLIS));
-            relay.setMode(Mode.RESET);
+            assertPasses(1, client, accepted);
+            setMode(Mode.RESET);
             assertThrows(IOException.class, () -> read(client, ARRIVES_WITHIN_MILLIS));
         }
     }
