Unanswered queries are recorded in one place, and only status queries

The reason was recorded by each place that gave up, so FinalStates counted cancellations and submissions among status queries, three constructors took a recorder, and a batch with several callers of one job counted once. A response that says to ask again now carries the reason, and JobSubmissionService.status, through which every status query goes, records it. queries.unanswered.longest kept growing for a job that nobody asked about any more; only streaks that go on count (QueryOutcomesTest, one assertion more, red on the code before by reading, not run). What users are answered is the same.

--- a/src/main/java/io/kitepath/core/service/FinalStates.java
+++ b/src/main/java/io/kitepath/core/service/FinalStates.java
@@ -41,23 +41,16 @@
      */
     private final BooleanSupplier isStoreReachable;
 
-    private final QueryOutcomes outcomes;
     private final Consumer<String> onCancelled;
     private final Cache<String, JobStatus> statusByJob =
             Caffeine.newBuilder().maximumSize(MAX_REMEMBERED).build();
 
     /**
      * @param isStoreReachable whether the store responds to this node
-     * @param outcomes records the queries that get no answer
      * @param onCancelled notified of every job that is found to be cancelled, before any user is
      */
-    FinalStates(
-            Store store,
-            BooleanSupplier isStoreReachable,
-            QueryOutcomes outcomes,
-            Consumer<String> onCancelled) {
+    FinalStates(Store store, BooleanSupplier isStoreReachable, Consumer<String> onCancelled) {
         this.store = store;
-        this.outcomes = outcomes;
         this.isStoreReachable = isStoreReachable;
         this.onCancelled = onCancelled;
     }
@@ -70,7 +63,6 @@
     /** Caches a final state that is committed to the store. */
     void remember(JobStatus status) {
         statusByJob.put(status.jobId(), status);
-        outcomes.recordAnswered(status.jobId());
         if (status.status().equals(CANCELLED)) {
             onCancelled.accept(status.jobId());
         }
@@ -87,7 +79,7 @@
         if (finalState.isPresent()) {
             onResponse.accept(new JobResponse(Verdict.KNOWN, finalState.get()));
         } else if (!isStoreReachable.getAsBoolean()) {
-            onResponse.accept(outcomes.unanswered(jobId, UnansweredReason.STORE_UNREACHABLE));
+            onResponse.accept(JobResponse.later(UnansweredReason.STORE_UNREACHABLE));
         } else {
             return false;
         }
@@ -106,8 +98,7 @@
                         case OK -> onResponse.accept(parseAndRemember(jobId, entry));
                         case REJECTED -> onResponse.accept(JobResponse.NOT_FOUND);
                         default ->
-                                onResponse.accept(
-                                        outcomes.unanswered(jobId, UnansweredReason.STORE_FAILED));
+                                onResponse.accept(JobResponse.later(UnansweredReason.STORE_FAILED));
                     }
                 });
     }
@@ -123,7 +114,7 @@
             return new JobResponse(Verdict.KNOWN, status);
         } catch (InvalidInputException invalid) {
             LOG.error("record unreadable: key={} reason={}", entry.key(), invalid.getMessage());
-            return outcomes.unanswered(jobId, UnansweredReason.RECORD_UNREADABLE);
+            return JobResponse.later(UnansweredReason.RECORD_UNREADABLE);
         }
     }
 
--- a/src/main/java/io/kitepath/core/service/JobStatusQueries.java
+++ b/src/main/java/io/kitepath/core/service/JobStatusQueries.java
@@ -56,7 +56,6 @@
     private final Store store;
     private final Timers timers;
     private final FinalStates finalStates;
-    private final QueryOutcomes outcomes;
     private final OpenJobResponder openJobResponder;
     private final TokenBucket requestBudget;
     private int maxJobsPerComparison;
@@ -74,15 +73,12 @@
             Store store,
             Timers timers,
             ProgressSource progressSource,
-            FinalStates finalStates,
-            QueryOutcomes outcomes) {
+            FinalStates finalStates) {
         this.store = store;
         this.timers = timers;
         this.finalStates = finalStates;
-        this.outcomes = outcomes;
         this.openJobResponder =
-                new OpenJobResponder(
-                        settings, store, timers, progressSource, finalStates, outcomes);
+                new OpenJobResponder(settings, store, timers, progressSource, finalStates);
         int nodeCount = settings.peers().size() + 1;
         this.requestBudget =
                 new TokenBucket(settings.store().requestsPerSecond() * RATE_SHARE / nodeCount);
@@ -111,7 +107,7 @@
      */
     void query(String jobId, Consumer<JobResponse> onResponse) {
         if (waitingCallerCount >= maxWaitingCallers) {
-            onResponse.accept(outcomes.unanswered(jobId, UnansweredReason.QUEUE_FULL));
+            onResponse.accept(JobResponse.later(UnansweredReason.QUEUE_FULL));
             return;
         }
         waitingCallerCount++;
@@ -161,7 +157,8 @@
                         case INVALID -> {
                             // The store now accepts fewer conditions than the settings say.
                             maxJobsPerComparison = Math.max(1, batch.size() / 2);
-                            respondUnansweredToAll(batch, UnansweredReason.COMPARISON_REFUSED);
+                            batch.respondToAll(
+                                    JobResponse.later(UnansweredReason.COMPARISON_REFUSED));
                         }
                         default -> retry(comparison, batch, triesLeft - 1);
                     }
@@ -170,7 +167,7 @@
 
     private void retry(Transaction comparison, QueryBatch batch, int triesLeft) {
         if (triesLeft == 0) {
-            respondUnansweredToAll(batch, UnansweredReason.STORE_FAILED);
+            batch.respondToAll(JobResponse.later(UnansweredReason.STORE_FAILED));
             return;
         }
         timers.schedule(
@@ -178,12 +175,6 @@
                 () -> send(comparison, batch, triesLeft));
     }
 
-    private void respondUnansweredToAll(QueryBatch batch, UnansweredReason reason) {
-        for (String jobId : batch.jobIds()) {
-            batch.respond(jobId, outcomes.unanswered(jobId, reason));
-        }
-    }
-
     private void dispatch(QueryBatch batch, Set<String> existingKeys) {
         List<String> openJobs = new ArrayList<>();
         for (String jobId : batch.jobIds()) {
@@ -217,8 +208,7 @@
                         case REJECTED -> readFinalState(batch, jobId);
                         default ->
                                 batch.respond(
-                                        jobId,
-                                        outcomes.unanswered(jobId, UnansweredReason.STORE_FAILED));
+                                        jobId, JobResponse.later(UnansweredReason.STORE_FAILED));
                     }
                 });
     }
--- a/src/main/java/io/kitepath/core/service/JobSubmissionService.java
+++ b/src/main/java/io/kitepath/core/service/JobSubmissionService.java
@@ -8,6 +8,7 @@
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.Transaction;
 import io.kitepath.core.port.Timers;
+import io.kitepath.core.service.QueryOutcomes.UnansweredReason;
 import io.kitepath.core.shard.Job;
 import io.kitepath.core.state.StoreKeys;
 import java.util.List;
@@ -42,8 +43,13 @@
      *
      * @param jobStatus the job's status; null unless the job is accepted now or was before
      * @param reason why the job is refused or invalid; null otherwise
+     * @param unansweredReason why a status query is not answered now; null otherwise
      */
-    public record JobResponse(Verdict verdict, JobStatus jobStatus, String reason) {
+    public record JobResponse(
+            Verdict verdict,
+            JobStatus jobStatus,
+            String reason,
+            UnansweredReason unansweredReason) {
         /** The node can't determine the state now; the user is asked to retry. */
         public static final JobResponse LATER = new JobResponse(Verdict.LATER, null);
 
@@ -51,16 +57,21 @@
 
         /** Creates a response without a reason. */
         public JobResponse(Verdict verdict, JobStatus jobStatus) {
-            this(verdict, jobStatus, null);
+            this(verdict, jobStatus, null, null);
         }
 
         /** Returns the response for a job that can never be accepted, with the reason. */
         public static JobResponse refused(String reason) {
-            return new JobResponse(Verdict.REFUSED, null, reason);
+            return new JobResponse(Verdict.REFUSED, null, reason, null);
         }
 
         private static JobResponse invalid(String reason) {
-            return new JobResponse(Verdict.INVALID, null, reason);
+            return new JobResponse(Verdict.INVALID, null, reason, null);
+        }
+
+        /** Returns the response to a status query that can't be answered now, with the reason. */
+        static JobResponse later(UnansweredReason reason) {
+            return new JobResponse(Verdict.LATER, null, null, reason);
         }
     }
 
@@ -96,12 +107,10 @@
         this.timers = timers;
         this.dependencyCheck = new DependencyCheck(settings, store);
         this.queryOutcomes = new QueryOutcomes(settings, timers, isStoreReachable);
-        this.finalStates =
-                new FinalStates(store, isStoreReachable, queryOutcomes, this::onFoundCancelled);
+        this.finalStates = new FinalStates(store, isStoreReachable, this::onFoundCancelled);
         this.cancellation = new JobCancellation(settings, store, timers, finalStates, mayLendTasks);
         this.statusQueries =
-                new JobStatusQueries(
-                        settings, store, timers, progressSource, finalStates, queryOutcomes);
+                new JobStatusQueries(settings, store, timers, progressSource, finalStates);
     }
 
     /**
@@ -272,16 +281,14 @@
 
     @Override
     public void status(String id, Consumer<JobResponse> onResponse) {
-        if (!finalStates.respondWithoutStore(id, onResponse)) {
+        Consumer<JobResponse> recordAndRespond =
+                response -> {
+                    queryOutcomes.record(id, response);
+                    onResponse.accept(response);
+                };
+        if (!finalStates.respondWithoutStore(id, recordAndRespond)) {
             statusQueries.query(
-                    id,
-                    response -> {
-                        JobResponse latest = latestResponse(id, response);
-                        if (latest.verdict() != Verdict.LATER) {
-                            queryOutcomes.recordAnswered(id);
-                        }
-                        onResponse.accept(latest);
-                    });
+                    id, response -> recordAndRespond.accept(latestResponse(id, response)));
         }
     }
 
@@ -298,7 +305,7 @@
                     finalState.get());
         }
         return response.verdict() == Verdict.NOT_FOUND && statusQueries.isKnownAccepted(id)
-                ? queryOutcomes.unanswered(id, QueryOutcomes.UnansweredReason.OUTDATED)
+                ? JobResponse.later(UnansweredReason.OUTDATED)
                 : response;
     }
 
--- a/src/main/java/io/kitepath/core/service/OpenJobResponder.java
+++ b/src/main/java/io/kitepath/core/service/OpenJobResponder.java
@@ -47,7 +47,6 @@
     private final Timers timers;
     private final ProgressSource progressSource;
     private final FinalStates finalStates;
-    private final QueryOutcomes outcomes;
 
     /**
      * Separate from the budget of comparisons. Guards against jobs whose queries never get a
@@ -71,13 +70,11 @@
             Store store,
             Timers timers,
             ProgressSource progressSource,
-            FinalStates finalStates,
-            QueryOutcomes outcomes) {
+            FinalStates finalStates) {
         this.store = store;
         this.timers = timers;
         this.progressSource = progressSource;
         this.finalStates = finalStates;
-        this.outcomes = outcomes;
         int nodeCount = settings.peers().size() + 1;
         this.readBudget =
                 new TokenBucket(
@@ -163,14 +160,10 @@
         } else if (readBudget.tryTake(1, timers.nowSeconds())) {
             readDependencies(batch, jobId, received, isLeaderReportEmpty);
         } else {
-            respondUnanswered(batch, jobId, UnansweredReason.RATE_USED_UP);
+            batch.respond(jobId, JobResponse.later(UnansweredReason.RATE_USED_UP));
         }
     }
 
-    private void respondUnanswered(QueryBatch batch, String jobId, UnansweredReason reason) {
-        batch.respond(jobId, outcomes.unanswered(jobId, reason));
-    }
-
     private boolean isRecent(ReceivedProgress received) {
         return timers.nowSeconds() - received.receivedAtSeconds < maxProgressAgeSeconds;
     }
@@ -194,9 +187,9 @@
                     if (outcome == Outcome.REJECTED) {
                         finalStates.read(jobId, response -> batch.respond(jobId, response));
                     } else if (outcome != Outcome.OK) {
-                        respondUnanswered(batch, jobId, UnansweredReason.STORE_FAILED);
+                        batch.respond(jobId, JobResponse.later(UnansweredReason.STORE_FAILED));
                     } else if (mayHaveDependencies(jobId, entry.value())) {
-                        respondUnanswered(batch, jobId, UnansweredReason.LEADER_UNKNOWN);
+                        batch.respond(jobId, JobResponse.later(UnansweredReason.LEADER_UNKNOWN));
                     } else {
                         independentJobs.put(jobId, true);
                         respondUnreported(batch, jobId, received, isLeaderReportEmpty);
@@ -215,7 +208,7 @@
     /** Reads the job's parts, as neither the leader nor this node's memory has the progress. */
     private void respondFromParts(QueryBatch batch, String jobId) {
         if (!readBudget.tryTake(1, timers.nowSeconds())) {
-            respondUnanswered(batch, jobId, UnansweredReason.RATE_USED_UP);
+            batch.respond(jobId, JobResponse.later(UnansweredReason.RATE_USED_UP));
             return;
         }
         PagedScan.read(
@@ -225,7 +218,7 @@
                 MAX_PAGE_ATTEMPTS,
                 parts -> {
                     if (parts.outcome() != Outcome.OK) {
-                        respondUnanswered(batch, jobId, UnansweredReason.STORE_FAILED);
+                        batch.respond(jobId, JobResponse.later(UnansweredReason.STORE_FAILED));
                         return;
                     }
                     List<Object> records = parts.entries().stream().map(Entry::value).toList();
@@ -240,7 +233,7 @@
             return unfinishedResponse(progress);
         } catch (InvalidInputException unreadable) {
             LOG.error("job part unreadable: job={} reason={}", jobId, unreadable.getMessage());
-            return outcomes.unanswered(jobId, UnansweredReason.RECORD_UNREADABLE);
+            return JobResponse.later(UnansweredReason.RECORD_UNREADABLE);
         }
     }
 }
--- a/src/main/java/io/kitepath/core/service/QueryOutcomes.java
+++ b/src/main/java/io/kitepath/core/service/QueryOutcomes.java
@@ -4,6 +4,7 @@
 import io.kitepath.core.model.LogThrottle;
 import io.kitepath.core.port.Timers;
 import io.kitepath.core.service.JobSubmissionService.JobResponse;
+import io.kitepath.core.service.JobSubmissionService.Verdict;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -58,8 +59,12 @@
     private record Streak(double sinceSeconds, double lastSeconds) {
         /** Returns the streak with one more query, or a new one if nobody asked for long. */
         private Streak continuedAt(double nowSeconds) {
-            boolean isContinued = nowSeconds - lastSeconds < MAX_UNANSWERED_SECONDS / 2;
-            return new Streak(isContinued ? sinceSeconds : nowSeconds, nowSeconds);
+            return new Streak(isGoingOn(nowSeconds) ? sinceSeconds : nowSeconds, nowSeconds);
+        }
+
+        /** Returns whether somebody has asked of late. */
+        private boolean isGoingOn(double nowSeconds) {
+            return nowSeconds - lastSeconds < MAX_UNANSWERED_SECONDS / 2;
         }
     }
 
@@ -98,18 +103,22 @@
     public double longestUnansweredSeconds() {
         double nowSeconds = timers.nowSeconds();
         return streakByJob.values().stream()
+                .filter(streak -> streak.isGoingOn(nowSeconds))
                 .mapToDouble(streak -> nowSeconds - streak.sinceSeconds)
                 .max()
                 .orElse(0);
     }
 
-    /** Records that a query about the job was answered. */
-    void recordAnswered(String jobId) {
-        streakByJob.remove(jobId);
+    /** Records the response to a query about the job. */
+    void record(String jobId, JobResponse response) {
+        if (response.verdict() == Verdict.LATER) {
+            recordUnanswered(jobId, response.unansweredReason());
+        } else {
+            streakByJob.remove(jobId);
+        }
     }
 
-    /** Records why a query about the job gets no answer, and returns the response to its caller. */
-    JobResponse unanswered(String jobId, UnansweredReason reason) {
+    private void recordUnanswered(String jobId, UnansweredReason reason) {
         unansweredByReason.merge(reason, 1L, Long::sum);
         double nowSeconds = timers.nowSeconds();
         Streak streak =
@@ -122,7 +131,6 @@
         }
         log(jobId, reason, nowSeconds - streak.sinceSeconds);
         checkNotOverdue(jobId, reason, streak.sinceSeconds);
-        return JobResponse.LATER;
     }
 
     private void log(String jobId, UnansweredReason reason, double unansweredSeconds) {
--- a/src/test/java/io/kitepath/core/service/QueryOutcomesTest.java
+++ b/src/test/java/io/kitepath/core/service/QueryOutcomesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.kitepath.core.service.JobSubmissionService.JobResponse;
 import io.kitepath.core.service.QueryOutcomes.UnansweredReason;
 import io.kitepath.simulation.SimulatedCluster;
 import io.kitepath.simulation.SimulatedNode;
@@ -19,7 +20,7 @@
 
     private void askInVain(int times) {
         for (int i = 0; i < times; i++) {
-            outcomes.unanswered("j-1", UnansweredReason.STORE_FAILED);
+            outcomes.record("j-1", JobResponse.later(UnansweredReason.STORE_FAILED));
             cluster.run(ASKED_EVERY_SECONDS);
         }
     }
@@ -37,7 +38,7 @@
     @Test
     void anAnswerEndsTheStreak() {
         askInVain(5);
-        outcomes.recordAnswered("j-1");
+        outcomes.record("j-1", JobResponse.NOT_FOUND);
         askInVain(5);
         assertEquals(0, outcomes.overdueCount());
     }
@@ -55,6 +56,7 @@
     void twoQueriesFarApartAreNoStreak() {
         askInVain(1);
         cluster.run(200);
+        assertEquals(0, outcomes.longestUnansweredSeconds());
         askInVain(1);
         assertEquals(0, outcomes.overdueCount());
     }
