Soak, drill and local nodes share what stood twice

The drill's checks of broken rules and of returned machines stood again in the soak: both are the emulator's now. ArchiveTraining had its own search for a free port, which could still be taken by an outgoing connection; it uses LoopbackAddresses. The 75 s of the soak are the checker's. Gone: an unused method, an alias, a listener type with a wrong comment, a second ending of the nodes, settings taken apart by a test.

--- a/src/main/java/io/kitepath/cli/ArchiveTraining.java
+++ b/src/main/java/io/kitepath/cli/ArchiveTraining.java
@@ -8,9 +8,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -26,9 +24,9 @@
  * test uses it too.
  */
 public final class ArchiveTraining {
-    private final Map<String, Object> keys = new LinkedHashMap<>();
     private static final long NO_LEASE = 0;
 
+    private final Map<String, Object> keys = new LinkedHashMap<>();
     private long revision = 1;
     private long lastLeaseId;
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -46,9 +44,9 @@
 
     /** Starts the stand-ins and a node. */
     void start() throws IOException, InterruptedException {
-        InetSocketAddress outside = free();
+        InetSocketAddress outside = LoopbackAddresses.free();
         new HttpServer(this::standIn, 1 << 20, 100, 60).listen(group, outside).sync();
-        node = free();
+        node = LoopbackAddresses.free();
         String json =
                 """
                 {"label":"kite-0","domain":"a","listen":"%s","internal_addr":"%s","siblings":[],
@@ -58,7 +56,11 @@
                   "state":{"rps":200,"write_rps":100,"value_kb":8,"txn_ops":40},"cloud":{"rps":9,"list_lag_s":1},
                   "limits":{"cpu":1,"ram_mb":200,"sockets":1000},"clock_error_ms":5}}
                 """
-                        .formatted(text(node), text(free()), text(outside), text(outside));
+                        .formatted(
+                                LoopbackAddresses.text(node),
+                                LoopbackAddresses.text(LoopbackAddresses.free()),
+                                LoopbackAddresses.text(outside),
+                                LoopbackAddresses.text(outside));
         new Node(SettingsFile.parse(json.getBytes(StandardCharsets.UTF_8)), null).start();
     }
 
@@ -148,16 +150,6 @@
         return status.get(6, TimeUnit.SECONDS);
     }
 
-    private static InetSocketAddress free() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new InetSocketAddress("127.0.0.1", s.getLocalPort());
-        }
-    }
-
-    private static String text(InetSocketAddress a) {
-        return a.getAddress().getHostAddress() + ":" + a.getPort();
-    }
-
     /** Just enough of the state service and the cloud for one node. */
     private void standIn(HttpServer.Request request, HttpServer.Responder out) {
         String path = request.path();
--- a/src/main/java/io/kitepath/cli/FailureDrill.java
+++ b/src/main/java/io/kitepath/cli/FailureDrill.java
@@ -2,7 +2,6 @@
 
 import io.kitepath.core.model.ClusterSettings;
 import io.kitepath.core.model.JobSpec;
-import io.kitepath.core.state.StoreKeys;
 import io.kitepath.simulation.LoopbackEmulator;
 import io.kitepath.simulation.SimulatedCluster;
 import java.util.ArrayList;
@@ -56,9 +55,9 @@
         boolean allDone =
                 RealTime.waitUntil(
                         LocalUser.PATIENCE_SECONDS, () -> jobs.stream().allMatch(user::isDone));
-        List<String> violations = violations();
+        List<String> violations = emulator.violations();
         boolean allReleased =
-                RealTime.waitUntil(RELEASE_TIMEOUT_SECONDS, this::isEverythingReleased);
+                RealTime.waitUntil(RELEASE_TIMEOUT_SECONDS, emulator::isEverythingReleased);
         return report(allDone, violations, allReleased);
     }
 
@@ -110,36 +109,7 @@
         }
     }
 
-    // ---- checks ---------------------------------------------------------------------------------
-
-    private List<String> violations() {
-        List<String> violations = new ArrayList<>();
-        emulator.run(
-                () -> {
-                    violations.addAll(cluster.violations);
-                    int overLimits = cluster.store.transactionsOverLimits;
-                    if (overLimits > 0) {
-                        violations.add(
-                                overLimits + " transactions over the state service's limits");
-                    }
-                });
-        return violations;
-    }
-
-    /** Whether all idle machines went back and no request to the cloud is still on record. */
-    private boolean isEverythingReleased() {
-        boolean[] released = new boolean[1];
-        emulator.run(
-                () ->
-                        released[0] =
-                                cluster.cloud.machines.isEmpty()
-                                        && cluster.store.entries.keySet().stream()
-                                                .noneMatch(
-                                                        key ->
-                                                                key.startsWith(
-                                                                        StoreKeys.CLOUD_INTENTS)));
-        return released[0];
-    }
+    // ---- report ---------------------------------------------------------------------------------
 
     private boolean report(boolean allDone, List<String> violations, boolean allReleased) {
         boolean hasPassed = allDone && allReleased && violations.isEmpty();
--- a/src/main/java/io/kitepath/cli/LocalNodes.java
+++ b/src/main/java/io/kitepath/cli/LocalNodes.java
@@ -82,14 +82,7 @@
 
     /** Starts a node after that time, unless its process is alive by then. */
     void restartLater(String node, long millis) {
-        later(
-                "local-restart-" + node,
-                millis,
-                () -> {
-                    if (!processes.get(node).isAlive()) {
-                        start(node);
-                    }
-                });
+        later("local-restart-" + node, millis, () -> startIfEnded(node));
     }
 
     /** Starts a node unless its process is alive. */
@@ -99,11 +92,6 @@
         }
     }
 
-    /** Whether the node's process is alive. */
-    boolean isAlive(String node) {
-        return processes.get(node).isAlive();
-    }
-
     /** Stops a node's process with SIGSTOP until {@link #unfreeze}. */
     void freeze(String node) {
         signal(processes.get(node), "STOP");
--- a/src/main/java/io/kitepath/cli/SoakCommand.java
+++ b/src/main/java/io/kitepath/cli/SoakCommand.java
@@ -18,6 +18,7 @@
         })
 final class SoakCommand implements Callable<Integer> {
     private static final int MAX_RUNS = 10_000;
+    private static final int MAX_NODES = 9;
     private static final int MAX_MACHINES = 500;
     private static final double MIN_SECONDS = 5;
     private static final double MAX_SECONDS = 3600;
@@ -46,7 +47,7 @@
         if (runs < 1
                 || runs > MAX_RUNS
                 || nodes < 1
-                || nodes > 9
+                || nodes > MAX_NODES
                 || machines < 1
                 || machines > MAX_MACHINES
                 || !(seconds >= MIN_SECONDS && seconds <= MAX_SECONDS)) {
--- a/src/main/java/io/kitepath/cli/SoakFault.java
+++ b/src/main/java/io/kitepath/cli/SoakFault.java
@@ -79,8 +79,7 @@
      * @return the faults in the order of their starts
      */
     static List<SoakFault> plan(long seed, int nodeCount, double seconds, double leaseSeconds) {
-        // Mixed, as the first numbers drawn from neighbouring seeds are alike.
-        Random random = new Random(new SplittableRandom(seed).nextLong());
+        Random random = random(seed);
         List<SoakFault> faults = new ArrayList<>();
         Kind[] kinds = Kind.values();
         for (int lane = 0; lane < MAX_OVERLAPPING; lane++) {
@@ -99,6 +98,11 @@
         return faults;
     }
 
+    /** Returns a source whose first numbers differ between neighbouring seeds. */
+    static Random random(long seed) {
+        return new Random(new SplittableRandom(seed).nextLong());
+    }
+
     /** From a tenth of a second to longer than the lease, mostly a few seconds. */
     private static double durationSeconds(Random random, double leaseSeconds) {
         return switch (random.nextInt(4)) {
--- a/src/main/java/io/kitepath/cli/SoakNetwork.java
+++ b/src/main/java/io/kitepath/cli/SoakNetwork.java
@@ -20,7 +20,7 @@
     private final List<LoopbackRelay> storeLinks = new ArrayList<>();
     private final List<InetSocketAddress> storeAddresses = new ArrayList<>();
 
-    /** By the node that connects, and by the one that accepts; null from a node to itself. */
+    /** By the node that connects, and by the one that accepts; a node does not use its own. */
     private final List<List<LoopbackRelay>> peerLinks = new ArrayList<>();
 
     private final List<List<InetSocketAddress>> peerAddresses = new ArrayList<>();
--- a/src/main/java/io/kitepath/cli/SoakRun.java
+++ b/src/main/java/io/kitepath/cli/SoakRun.java
@@ -1,6 +1,6 @@
 package io.kitepath.cli;
 
-import io.kitepath.core.state.StoreKeys;
+import io.kitepath.simulation.InvariantChecker;
 import io.kitepath.simulation.LoopbackEmulator;
 import io.kitepath.simulation.SimulatedCluster;
 import io.netty.channel.EventLoopGroup;
@@ -16,7 +16,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -74,7 +73,7 @@
     SoakRun(long seed, Size size) throws IOException {
         this.seed = seed;
         this.size = size;
-        this.random = new Random(new SplittableRandom(seed).nextLong());
+        this.random = SoakFault.random(seed);
         this.faults = SoakFault.plan(seed, size.nodes, size.faultSeconds, LEASE_SECONDS);
         this.directory = Files.createTempDirectory("kitepath-soak-" + seed + "-");
         this.nodes = new LocalNodes(directory, Optional.empty());
@@ -88,18 +87,18 @@
     boolean run() throws IOException, InterruptedException {
         Thread endNodes = new Thread(nodes::endAll, "soak-end-nodes");
         Runtime.getRuntime().addShutdownHook(endNodes);
+        boolean hasPassed;
         try {
-            boolean hasPassed = runNodes();
-            nodes.endAll();
-            if (hasPassed) {
-                deleteDirectory();
-            }
-            return hasPassed;
+            hasPassed = runNodes();
         } finally {
             nodes.endAll();
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
             Runtime.getRuntime().removeShutdownHook(endNodes);
         }
+        if (hasPassed) {
+            deleteDirectory();
+        }
+        return hasPassed;
     }
 
     private void deleteDirectory() throws IOException {
@@ -217,16 +216,10 @@
         if (!RealTime.waitUntil(DONE_WITHIN_SECONDS, () -> users.unfinished().isEmpty())) {
             violations.add("not done: " + users.unfinished());
         }
-        if (!RealTime.waitUntil(RELEASED_WITHIN_SECONDS, () -> isEverythingReleased(emulator))) {
+        if (!RealTime.waitUntil(RELEASED_WITHIN_SECONDS, emulator::isEverythingReleased)) {
             violations.add("machines or intents of the cloud are left");
         }
-        emulator.run(
-                () -> {
-                    violations.addAll(emulator.cluster.violations);
-                    if (emulator.cluster.store.transactionsOverLimits > 0) {
-                        violations.add("transactions over the state service's limits");
-                    }
-                });
+        violations.addAll(emulator.violations());
         nodes.unexpectedEnds().forEach(end -> violations.add("ended by itself: " + end));
         violations.addAll(loggedFaults());
     }
@@ -236,7 +229,7 @@
         double overAt = RealTime.nowSeconds();
         List<String> jobs = users.acceptedJobs();
         while (!users.unansweredSince(overAt, jobs).isEmpty()) {
-            if (RealTime.nowSeconds() - overAt > SoakUsers.MAX_UNANSWERED_SECONDS) {
+            if (RealTime.nowSeconds() - overAt > InvariantChecker.FORGOTTEN_AFTER_SECONDS) {
                 violations.add("unanswered: " + users.unansweredSince(overAt, jobs));
                 return;
             }
@@ -249,20 +242,6 @@
         return Math.max(MIN_JOBS_PER_SECOND, size.machines * JOBS_PER_SECOND_AND_MACHINE);
     }
 
-    private static boolean isEverythingReleased(LoopbackEmulator emulator) {
-        boolean[] isReleased = new boolean[1];
-        emulator.run(
-                () ->
-                        isReleased[0] =
-                                emulator.cluster.cloud.machines.isEmpty()
-                                        && emulator.cluster.store.entries.keySet().stream()
-                                                .noneMatch(
-                                                        key ->
-                                                                key.startsWith(
-                                                                        StoreKeys.CLOUD_INTENTS)));
-        return isReleased[0];
-    }
-
     private List<String> loggedFaults() {
         List<String> found = new ArrayList<>();
         for (int node = 0; node < size.nodes; node++) {
--- a/src/main/java/io/kitepath/cli/SoakUsers.java
+++ b/src/main/java/io/kitepath/cli/SoakUsers.java
@@ -21,15 +21,13 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
 /**
  * Users of a soak run: they submit jobs, ask about them at all nodes for as long as the run lasts,
  * submit them again and cancel some. What they are told goes to the cluster's checker of rules.
  */
 final class SoakUsers {
-    /** About an accepted job, each node has to answer within this time once troubles are over. */
-    static final double MAX_UNANSWERED_SECONDS = 75;
-
     private static final long QUERY_TIMEOUT_MILLIS = 2000;
     private static final long SUBMIT_TIMEOUT_MILLIS = 5000;
     private static final int MAX_RESPONSE_BYTES = 64 * 1024;
@@ -157,7 +155,7 @@
                     if (!isAnswered) {
                         later(RETRY_MILLIS, () -> submit(spec, (node + 1) % nodes.size()));
                     } else if (accepted.add(id)) {
-                        emulator.run(() -> cluster.invariants.acceptedByUser(id));
+                        emulator.run(() -> cluster.invariants.accepted(id));
                         for (int other = 0; other < nodes.size(); other++) {
                             askForever(id, other);
                         }
@@ -205,14 +203,11 @@
                 });
     }
 
-    /** Receives whether a node answered in time; a job that it does not know is an answer too. */
-    private interface AnswerListener {
-        void onAnswer(boolean isAnswered);
-    }
-
     /**
      * Sends a request on a connection of its own, as users behind a load balancer do; without a
      * body it is a query.
+     *
+     * @param onResponse receives whether the node said in time what the job's state is
      */
     private void send(
             String id,
@@ -220,7 +215,7 @@
             String path,
             byte[] body,
             long timeoutMillis,
-            AnswerListener listener) {
+            Consumer<Boolean> onResponse) {
         double askedAt = emulator.nowSeconds();
         HttpClient.Request request =
                 body == null ? HttpClient.Request.get(path) : HttpClient.Request.post(path, body);
@@ -236,7 +231,7 @@
                                         later(
                                                 0,
                                                 () ->
-                                                        listener.onAnswer(
+                                                        onResponse.accept(
                                                                 isAnswer(id, response, askedAt)))));
     }
 
--- a/src/main/java/io/kitepath/core/state/StateLoader.java
+++ b/src/main/java/io/kitepath/core/state/StateLoader.java
@@ -221,7 +221,8 @@
         }
     }
 
-    private static String formatSeconds(double seconds) {
+    /** Returns a duration as it stands in the log lines of a load. */
+    static String formatSeconds(double seconds) {
         return String.format(Locale.ROOT, "%.2f", seconds);
     }
 
--- a/src/main/java/io/kitepath/core/state/StateWriter.java
+++ b/src/main/java/io/kitepath/core/state/StateWriter.java
@@ -11,7 +11,6 @@
 import io.kitepath.core.shard.ShardState;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.slf4j.Logger;
@@ -274,10 +273,7 @@
                                 loadedState.get().parts().size(),
                                 loadedState.get().endedJobs().size(),
                                 loadedState.get().revision(),
-                                String.format(
-                                        Locale.ROOT,
-                                        "%.2f",
-                                        timers.nowSeconds() - startedAtSeconds));
+                                StateLoader.formatSeconds(timers.nowSeconds() - startedAtSeconds));
                         onLoaded(token, loadedState.get(), onChange);
                     } else {
                         LOG.info(
--- a/src/main/java/io/kitepath/simulation/InvariantChecker.java
+++ b/src/main/java/io/kitepath/simulation/InvariantChecker.java
@@ -19,7 +19,7 @@
      * Once all troubles are over: how long no question about a job may get an answer, and how long
      * it may wait beside room.
      */
-    private static final double FORGOTTEN_AFTER_SECONDS = 75;
+    public static final double FORGOTTEN_AFTER_SECONDS = 75;
 
     private static final double STARVED_AFTER_SECONDS = 90;
 
@@ -95,16 +95,11 @@
      * It was accepted as far as the world saw; by a user's word, not to be told of to others
      * before.
      */
-    void accepted(String id) {
+    public void accepted(String id) {
         acceptedAt.putIfAbsent(id, cluster.clock.now);
         cluster.acceptedAt.putIfAbsent(id, cluster.clock.now);
     }
 
-    /** A user outside the simulation was told that the job is accepted. */
-    public void acceptedByUser(String id) {
-        accepted(id);
-    }
-
     /**
      * Checks an answer to a user outside the simulation, against all answers that users received
      * strictly before that moment.
--- a/src/main/java/io/kitepath/simulation/LoopbackEmulator.java
+++ b/src/main/java/io/kitepath/simulation/LoopbackEmulator.java
@@ -7,6 +7,7 @@
 import io.kitepath.core.port.Cloud;
 import io.kitepath.core.port.Store.CommitResult;
 import io.kitepath.core.port.Store.Outcome;
+import io.kitepath.core.state.StoreKeys;
 import io.kitepath.net.HttpClient;
 import io.kitepath.net.HttpServer;
 import io.kitepath.net.HttpServer.Request;
@@ -21,6 +22,7 @@
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,11 +38,10 @@
     private static final int MAX_BODY = 1 << 20;
     private static final long TIMEOUT_MS = 4000;
 
-    public final SimulatedCluster cluster;
-
     /** A worker and a node. */
     private record WorkerLink(String machineId, String node) {}
 
+    public final SimulatedCluster cluster;
     private final EventLoopGroup group;
     private final EventLoop loop;
 
@@ -122,6 +123,36 @@
         return now[0];
     }
 
+    /** Returns every rule that was broken so far, by what the stand-ins saw. */
+    public List<String> violations() {
+        List<String> violations = new ArrayList<>();
+        run(
+                () -> {
+                    violations.addAll(cluster.violations);
+                    int overLimits = cluster.store.transactionsOverLimits;
+                    if (overLimits > 0) {
+                        violations.add(
+                                overLimits + " transactions over the state service's limits");
+                    }
+                });
+        return violations;
+    }
+
+    /** Returns whether all machines went back and no request to the cloud is still on record. */
+    public boolean isEverythingReleased() {
+        boolean[] isReleased = new boolean[1];
+        run(
+                () ->
+                        isReleased[0] =
+                                cluster.cloud.machines.isEmpty()
+                                        && cluster.store.entries.keySet().stream()
+                                                .noneMatch(
+                                                        key ->
+                                                                key.startsWith(
+                                                                        StoreKeys.CLOUD_INTENTS)));
+        return isReleased[0];
+    }
+
     /** Runs that on the loop that owns the stand-ins. */
     public void run(Runnable what) {
         loop.submit(what).syncUninterruptibly();
--- a/src/main/java/io/kitepath/simulation/LoopbackRelay.java
+++ b/src/main/java/io/kitepath/simulation/LoopbackRelay.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -92,23 +93,22 @@
             reset(accepted);
             return;
         }
-        new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.AUTO_READ, false)
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(target)
-                .addListener(
-                        connecting -> {
-                            Channel connected =
-                                    ((io.netty.channel.ChannelFuture) connecting).channel();
-                            if (connecting.isSuccess()) {
-                                join(accepted, connected);
-                            } else {
-                                reset(accepted);
-                            }
-                        });
+        ChannelFuture connecting =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.AUTO_READ, false)
+                        .handler(new ChannelInboundHandlerAdapter())
+                        .connect(target);
+        connecting.addListener(
+                result -> {
+                    if (result.isSuccess()) {
+                        join(accepted, connecting.channel());
+                    } else {
+                        reset(accepted);
+                    }
+                });
     }
 
     private void join(Channel accepted, Channel connected) {
--- a/src/test/java/io/kitepath/cli/ManyWorkerConnectionsTest.java
+++ b/src/test/java/io/kitepath/cli/ManyWorkerConnectionsTest.java
@@ -20,7 +20,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -54,12 +53,9 @@
                                 List.of(LoopbackAddresses.free()),
                                 services.get(0),
                                 services.get(1),
-                                cluster)
+                                cluster,
+                                SOCKET_LIMIT)
                         .document(0);
-        Map<String, Object> facts = new LinkedHashMap<>();
-        ((Map<?, ?>) settings.get("facts")).forEach((name, value) -> facts.put("" + name, value));
-        facts.put("limits", Map.of("cpu", 1, "ram_mb", 200, "sockets", SOCKET_LIMIT));
-        settings.put("facts", facts);
         new Node(SettingsFile.parse(JsonCodec.toJson(settings)), null).start();
         assertTrue(RealTime.waitUntil(START_TIMEOUT_SECONDS, () -> heartbeat(0) == 200));
     }
