--- a/review/1/CaseQuota.java
+++ b/review/1/CaseQuota.java
@@ -16,6 +16,9 @@
     private static final double CRASH_AFTER_SECONDS =
             Double.parseDouble(System.getenv().getOrDefault("CRASH_S", "0.5"));
 
+    /** By hand, STOP=TERM: the leader is asked to end, as at any restart, and hands over. */
+    private static final boolean IS_STOPPED_ON_PURPOSE = "TERM".equals(System.getenv("STOP"));
+
     public static void main(String[] args) {
         Env.Site site = Env.Site.etiketaPress();
         site.cpusMax = LIMIT_CPUS;
@@ -84,7 +87,11 @@
         env.record("urgent tasks that run: " + env.runningTasks("j-2") + ", others: "
                 + env.runningTasks("j-1") + ", CPUs: " + env.usedCpus());
         String leader = env.leader();
-        env.kill(leader);
+        if (IS_STOPPED_ON_PURPOSE) {
+            env.signal(leader, "TERM");
+        } else {
+            env.kill(leader);
+        }
         Env.sleep(6000);
         env.start(leader);
         for (int i = 0; i < 5; i++) {
