--- a/review/common-2/Deployment.java
+++ b/review/common-2/Deployment.java
@@ -52,6 +52,8 @@
     private final Process[] processes = new Process[NODES];
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final InetSocketAddress state;
+    private final StateGate[] gates = new StateGate[NODES];
+    private final InetSocketAddress[] stateAddresses = new InetSocketAddress[NODES];
     private final InetSocketAddress cloud;
     private final long startedNanos = System.nanoTime();
     private final HttpClient http =
@@ -94,6 +96,21 @@
         List<InetSocketAddress> services = emulator.start();
         state = services.get(0);
         cloud = services.get(1);
+        java.util.Arrays.fill(stateAddresses, state);
+    }
+
+    /** Puts a gate between each controller and the state service; before the controllers start. */
+    public void gateStateService() {
+        for (int node = 0; node < NODES; node++) {
+            gates[node] = new StateGate(group, state);
+            stateAddresses[node] = gates[node].start();
+        }
+    }
+
+    /** Lets the state service refuse that controller alone, or serve it again. */
+    public void refuseAlone(int node, boolean refuses) {
+        gates[node].setRefuses(refuses);
+        write("the state service " + (refuses ? "refuses" : "serves") + " controller " + node);
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
@@ -207,7 +224,7 @@
         settings.put("listen", text(publicAddresses.get(node)));
         settings.put("internal_addr", text(internalAddresses.get(node)));
         settings.put("siblings", siblings);
-        settings.put("endpoints", Map.of("cloud", text(cloud), "state", text(state)));
+        settings.put("endpoints", Map.of("cloud", text(cloud), "state", text(stateAddresses[node])));
         settings.put("facts", facts);
         return settings;
     }
