--- a/review/common-2/Deployment.java
+++ b/review/common-2/Deployment.java
@@ -52,6 +52,7 @@
     private final Process[] processes = new Process[NODES];
     private final EventLoopGroup group = new NioEventLoopGroup(1);
     private final InetSocketAddress state;
+    private double guaranteedCpus;
     private final StateGate[] gates = new StateGate[NODES];
     private final InetSocketAddress[] stateAddresses = new InetSocketAddress[NODES];
     private final InetSocketAddress cloud;
@@ -107,6 +108,11 @@
         }
     }
 
+    /** Guarantees the team that many CPUs; before the controllers start. */
+    public void guarantee(double cpus) {
+        guaranteedCpus = cpus;
+    }
+
     /** Lets the state service refuse that controller alone, or serve it again. */
     public void refuseAlone(int node, boolean refuses) {
         gates[node].setRefuses(refuses);
@@ -193,7 +199,7 @@
                 List.of(
                         Map.of(
                                 "name", "prepress",
-                                "cpus", 0.0,
+                                "cpus", guaranteedCpus,
                                 "cpus_max", 0.0,
                                 "gpus", 0.0,
                                 "gpus_max", 0.0)));
