--- a/review/5/PendingAfterOutage.java
+++ b/review/5/PendingAfterOutage.java
@@ -104,8 +104,6 @@
                     new Thread(
                             () -> {
                                 Deployment.Answer answer = deployment.cancel(node, job);
-                                deployment.write(
-                                        "cancelled " + job + " at " + node + ": " + answer);
                                 if (answer.code == 200 && answer.status().equals("withdrawn")) {
                                     toldAt.put(job, deployment.seconds());
                                 }
--- a/review/common-2/Deployment.java
+++ b/review/common-2/Deployment.java
@@ -11,6 +11,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.File;
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -18,6 +19,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -44,9 +46,9 @@
     public final SimulatedCluster cluster = new SimulatedCluster();
     public final LoopbackEmulator emulator;
     private final Path root;
-    private final Path folder;
     private final Path directory;
-    private final List<String> record = new ArrayList<>();
+    private final PrintWriter record;
+    private final Map<String, String> lastSeen = new LinkedHashMap<>();
     private final List<InetSocketAddress> publicAddresses = new ArrayList<>();
     private final List<InetSocketAddress> internalAddresses = new ArrayList<>();
     private final Process[] processes = new Process[NODES];
@@ -70,7 +72,7 @@
      */
     public Deployment(Path root, Path folder, int machines) throws IOException {
         this.root = root;
-        this.folder = folder;
+        this.record = new PrintWriter(folder.resolve("record.txt").toFile(), StandardCharsets.UTF_8);
         this.directory = Files.createTempDirectory("kitepath-review-");
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         Map<String, InetSocketAddress> byLabel = new LinkedHashMap<>();
@@ -98,6 +100,9 @@
         state = services.get(0);
         cloud = services.get(1);
         java.util.Arrays.fill(stateAddresses, state);
+        Thread watcher = new Thread(this::recordRuns);
+        watcher.setDaemon(true);
+        watcher.start();
     }
 
     /** Puts a gate between each controller and the state service; before the controllers start. */
@@ -140,6 +145,46 @@
         return "kite-" + node;
     }
 
+    /** Records, ten times a second, what has changed on machines: which tasks run and how they end. */
+    private void recordRuns() {
+        while (!Thread.currentThread().isInterrupted()) {
+            Map<String, String> seen = new LinkedHashMap<>();
+            try {
+                Thread.sleep(100);
+                emulator.run(
+                        () ->
+                                cluster.workers.values().stream()
+                                        .filter(worker -> worker.up)
+                                        .forEach(
+                                                worker -> {
+                                                    seen.put(worker.id, "up, session " + worker.session);
+                                                    worker.tasks.forEach(
+                                                            (key, task) ->
+                                                                    seen.put(
+                                                                            key + " on " + worker.id,
+                                                                            task.state
+                                                                                    + (task.cause == null
+                                                                                            ? ""
+                                                                                            : " "
+                                                                                                    + task.cause)));
+                                                }));
+            } catch (InterruptedException | RuntimeException ended) {
+                return;
+            }
+            seen.forEach(
+                    (what, state) -> {
+                        if (!state.equals(lastSeen.get(what))) {
+                            write("machine: " + what + ": " + state);
+                        }
+                    });
+            lastSeen.keySet().stream()
+                    .filter(what -> !seen.containsKey(what))
+                    .forEach(what -> write("machine: " + what + ": gone"));
+            lastSeen.clear();
+            lastSeen.putAll(seen);
+        }
+    }
+
     // ---- controllers ----------------------------------------------------------------------------
 
     /** Starts all controllers and waits until each is healthy. */
@@ -318,6 +363,23 @@
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
+        String sent =
+                body instanceof Map<?, ?> job
+                        ? " " + job.get("nameId")
+                                + " (" + job.get("shape")
+                                + ", " + job.get("sheets") + " of " + job.get("vcpus") + " CPUs"
+                                + ", " + job.get("urgency")
+                                + ", dueS " + job.get("dueS")
+                                + (job.get("awaits") instanceof List<?> names
+                                        ? ", awaits " + names.size()
+                                                + (names.isEmpty()
+                                                        ? ""
+                                                        : " jobs from " + names.get(0)
+                                                                + " to " + names.get(names.size() - 1))
+                                        : "")
+                                + ")"
+                        : "";
+        write("user: " + method + " " + path + sent + " at " + label(node) + ": " + answer);
         return answer;
     }
 
@@ -348,7 +410,6 @@
             if (answer.code == 201 || answer.code == 200) {
                 return true;
             }
-            write("submission of " + job.get("nameId") + " at " + node + ": " + answer);
             if (answer.code == 400 || answer.code == 422) {
                 return false;
             }
@@ -392,15 +453,11 @@
 
     /** Writes a line to record.txt and to standard output. */
     public void write(String line) {
-        String stamped = String.format(Locale.ROOT, "%7.2f %s", seconds(), line);
-        System.out.println(stamped);
         synchronized (record) {
-            record.add(stamped);
-            try {
-                Files.write(folder.resolve("record.txt"), record);
-            } catch (IOException failure) {
-                System.err.println("record.txt: " + failure);
-            }
+            String stamped = String.format(Locale.ROOT, "%7.2f %s", seconds(), line);
+            System.out.println(stamped);
+            record.println(stamped);
+            record.flush();
         }
     }
 
