--- a/src/main/java/io/kitepath/core/Gossip.java
+++ b/src/main/java/io/kitepath/core/Gossip.java
@@ -138,7 +138,9 @@
 
     /** Returns the progress of the jobs as known to this leader; empty on any other node. */
     List<JobProgress> progress(List<String> jobIds) {
-        return node.isServingShard() ? shard.progress(jobIds, timers.nowSeconds()) : List.of();
+        return node.isServingShard()
+                ? shard.progress(jobIds, timers.nowSeconds(), timers.wallClockMillis())
+                : List.of();
     }
 
     // ---- for users' status queries --------------------------------------------------------------
--- a/src/main/java/io/kitepath/core/LeaderLoop.java
+++ b/src/main/java/io/kitepath/core/LeaderLoop.java
@@ -47,6 +47,7 @@
             node.failoverTimings.update(
                     node.timers.nowSeconds(), node.heartbeatProcessor.launchCount());
         }
+        node.stateWriter.readDependencyOutcomes();
         if (node.mayActOnShard()) {
             node.otherCells.reconcile();
         }
--- a/src/main/java/io/kitepath/core/LeadershipTransitions.java
+++ b/src/main/java/io/kitepath/core/LeadershipTransitions.java
@@ -27,6 +27,7 @@
                 node.timers.nowSeconds(), node.heartbeatProcessor.launchCount());
         node.stateWriter.start(Leadership.SHARD_KEY, shardRevision, node::requestRound);
         node.cancellationVerifier.start();
+        node.dependencyVerifier.start();
         node.leaderLoop.start();
         node.heartbeatService.onLeaderKnown();
     }
@@ -41,6 +42,7 @@
         LOG.info(node.shard.serviceLevels().summary());
         node.stateWriter.stop();
         node.cancellationVerifier.stop();
+        node.dependencyVerifier.stop();
         node.shard.giveUpLeadership();
         node.heartbeatService.releaseAllHeldResponses();
         node.gossip.broadcast();
--- a/src/main/java/io/kitepath/core/NodeComponents.java
+++ b/src/main/java/io/kitepath/core/NodeComponents.java
@@ -58,6 +58,7 @@
 
     // Communication with workers, verification of cancellations, and retry delays for users.
     final CancellationVerifier cancellationVerifier;
+    final CancellationVerifier dependencyVerifier;
     final HeartbeatService heartbeatService;
     final DirectStopCommands directStopCommands;
     final RetryAfter retryAfter;
@@ -103,6 +104,7 @@
         this.cloud = new CloudComponents(this, environment, incarnation);
 
         this.cancellationVerifier = newCancellationVerifier(shardEvents);
+        this.dependencyVerifier = newDependencyVerifier();
         this.heartbeatService = newHeartbeatService();
         this.directStopCommands = newDirectStopCommands();
         this.retryAfter = new RetryAfter(settings, timers);
@@ -178,6 +180,16 @@
                 environment.store(), timers, random, shard, this::isServingShard, listener);
     }
 
+    private CancellationVerifier newDependencyVerifier() {
+        return CancellationVerifier.ofDependencies(
+                environment.store(),
+                timers,
+                new Random(settings.node().hashCode()),
+                shard,
+                this::isServingShard,
+                new DependencyEvents(this));
+    }
+
     private HeartbeatService newHeartbeatService() {
         return new HeartbeatService(
                 new LeaderComponents(
--- a/src/main/java/io/kitepath/core/NodeMetrics.java
+++ b/src/main/java/io/kitepath/core/NodeMetrics.java
@@ -47,6 +47,16 @@
                         node.leadership.isLeading()
                                 ? node.cancellationWatermark.ageSeconds()
                                 : Double.NaN);
+        metrics.gauge(
+                "dependencies.known.age",
+                "seconds ago until when the holder knows, by the state service, which jobs that"
+                        + " others need were cancelled; NaN while this node does not lead",
+                () ->
+                        node.leadership.isLeading()
+                                ? node.shard
+                                        .jobDependencies()
+                                        .watermarkAgeSeconds(node.timers.wallClockMillis())
+                                : Double.NaN);
     }
 
     private void addShard(MetricCollector metrics) {
@@ -86,6 +96,10 @@
                 "jobs.held",
                 "jobs that wait for others",
                 () -> shard.jobDependencies().heldJobCount());
+        metrics.gauge(
+                "jobs.unresolved",
+                "waiting jobs of which it is not known whether one that they need was cancelled",
+                () -> shard.jobDependencies().unresolvedJobCount());
         metrics.gauge(
                 "jobs.cascade",
                 "jobs still to be cancelled for one that they need",
--- a/src/main/java/io/kitepath/core/model/ClusterSettings.java
+++ b/src/main/java/io/kitepath/core/model/ClusterSettings.java
@@ -156,6 +156,24 @@
                                     - 2 * heartbeatIntervalSeconds
                                     - 1));
         }
+
+        /**
+         * Returns how old the leader's knowledge of cancellations may be when it reports a job that
+         * waits for others, in seconds. Together with {@link #progressRepetitionSeconds} it stays
+         * under {@code cancelDeadlineSeconds}, after which a dependent of a cancelled job must not
+         * be called pending.
+         */
+        public double dependencyStalenessSeconds() {
+            return cancelDeadlineSeconds / 4;
+        }
+
+        /**
+         * Returns for how long, after it was requested, a node may repeat what the leader reported
+         * of a job that may wait for others, in seconds.
+         */
+        public double progressRepetitionSeconds() {
+            return cancelDeadlineSeconds / 2;
+        }
     }
 
     /**
--- a/src/main/java/io/kitepath/core/service/JobStatusQueries.java
+++ b/src/main/java/io/kitepath/core/service/JobStatusQueries.java
@@ -91,9 +91,10 @@
      * Called when a job is accepted at this node.
      *
      * @param isIndependent whether the job has no dependencies
+     * @param requestedAtSeconds when the store was asked to accept it, on the steady clock
      */
-    void onAccepted(String jobId, boolean isIndependent) {
-        openJobResponder.onAccepted(jobId, isIndependent);
+    void onAccepted(String jobId, boolean isIndependent, double requestedAtSeconds) {
+        openJobResponder.onAccepted(jobId, isIndependent, requestedAtSeconds);
     }
 
     /** Returns whether this node knows that the job was accepted. */
--- a/src/main/java/io/kitepath/core/service/JobSubmissionService.java
+++ b/src/main/java/io/kitepath/core/service/JobSubmissionService.java
@@ -238,11 +238,12 @@
             Map<String, Object> record,
             Consumer<JobResponse> onResponse) {
         String id = spec.id();
+        double requestedAtSeconds = timers.nowSeconds();
         commitNew(
                 id,
                 requireAbsent(id).put(StoreKeys.OPEN_JOBS + id, record),
                 () -> {
-                    statusQueries.onAccepted(id, !hasDependencies);
+                    statusQueries.onAccepted(id, !hasDependencies, requestedAtSeconds);
                     dependencyCheck.onAccepted(id, spec.shape());
                     JobStatus pending = new JobStatus(id, "pending", 0, 0);
                     onResponse.accept(
--- a/src/main/java/io/kitepath/core/service/OpenJobResponder.java
+++ b/src/main/java/io/kitepath/core/service/OpenJobResponder.java
@@ -40,8 +40,11 @@
     private static final int MAX_INDEPENDENT_REMEMBERED = 10_000;
     private static final int MAX_PAGE_ATTEMPTS = 2;
 
-    /** A job's progress, and when it was received, in seconds on the steady clock. */
-    private record ReceivedProgress(JobProgress progress, double receivedAtSeconds) {}
+    /**
+     * A job's progress, and when it was requested from the leader, in seconds on the steady clock:
+     * the leader's report is at most {@code dependencyStalenessSeconds} older than that.
+     */
+    private record ReceivedProgress(JobProgress progress, double requestedAtSeconds) {}
 
     private final Store store;
     private final Timers timers;
@@ -83,12 +86,16 @@
                                 settings.store().requestsPerSecond()
                                         * READ_RATE_SHARE
                                         / nodeCount));
-        this.maxProgressAgeSeconds = settings.workers().cancelDeadlineSeconds() / 2;
+        this.maxProgressAgeSeconds = settings.workers().progressRepetitionSeconds();
     }
 
-    /** Called when a job is accepted at this node. */
-    void onAccepted(String jobId, boolean isIndependent) {
-        remember(new JobProgress(jobId, 0, 0, null), isIndependent);
+    /**
+     * Called when a job is accepted at this node.
+     *
+     * @param requestedAtSeconds when the store was asked to accept it, on the steady clock
+     */
+    void onAccepted(String jobId, boolean isIndependent, double requestedAtSeconds) {
+        remember(new JobProgress(jobId, 0, 0, null), isIndependent, requestedAtSeconds);
     }
 
     /** Returns whether this node knows that the job was accepted. */
@@ -96,8 +103,8 @@
         return lastReceived.getIfPresent(jobId) != null;
     }
 
-    private void remember(JobProgress progress, boolean isIndependent) {
-        lastReceived.put(progress.jobId(), new ReceivedProgress(progress, timers.nowSeconds()));
+    private void remember(JobProgress progress, boolean isIndependent, double requestedAtSeconds) {
+        lastReceived.put(progress.jobId(), new ReceivedProgress(progress, requestedAtSeconds));
         // A job that has running or completed tasks no longer waits for others, and can only be
         // cancelled by its own user.
         if (isIndependent || progress.runningTaskCount() > 0 || progress.doneTaskCount() > 0) {
@@ -110,20 +117,25 @@
         if (openJobs.isEmpty()) {
             return;
         }
+        double requestedAtSeconds = timers.nowSeconds();
         progressSource.requestProgress(
-                openJobs, reported -> onProgressReported(batch, openJobs, reported));
+                openJobs,
+                reported -> onProgressReported(batch, openJobs, reported, requestedAtSeconds));
     }
 
     private void onProgressReported(
-            QueryBatch batch, List<String> openJobs, List<JobProgress> reported) {
+            QueryBatch batch,
+            List<String> openJobs,
+            List<JobProgress> reported,
+            double requestedAtSeconds) {
         Set<String> reportedIds = new HashSet<>();
         for (JobProgress progress : reported) {
             reportedIds.add(progress.jobId());
-            remember(progress, false);
+            remember(progress, false, requestedAtSeconds);
         }
         for (String jobId : openJobs) {
             ReceivedProgress received = lastReceived.getIfPresent(jobId);
-            if (received != null && reportedIds.contains(jobId)) {
+            if (received != null && reportedIds.contains(jobId) && isRecent(received)) {
                 batch.respond(jobId, unfinishedResponse(received.progress));
             } else {
                 respondUnreported(batch, jobId, received, reported.isEmpty());
@@ -165,7 +177,7 @@
     }
 
     private boolean isRecent(ReceivedProgress received) {
-        return timers.nowSeconds() - received.receivedAtSeconds < maxProgressAgeSeconds;
+        return timers.nowSeconds() - received.requestedAtSeconds < maxProgressAgeSeconds;
     }
 
     private JobProgress markStale(JobProgress progress) {
@@ -229,7 +241,7 @@
     private JobResponse responseFromParts(String jobId, List<Object> partRecords) {
         try {
             JobProgress progress = PartRecord.progress(jobId, partRecords);
-            remember(progress, true);
+            remember(progress, true, timers.nowSeconds());
             return unfinishedResponse(progress);
         } catch (InvalidInputException unreadable) {
             LOG.error("job part unreadable: job={} reason={}", jobId, unreadable.getMessage());
--- a/src/main/java/io/kitepath/core/shard/Job.java
+++ b/src/main/java/io/kitepath/core/shard/Job.java
@@ -79,6 +79,9 @@
     /** Whether a dependency was cancelled, so that this job has to be cancelled too. */
     boolean hasCancelledDependency;
 
+    /** The number of unmet dependencies of which it is not known whether they are cancelled. */
+    int unresolvedDependencyCount;
+
     final JobStartGoals startGoals;
 
     /** Whether the job has missed all its objectives; set once, when the miss is counted. */
@@ -353,6 +356,11 @@
         return hasCancelledDependency;
     }
 
+    /** Whether a direct or indirect dependency has ended and its outcome is not known yet. */
+    public boolean hasUnresolvedDependency() {
+        return unresolvedDependencyCount > 0;
+    }
+
     // ---- priority, deadlines and start goals ----------------------------------------------------
 
     /**
--- a/src/main/java/io/kitepath/core/shard/JobDependencies.java
+++ b/src/main/java/io/kitepath/core/shard/JobDependencies.java
@@ -7,6 +7,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -58,6 +59,14 @@
     /** Ids of dependencies that are not open here and whose outcome is unknown. */
     private final Set<String> unknownOutcomes = new LinkedHashSet<>();
 
+    /** The {@link #unknownOutcomes} of jobs that are open according to the store. */
+    private final Set<String> notEnded = new HashSet<>();
+
+    private final UnresolvedDependencies unresolved =
+            new UnresolvedDependencies(this::dependentsOf);
+
+    private final DependencyWatermark watermark;
+
     /** Jobs to cancel in the order of propagation: nearest to the cancelled job first. */
     private final Set<Job> jobsToCancel = new LinkedHashSet<>();
 
@@ -76,13 +85,16 @@
         this.jobs = jobs;
         this.startLatencySeconds = startLatencySeconds;
         this.onEligible = onEligible;
+        this.watermark = new DependencyWatermark(settings);
     }
 
     void clear() {
         dependentsByDependency.clear();
         outcomes.clear();
         unknownOutcomes.clear();
+        notEnded.clear();
         jobsToCancel.clear();
+        watermark.reset();
     }
 
     // ---- opening and closing of jobs ------------------------------------------------------------
@@ -90,8 +102,13 @@
     /** Adds an open job. */
     void onJobOpened(Job job) {
         String id = job.spec.id();
-        unknownOutcomes.remove(id);
+        boolean wasUnresolved = hasEndedUnresolved(id);
+        forgetUnknownOutcome(id);
         job.dependencies().forEach(dependency -> addDependency(job, dependency));
+        onUnresolvedChanged(id, wasUnresolved, job.hasUnresolvedDependency());
+        if (!job.unmetDependencies.isEmpty() || dependentsByDependency.containsKey(id)) {
+            watermark.onJobAdded(job.submittedMillis);
+        }
         Deque<Job> changed = new ArrayDeque<>();
         // Jobs that depend on this one may have become known before it.
         if (dependentsByDependency.containsKey(id)) {
@@ -105,12 +122,14 @@
         JobOutcome outcome = outcomes.get(dependency);
         if (outcome == null) {
             job.unmetDependencies.add(dependency);
-            dependentsByDependency
-                    .computeIfAbsent(dependency, id -> new LinkedHashSet<>())
-                    .add(job);
+            Set<Job> dependents =
+                    dependentsByDependency.computeIfAbsent(dependency, id -> new LinkedHashSet<>());
             if (!isOpen(dependency)) {
                 unknownOutcomes.add(dependency);
             }
+            if (dependents.add(job) && isUnresolved(dependency)) {
+                job.unresolvedDependencyCount++;
+            }
         } else if (outcome.isDone) {
             becomeEligible(job, outcome.endedMillis);
         } else {
@@ -131,7 +150,9 @@
 
     /** Handles a job with placed tasks in its records, so that all its dependencies are done. */
     void onJobStarted(Job job) {
+        boolean wasUnresolved = job.hasUnresolvedDependency();
         removeFromDependents(job);
+        onUnresolvedChanged(job.spec.id(), wasUnresolved, false);
     }
 
     /** Removes a job that is no longer open; its outcome is in its record. */
@@ -139,10 +160,12 @@
         String id = job.spec.id();
         jobsToCancel.remove(job);
         Deque<Job> changed = new ArrayDeque<>(openDependencies(job));
+        boolean wasUnresolved = job.hasUnresolvedDependency();
         removeFromDependents(job);
         if (dependentsByDependency.containsKey(id) && !outcomes.containsKey(id)) {
             unknownOutcomes.add(id);
         }
+        onUnresolvedChanged(id, wasUnresolved, isUnresolved(id));
         propagateDemand(changed);
     }
 
@@ -153,12 +176,16 @@
      * @param endedMillis the time of its end, in milliseconds since 1970
      */
     public void recordOutcome(String id, boolean isDone, double endedMillis) {
+        boolean wasUnresolved = isUnresolved(id);
         outcomes.put(id, new JobOutcome(isDone, endedMillis));
-        unknownOutcomes.remove(id);
+        forgetUnknownOutcome(id);
         Set<Job> dependents = dependentsByDependency.remove(id);
         if (dependents == null) {
             return;
         }
+        if (wasUnresolved) {
+            unresolved.onResolved(dependents);
+        }
         for (Job job : dependents) {
             if (!isDone) {
                 markForCancellation(job);
@@ -181,9 +208,15 @@
             Set<Job> dependents = dependentsByDependency.get(dependency);
             if (dependents != null && dependents.remove(job) && dependents.isEmpty()) {
                 dependentsByDependency.remove(dependency);
-                unknownOutcomes.remove(dependency);
+                forgetUnknownOutcome(dependency);
             }
         }
+        job.unresolvedDependencyCount = 0;
+    }
+
+    private void forgetUnknownOutcome(String id) {
+        unknownOutcomes.remove(id);
+        notEnded.remove(id);
     }
 
     private Set<Job> dependentsOf(String id) {
@@ -206,6 +239,91 @@
         }
     }
 
+    // ---- knowledge of cancellations -------------------------------------------------------------
+
+    private boolean isUnresolved(String id) {
+        Job job = jobs.get(id);
+        return job != null && !job.isFinished
+                ? job.hasUnresolvedDependency()
+                : hasEndedUnresolved(id);
+    }
+
+    private boolean hasEndedUnresolved(String id) {
+        return unknownOutcomes.contains(id) && !notEnded.contains(id);
+    }
+
+    private void onUnresolvedChanged(String id, boolean wasUnresolved, boolean isUnresolved) {
+        if (wasUnresolved != isUnresolved) {
+            unresolved.onChanged(id, isUnresolved);
+        }
+    }
+
+    /**
+     * Records that a dependency which is not open here has not ended according to the store.
+     *
+     * @param asOfMillis when this was requested from the store, by this node's clock
+     */
+    public void recordNotEnded(String id, double asOfMillis) {
+        if (hasEndedUnresolved(id)) {
+            notEnded.add(id);
+            watermark.onOpenAsOf(asOfMillis);
+            unresolved.onChanged(id, false);
+        }
+    }
+
+    /** Handles the end of a job that is not open here. */
+    void onEndedElsewhere(String id) {
+        if (notEnded.remove(id)) {
+            unresolved.onChanged(id, true);
+        }
+    }
+
+    /** The open jobs that others wait for. */
+    public List<Job> openDependencies() {
+        return dependentsByDependency.keySet().stream()
+                .filter(this::isOpen)
+                .map(jobs::get)
+                .toList();
+    }
+
+    /** Ids of dependencies that are open in the store although they are not open here. */
+    public List<String> notEndedDependencies() {
+        return List.copyOf(notEnded);
+    }
+
+    /**
+     * Called when a verification of all {@link #openDependencies} and {@link #notEndedDependencies}
+     * begins.
+     */
+    public void onVerificationStarted() {
+        watermark.onVerificationStarted();
+    }
+
+    /**
+     * Called when every cancellation of a dependency before that time is known, because the store
+     * was read or compared.
+     *
+     * @param asOfMillis when this was requested from the store, by this node's clock
+     */
+    public void onVerified(double asOfMillis) {
+        watermark.onVerified(asOfMillis);
+    }
+
+    /** How old the knowledge of the dependencies' cancellations is, in seconds. */
+    public double watermarkAgeSeconds(double nowMillis) {
+        return watermark.ageSeconds(nowMillis);
+    }
+
+    /**
+     * Returns whether users may be told that the job is not cancelled, as far as its dependencies
+     * are concerned.
+     */
+    boolean mayReport(Job job, double nowMillis) {
+        return !job.hasCancelledDependency
+                && (job.unmetDependencies.isEmpty()
+                        || !job.hasUnresolvedDependency() && watermark.isRecent(nowMillis));
+    }
+
     // ---- pending reads and cancellations --------------------------------------------------------
 
     /**
@@ -241,6 +359,13 @@
         return jobsToCancel.size();
     }
 
+    /** The number of open jobs for which {@link Job#hasUnresolvedDependency} is true. */
+    public long unresolvedJobCount() {
+        return jobs.values().stream()
+                .filter(job -> !job.isFinished && job.hasUnresolvedDependency())
+                .count();
+    }
+
     /** The number of open jobs for which {@link Job#isHeld} is true. */
     public long heldJobCount() {
         return jobs.values().stream().filter(job -> !job.isFinished && job.isHeld()).count();
--- a/src/main/java/io/kitepath/core/shard/JobRegistry.java
+++ b/src/main/java/io/kitepath/core/shard/JobRegistry.java
@@ -120,6 +120,7 @@
     boolean finish(String id) {
         Job job = jobs.get(id);
         if (job == null || job.isFinished) {
+            jobDependencies.onEndedElsewhere(id);
             return false;
         }
         job.isFinished = true;
@@ -155,17 +156,23 @@
     }
 
     /**
-     * The progress of the given jobs, without those that are unknown here and those that are to be
-     * cancelled because a dependency was cancelled.
+     * The progress of the given jobs, without those that are unknown here and those that are, or
+     * may be, cancelled because a dependency was cancelled.
      *
+     * @param now the time on the steady clock, in seconds
+     * @param wallMillis the time in milliseconds since 1970
      * @param maxAgeSeconds the maximum age of a cached count
      */
     List<JobProgress> progress(
-            List<String> ids, double now, double maxAgeSeconds, PendingReasons pendingReasons) {
+            List<String> ids,
+            double now,
+            double wallMillis,
+            double maxAgeSeconds,
+            PendingReasons pendingReasons) {
         List<JobProgress> found = new ArrayList<>();
         for (String id : ids) {
             Job job = jobs.get(id);
-            if (job != null && !job.hasCancelledDependency) {
+            if (job != null && jobDependencies.mayReport(job, wallMillis)) {
                 found.add(job.progress(now, maxAgeSeconds, pendingReasons));
             }
         }
--- a/src/main/java/io/kitepath/core/shard/ShardState.java
+++ b/src/main/java/io/kitepath/core/shard/ShardState.java
@@ -291,12 +291,16 @@
     }
 
     /**
-     * Returns the progress of those jobs that are known here and are not about to be cancelled
+     * Returns the progress of those jobs that are known here and are known not to be cancelled
      * because of a job that they depend on.
      */
-    public List<JobProgress> progress(List<String> ids, double now) {
+    public List<JobProgress> progress(List<String> ids, double now, double wallMillis) {
         return jobs.progress(
-                ids, now, settings.workers().heartbeatIntervalSeconds(), pendingReasons);
+                ids,
+                now,
+                wallMillis,
+                settings.workers().heartbeatIntervalSeconds(),
+                pendingReasons);
     }
 
     // ---- attempts -----------------------------------------------------------------------------
--- a/src/main/java/io/kitepath/core/state/CancellationVerifier.java
+++ b/src/main/java/io/kitepath/core/state/CancellationVerifier.java
@@ -1,12 +1,11 @@
 package io.kitepath.core.state;
 
-import io.kitepath.core.model.ClusterSettings;
 import io.kitepath.core.port.Store;
 import io.kitepath.core.port.Store.CommitResult;
+import io.kitepath.core.port.Store.Condition;
 import io.kitepath.core.port.Store.Outcome;
 import io.kitepath.core.port.Store.Transaction;
 import io.kitepath.core.port.Timers;
-import io.kitepath.core.shard.Job;
 import io.kitepath.core.shard.ShardState;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -14,15 +13,16 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * Confirms periodically, by reading the store, that the shard leader knows every cancellation.
- * Compare-only transactions require the open record of each job that may have a task on a machine
- * to have the revision that the leader knows. Jobs whose records are all unchanged were open when
- * the first transaction was sent. Guards against a watch that hangs while lease renewals succeed,
- * and against a watch whose empty response confirms nothing because the store rejects this node's
- * requests.
+ * Confirms periodically, by reading the store, that the shard leader knows every cancellation of a
+ * set of jobs: of those that may have a task on a machine, or of those that others wait for.
+ * Compare-only transactions require the open record of each job to have the revision that the
+ * leader knows. Jobs whose records are all unchanged were open when the first transaction was sent.
+ * Guards against a watch that hangs while lease renewals succeed, and against a watch whose empty
+ * response confirms nothing because the store rejects this node's requests.
  *
  * <p>Jobs whose tasks are placed later need no confirmation: their placement is written on the
- * condition that they are open. Runs on the event loop.
+ * condition that they are open. Of dependencies that are added later see {@link
+ * io.kitepath.core.shard.JobDependencies}. Runs on the event loop.
  */
 public final class CancellationVerifier {
     /** Receives the results of the comparisons. */
@@ -30,6 +30,9 @@
         /** Called when a job is no longer open although no watch reported it. */
         void jobClosed(String jobId);
 
+        /** Called when the jobs of the next comparison have been determined. */
+        default void verificationStarted() {}
+
         /**
          * Called when all cancellations made before a point in time are known.
          *
@@ -41,6 +44,8 @@
     /** Delay before a request that got no definite response is sent again. */
     private static final double RETRY_SECONDS = 0.4;
 
+    private static final double MIN_RATE_WAIT_SECONDS = 0.001;
+
     /** Number of transactions of one round that are in flight at the same time. */
     private static final int MAX_IN_FLIGHT = 4;
 
@@ -50,11 +55,10 @@
     /** Number of rounds within the margin by which a lease may outlast the last confirmation. */
     private static final int ROUNDS_PER_MARGIN = 8;
 
-    private final ClusterSettings settings;
     private final Store store;
     private final Timers timers;
     private final Random random;
-    private final ShardState shard;
+    private final VerificationScope scope;
     private final BooleanSupplier isLoadedLeader;
     private final Listener listener;
     private final Epoch epoch = new Epoch();
@@ -63,7 +67,8 @@
     private int maxConditions;
 
     /**
-     * Creates an instance that sends no requests before it is started.
+     * Creates an instance for the jobs that may have a task on a machine. It sends no requests
+     * before it is started.
      *
      * @param random adds jitter so that the requests of several nodes spread out
      * @param isLoadedLeader whether this node leads the shard and has its jobs loaded
@@ -75,14 +80,52 @@
             ShardState shard,
             BooleanSupplier isLoadedLeader,
             Listener listener) {
-        this.settings = shard.settings();
+        this(
+                store,
+                timers,
+                random,
+                VerificationScope.jobsWithTasks(shard),
+                CONDITIONS_PER_OPERATION * shard.settings().store().maxTransactionOperations(),
+                isLoadedLeader,
+                listener);
+    }
+
+    private CancellationVerifier(
+            Store store,
+            Timers timers,
+            Random random,
+            VerificationScope scope,
+            int maxConditions,
+            BooleanSupplier isLoadedLeader,
+            Listener listener) {
         this.store = store;
         this.timers = timers;
         this.random = random;
-        this.shard = shard;
+        this.scope = scope;
         this.isLoadedLeader = isLoadedLeader;
         this.listener = listener;
-        this.maxConditions = CONDITIONS_PER_OPERATION * settings.store().maxTransactionOperations();
+        this.maxConditions = maxConditions;
+    }
+
+    /**
+     * Creates an instance for the jobs that others wait for; the parameters are those of the
+     * constructor.
+     */
+    public static CancellationVerifier ofDependencies(
+            Store store,
+            Timers timers,
+            Random random,
+            ShardState shard,
+            BooleanSupplier isLoadedLeader,
+            Listener listener) {
+        return new CancellationVerifier(
+                store,
+                timers,
+                random,
+                VerificationScope.dependencies(shard),
+                CONDITIONS_PER_OPERATION * shard.settings().store().maxTransactionOperations(),
+                isLoadedLeader,
+                listener);
     }
 
     /** Starts the rounds for a new leader; they follow one another until {@link #stop}. */
@@ -138,23 +181,16 @@
 
         ComparisonRound(Epoch.Token token) {
             this.token = token;
-            for (Job job : shard.jobs().values()) {
-                if (needsConfirmation(job)) {
-                    if (unsent.isEmpty() || unsent.getLast().conditions().size() >= maxConditions) {
-                        unsent.add(new Transaction());
-                    }
-                    unsent.getLast().requireRevision(job.recordKey, job.revision());
-                }
-            }
+            scope.conditions().get().forEach(this::add);
             unconfirmedTransactions = unsent.size();
+            listener.verificationStarted();
         }
 
-        /**
-         * Returns whether the job has to be compared. Jobs of other cells are excluded: their home
-         * cell cancels them and waits for this cell's response before it reports the cancellation.
-         */
-        private boolean needsConfirmation(Job job) {
-            return !job.isFinished() && !job.isBorrowed && !job.liveAttempts().isEmpty();
+        private void add(Condition condition) {
+            if (unsent.isEmpty() || unsent.getLast().conditions().size() >= maxConditions) {
+                unsent.add(new Transaction());
+            }
+            unsent.getLast().requireRevision(condition.key(), condition.revision());
         }
 
         void begin() {
@@ -167,11 +203,26 @@
         }
 
         private void send(Transaction transaction) {
-            if (!token.isStale()) {
+            if (token.isStale()) {
+                return;
+            }
+            double waitSeconds = secondsUntilRequest();
+            if (waitSeconds > 0) {
+                timers.schedule(waitSeconds, () -> send(transaction));
+            } else {
                 store.commit(transaction, result -> onResult(transaction, result));
             }
         }
 
+        /** Takes a request of the rate and returns 0, or returns when to try again. */
+        private double secondsUntilRequest() {
+            double now = timers.nowSeconds();
+            return scope.requestRate()
+                    .filter(rate -> !rate.tryTake(1, now))
+                    .map(rate -> Math.max(MIN_RATE_WAIT_SECONDS, rate.secondsUntil(1, now)))
+                    .orElse(0.0);
+        }
+
         private void onResult(Transaction transaction, CommitResult result) {
             switch (result.outcome()) {
                 case OK -> onConfirmed();
@@ -190,9 +241,7 @@
         }
 
         private void retry(Transaction transaction) {
-            expired |=
-                    timers.wallClockMillis() - startedMillis
-                            > 1000 * settings.workers().cancellationStalenessSeconds();
+            expired |= timers.wallClockMillis() - startedMillis > 1000 * scope.maxAgeSeconds();
             if (!expired && isLoadedLeader.getAsBoolean()) {
                 timers.schedule(addJitter(RETRY_SECONDS), () -> send(transaction));
             } else if (!replaced) {
@@ -221,6 +270,13 @@
                 return;
             }
             String key = differingKeys.removeFirst();
+            if (key.startsWith(StoreKeys.ENDED_JOBS)) {
+                if (!token.isStale()) {
+                    listener.jobClosed(key.substring(StoreKeys.ENDED_JOBS.length()));
+                }
+                reportClosedJobs(transaction, differingKeys);
+                return;
+            }
             store.get(
                     key,
                     (outcome, entry) -> {
@@ -240,9 +296,7 @@
                 if (isLoadedLeader.getAsBoolean()) {
                     listener.cancellationsKnownAsOf(startedMillis);
                 }
-                startRoundAfter(
-                        settings.workers().cancellationStalenessSeconds() / ROUNDS_PER_MARGIN,
-                        token);
+                startRoundAfter(scope.maxAgeSeconds() / ROUNDS_PER_MARGIN, token);
             }
         }
     }
--- a/src/main/java/io/kitepath/core/state/DependencyOutcomes.java
+++ b/src/main/java/io/kitepath/core/state/DependencyOutcomes.java
@@ -103,12 +103,17 @@
     private void readOutcome(String jobId) {
         inFlight.add(jobId);
         Epoch.Token token = epoch.current();
+        double requestedMillis = timers.wallClockMillis();
         store.get(
                 StoreKeys.ENDED_JOBS + jobId,
                 (outcome, entry) -> {
-                    if (!token.isStale()) {
-                        onResponse(token, jobId, outcome, entry);
+                    if (token.isStale()) {
+                        return;
+                    }
+                    if (outcome == Outcome.REJECTED) {
+                        dependencies.recordNotEnded(jobId, requestedMillis);
                     }
+                    onResponse(token, jobId, outcome, entry);
                 });
     }
 
--- a/src/main/java/io/kitepath/core/state/StateWriter.java
+++ b/src/main/java/io/kitepath/core/state/StateWriter.java
@@ -265,7 +265,7 @@
                         });
         loader.load(
                 loadedState -> {
-                    if (loadedState.isPresent() && restore(loadedState.get())) {
+                    if (loadedState.isPresent() && restore(loadedState.get(), readStartedMillis)) {
                         LOG.info(
                                 "state loaded: jobs={} parts={} endedJobsWithParts={} revision={}"
                                         + " seconds={}",
@@ -300,11 +300,16 @@
                 });
     }
 
-    private boolean restore(StateLoader.LoadedState loadedState) {
+    /**
+     * @param readStartedMillis when the read started, by this node's wall clock
+     */
+    private boolean restore(StateLoader.LoadedState loadedState, double readStartedMillis) {
         if (!restorer.restore(loadedState, previousServiceLevels)) {
             return false;
         }
         loaded = true;
+        shard.jobDependencies().onVerificationStarted();
+        shard.jobDependencies().onVerified(readStartedMillis);
         // Guards against records that were read before a cancellation which other nodes reported
         // during the load.
         List.copyOf(listener.reportedCancelledJobIds()).forEach(shard::finishJob);
@@ -379,6 +384,16 @@
         }
     }
 
+    /**
+     * Reads how the dependencies ended whose outcome is not known, as far as the request rate
+     * allows.
+     */
+    public void readDependencyOutcomes() {
+        if (loaded) {
+            dependencyOutcomes.readUnknownOutcomes();
+        }
+    }
+
     // ---- writing --------------------------------------------------------------------------------
 
     /** Adds the contributor to one of the next batches. */
--- a/src/main/java/io/kitepath/simulation/InMemoryStore.java
+++ b/src/main/java/io/kitepath/simulation/InMemoryStore.java
@@ -79,6 +79,9 @@
     /** Prefixes whose pages are all refused. */
     public Predicate<String> refusesPrefix = p -> false;
 
+    /** Keys whose single reads are all refused. */
+    public Predicate<String> refusesRead = key -> false;
+
     /** How many of the next transactions on jobs are executed while their responses are lost. */
     public int responsesToLose;
 
--- a/src/main/java/io/kitepath/simulation/SimulatedStoreClient.java
+++ b/src/main/java/io/kitepath/simulation/SimulatedStoreClient.java
@@ -58,6 +58,10 @@
     public void get(String key, BiConsumer<Outcome, Entry> answer) {
         exchange(
                 () -> {
+                    if (store.refusesRead.test(key)) {
+                        deliverResponse(() -> answer.accept(Outcome.NOT_EXECUTED, null));
+                        return;
+                    }
                     Entry entry = store.entries.get(key);
                     deliverResponse(
                             () ->
