A job behind one that is about to be cancelled is cancelled with it at once

Cause: JobDependencies marks all dependents when it learns of a cancelled dependency. A job that became known after that was marked only when the record of the job that it names was written as cancelled, which may take minutes in a long cascade.

Why the fix works: a job that names an open job which is marked is marked itself as soon as it is known, and so are its own dependents.

--- a/src/main/java/io/kitepath/core/shard/JobDependencies.java
+++ b/src/main/java/io/kitepath/core/shard/JobDependencies.java
@@ -105,6 +105,9 @@
         boolean wasUnresolved = hasEndedUnresolved(id);
         forgetUnknownOutcome(id);
         job.dependencies().forEach(dependency -> addDependency(job, dependency));
+        if (openDependencies(job).stream().anyMatch(Job::hasCancelledDependency)) {
+            markForCancellation(job);
+        }
         onUnresolvedChanged(id, wasUnresolved, job.hasUnresolvedDependency());
         if (!job.unmetDependencies.isEmpty() || dependentsByDependency.containsKey(id)) {
             watermark.onJobAdded(job.submittedMillis);
--- a/src/test/java/io/kitepath/core/JobDependencyCancellationsTest.java
+++ b/src/test/java/io/kitepath/core/JobDependencyCancellationsTest.java
@@ -102,6 +102,34 @@
         checkInvariants();
     }
 
+    /**
+     * Guards against a job that names one whose own cancellation is decided and not written yet.
+     */
+    @Test
+    void aJobSubmittedBehindOneThatIsToBeCancelledIsNotReportedPendingForLong() {
+        cluster.writesPerSecond = 6; // So that the cascade takes its time.
+        cluster.taskSeconds = id -> 1000;
+        SimulatedNode node = startCluster(1);
+        cluster.submit(node, arrayJob("j-1", 1));
+        for (int i = 2; i < 200; i++) {
+            cluster.submit(node, arrayJob("j-" + i, 1), "j-" + (i - 1));
+            cluster.run(0.2);
+        }
+        cluster.cancel(node, "j-1");
+        cluster.run(1);
+        cluster.submit(node, arrayJob("j-200", 1), "j-199");
+        cluster.submit(node, arrayJob("j-201", 1), "j-200");
+        for (int i = 0; i < 60; i++) {
+            cluster.ask(node, "j-200");
+            cluster.ask(node, "j-201");
+            cluster.run(0.8);
+        }
+        assertTrue(cluster.store.entries.containsKey(StoreKeys.OPEN_JOBS + "j-199"));
+        cluster.run(60);
+        assertEquals("cancelled", awaitStatus(node, "j-201"));
+        checkInvariants();
+    }
+
     /** A chain and a fan of a thousand, at the write rate that is left once limits have fallen. */
     @Test
     void aThousandBehindOneAreCancelledWithinMinutesAndNobodyIsCalledPendingMeanwhile() {
