Open dependencies that can't be read here no longer hold up the others' outcomes

Where jobs wait for eight or more urgent ones whose open records this version can't read (damaged, or written by a later version), a new leader never read how any other dependency had ended, so other pipelines stood still after a failover.

Cause: DependencyOutcomes reads the outcomes that block the most urgent jobs first, eight at a time, and a job that is found not to have ended is read again every half second. Eight of those took all places for ever.

Why the fix works: a dependency that is known to be open in the store is left out of these reads. The comparison of dependencies, a round about every second, shows when it ends; then it is read.

--- a/src/main/java/io/kitepath/core/shard/JobDependencies.java
+++ b/src/main/java/io/kitepath/core/shard/JobDependencies.java
@@ -331,15 +331,16 @@
 
     /**
      * Ids of jobs whose outcomes have to be read from the store; those that block the most urgent
-     * jobs come first.
+     * jobs come first. Jobs that are open in the store are left out until they are known to have
+     * ended.
      *
      * @param maxCount the maximum number of ids
      * @param excluded ids to exclude because their reads are in progress
      */
     public List<String> unknownOutcomes(int maxCount, Set<String> excluded) {
         return unknownOutcomes.stream()
+                .filter(id -> !notEnded.contains(id) && !excluded.contains(id))
                 .limit(MAX_COMPARED_OUTCOMES)
-                .filter(id -> !excluded.contains(id))
                 .sorted(Comparator.comparingInt((String id) -> mostUrgentRank(dependentsOf(id))))
                 .limit(maxCount)
                 .toList();
