--- a/src/main/java/io/kitepath/core/shard/JobDependencies.java
+++ b/src/main/java/io/kitepath/core/shard/JobDependencies.java
@@ -346,6 +346,16 @@
                 .toList();
     }
 
+    /** Returns whether the outcome of the job has to be read from the store. */
+    public boolean isOutcomeUnknown(String id) {
+        return unknownOutcomes.contains(id);
+    }
+
+    /** The number of jobs whose outcomes have to be read from the store. */
+    public int unknownOutcomeCount() {
+        return unknownOutcomes.size() - notEnded.size();
+    }
+
     private static int mostUrgentRank(Collection<Job> dependents) {
         return dependents.stream()
                 .mapToInt(job -> job.effectivePriority().ordinal())
