Dependents of a cancelled job are reported as cancelled in time, however many there are

What callers saw: a cancellation that spreads to more jobs than the store writes in cancel_s left users of the others without an answer (503) until their own records were written: over a minute for 1,000 jobs at 35 changes a second, and with some more than 75 s. The rule: "Within cancel_s after the user was told, these jobs report withdrawn".

Cause: a dependent was called cancelled by its own record only, two writes a job, as another node might still call it pending until then.

Why the fix works: since waiting jobs are reported on bounded knowledge only, no node calls a dependent pending three quarters of cancel_s after the leader learned of the cancellation. From then on, a sixteenth of cancel_s later for clocks, the leader announces the jobs that it still has to cancel, and nodes call them cancelled. They can only be cancelled: the record of the dependency is final, and they start only after it is done. Nothing is stopped, written or dropped because of an announcement.

The message is new (101) and goes only to peers that said that they read it.

--- a/src/main/java/io/kitepath/core/Controller.java
+++ b/src/main/java/io/kitepath/core/Controller.java
@@ -176,6 +176,14 @@
         node.gossip.onCancellationDigest(digest);
     }
 
+    /**
+     * Handles the leader's announcement that these jobs will be cancelled for certain, and that
+     * users may be told.
+     */
+    public void onImpliedCancellations(List<String> jobIds) {
+        node.submissions.onImpliedCancellations(jobIds);
+    }
+
     /** Returns the progress of the given jobs in this shard; empty if this node does not lead. */
     public List<JobProgress> jobProgress(List<String> jobIds) {
         return node.gossip.progress(jobIds);
--- a/src/main/java/io/kitepath/core/LeaderLoop.java
+++ b/src/main/java/io/kitepath/core/LeaderLoop.java
@@ -48,6 +48,7 @@
                     node.timers.nowSeconds(), node.heartbeatProcessor.launchCount());
         }
         node.stateWriter.readDependencyOutcomes();
+        node.cascadeAnnouncer.announce();
         if (node.mayActOnShard()) {
             node.otherCells.reconcile();
         }
--- a/src/main/java/io/kitepath/core/NodeComponents.java
+++ b/src/main/java/io/kitepath/core/NodeComponents.java
@@ -19,6 +19,7 @@
 import io.kitepath.core.state.CancellationVerifier;
 import io.kitepath.core.state.ImageRecords;
 import io.kitepath.core.state.StateWriter;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 
@@ -65,6 +66,7 @@
 
     // The leader's loops.
     final RoundRunner roundRunner;
+    final CascadeAnnouncer cascadeAnnouncer;
     final LeaderLoop leaderLoop;
 
     /**
@@ -110,6 +112,7 @@
         this.retryAfter = new RetryAfter(settings, timers);
 
         this.roundRunner = new RoundRunner(this);
+        this.cascadeAnnouncer = new CascadeAnnouncer(this);
         this.leaderLoop = new LeaderLoop(this);
         submissions.onCancelled(this::onCancelledByUser);
         submissions.onKnownCancelled(gossip::onCancellationConfirmed);
@@ -254,6 +257,11 @@
         peerNodes.announceJobEnd(job);
     }
 
+    /** Notifies the peers of jobs that will be cancelled for certain. */
+    void announceImpliedCancellations(List<String> jobIds) {
+        peerNodes.announceImpliedCancellations(jobIds);
+    }
+
     private void onCancelledByUser(JobStatus job) {
         shard.jobDependencies().recordOutcome(job.jobId(), false, timers.wallClockMillis());
         requestRound();
--- a/src/main/java/io/kitepath/core/model/ClusterSettings.java
+++ b/src/main/java/io/kitepath/core/model/ClusterSettings.java
@@ -174,6 +174,17 @@
         public double progressRepetitionSeconds() {
             return cancelDeadlineSeconds / 2;
         }
+
+        /**
+         * Returns how long after the leader has learned that a job is cancelled some node may still
+         * call its dependents pending, in seconds. A sixteenth of {@code cancelDeadlineSeconds} is
+         * added for clock skew and drift.
+         */
+        public double pendingReportLifetimeSeconds() {
+            return dependencyStalenessSeconds()
+                    + progressRepetitionSeconds()
+                    + cancelDeadlineSeconds / 16;
+        }
     }
 
     /**
--- a/src/main/java/io/kitepath/core/port/PeerNodes.java
+++ b/src/main/java/io/kitepath/core/port/PeerNodes.java
@@ -30,6 +30,12 @@
      */
     void sendCancellationDigest(CancellationDigest digest);
 
+    /**
+     * Notifies the peers whose version supports the message that these jobs will be cancelled for
+     * certain and may be called cancelled, although this is not recorded in the store yet.
+     */
+    void announceImpliedCancellations(List<String> jobIds);
+
     /**
      * Requests the progress of jobs from the leader. The callback receives an empty list if the
      * leader does not respond in time.
--- a/src/main/java/io/kitepath/core/service/FinalStates.java
+++ b/src/main/java/io/kitepath/core/service/FinalStates.java
@@ -32,6 +32,7 @@
     private static final String DONE_TASKS = "done";
 
     private static final int MAX_REMEMBERED = 5000;
+    private static final int MAX_IMPLIED_REMEMBERED = 20_000;
 
     private final Store store;
 
@@ -45,6 +46,13 @@
     private final Cache<String, JobStatus> statusByJob =
             Caffeine.newBuilder().maximumSize(MAX_REMEMBERED).build();
 
+    /**
+     * Jobs that will be cancelled for certain and may be called so; see {@code
+     * core.CascadeAnnouncer}.
+     */
+    private final Cache<String, Boolean> impliedCancellations =
+            Caffeine.newBuilder().maximumSize(MAX_IMPLIED_REMEMBERED).build();
+
     /**
      * @param isStoreReachable whether the store responds to this node
      * @param onCancelled notified of every job that is found to be cancelled, before any user is
@@ -57,7 +65,10 @@
 
     /** Returns the job's final state, if this node knows it. */
     Optional<JobStatus> find(String jobId) {
-        return Optional.ofNullable(statusByJob.getIfPresent(jobId));
+        JobStatus status = statusByJob.getIfPresent(jobId);
+        return status == null && impliedCancellations.getIfPresent(jobId) != null
+                ? Optional.of(JobCancellation.cancelledStatus(jobId))
+                : Optional.ofNullable(status);
     }
 
     /** Caches a final state that is committed to the store. */
@@ -68,6 +79,14 @@
         }
     }
 
+    /**
+     * Caches that the job will be cancelled for certain. It has no tasks, so no component but this
+     * one has to know before it is committed.
+     */
+    void rememberImplied(String jobId) {
+        impliedCancellations.put(jobId, true);
+    }
+
     /**
      * Responds if that takes no request to the store: with the job's final state, or with LATER if
      * the store is unreachable.
--- a/src/main/java/io/kitepath/core/service/JobSubmissionService.java
+++ b/src/main/java/io/kitepath/core/service/JobSubmissionService.java
@@ -145,6 +145,17 @@
         finalStates.remember(status);
     }
 
+    /**
+     * Records jobs that will be cancelled for certain because of a job that they depend on. Users
+     * may be told, although the store may still show the jobs as open.
+     */
+    public void onImpliedCancellations(List<String> jobIds) {
+        for (String jobId : jobIds) {
+            finalStates.rememberImplied(jobId);
+            dependencyCheck.onCancelled(jobId);
+        }
+    }
+
     @Override
     public void submit(JobSpec spec, List<String> dependencies, Consumer<JobResponse> onResponse) {
         String id = spec.id();
--- a/src/main/java/io/kitepath/peers/PeerMessage.java
+++ b/src/main/java/io/kitepath/peers/PeerMessage.java
@@ -34,6 +34,8 @@
 
         void onCancelledJobs(CancelledJobs cancelled);
 
+        void onImpliedCancellations(ImpliedCancellations implied);
+
         void onCellRequest(CellRequest request);
 
         void onCellReply(CellReply reply);
@@ -99,6 +101,8 @@
         /** Never the id of a request, as those are positive. */
         private static final long READS_CANCELLED_JOBS = Long.MIN_VALUE;
 
+        private static final long READS_IMPLIED_CANCELLATIONS = Long.MIN_VALUE + 1;
+
         /**
          * Tells the receiver that the sender reads {@link CancelledJobs}. It has the form of a
          * reply to a request which nobody sent, because versions that do not know it drop such a
@@ -108,6 +112,19 @@
             return new ProgressReply(READS_CANCELLED_JOBS, List.of());
         }
 
+        /**
+         * Tells the receiver that the sender reads {@link ImpliedCancellations}, in the same way as
+         * {@link #readsCancelledJobs}.
+         */
+        static ProgressReply readsImpliedCancellations() {
+            return new ProgressReply(READS_IMPLIED_CANCELLATIONS, List.of());
+        }
+
+        /** Whether this says that the sender reads {@link ImpliedCancellations}. */
+        boolean tellsThatSenderReadsImpliedCancellations() {
+            return requestId == READS_IMPLIED_CANCELLATIONS;
+        }
+
         /** Whether this says that the sender reads {@link CancelledJobs}, and answers nothing. */
         boolean tellsThatSenderReadsCancelledJobs() {
             return requestId == READS_CANCELLED_JOBS;
@@ -136,6 +153,18 @@
         }
     }
 
+    /**
+     * The jobs that the leader has to cancel as a job that they depend on is cancelled, and that
+     * may be called cancelled before this is recorded; only for peers that said that they read it,
+     * see {@link ProgressReply#readsImpliedCancellations}.
+     */
+    record ImpliedCancellations(List<String> jobIds) implements PeerMessage {
+        @Override
+        public void deliverTo(Handler handler) {
+            handler.onImpliedCancellations(this);
+        }
+    }
+
     /** A request to a node of another cell. */
     record CellRequest(long requestId, CellMessage message) implements PeerMessage {
         @Override
--- a/src/main/java/io/kitepath/peers/PeerMessageSerializers.java
+++ b/src/main/java/io/kitepath/peers/PeerMessageSerializers.java
@@ -41,6 +41,8 @@
         kryo.register(JobStatus.class, new JobStatusSerializer(), 35);
         // Ids from 36 on belong to CellMessageSerializers; those from 100 on to what came later.
         kryo.register(PeerMessage.CancelledJobs.class, new CancelledJobsSerializer(), 100);
+        kryo.register(
+                PeerMessage.ImpliedCancellations.class, new ImpliedCancellationsSerializer(), 101);
     }
 
     private static final class NodeStateSerializer extends FieldSerializer<PeerMessage.NodeState> {
@@ -293,6 +295,22 @@
         }
     }
 
+    private static final class ImpliedCancellationsSerializer
+            extends FieldSerializer<PeerMessage.ImpliedCancellations> {
+        @Override
+        public void write(Kryo kryo, Output output, PeerMessage.ImpliedCancellations implied) {
+            writeList(kryo, output, implied.jobIds());
+        }
+
+        @Override
+        public PeerMessage.ImpliedCancellations read(
+                Kryo kryo,
+                Input input,
+                Class<? extends PeerMessage.ImpliedCancellations> recordClass) {
+            return new PeerMessage.ImpliedCancellations(readList(kryo, input, String.class));
+        }
+    }
+
     private static final class CancelledJobsSerializer
             extends FieldSerializer<PeerMessage.CancelledJobs> {
         @Override
--- a/src/main/java/io/kitepath/peers/Peers.java
+++ b/src/main/java/io/kitepath/peers/Peers.java
@@ -60,6 +60,10 @@
     private static final AttributeKey<Boolean> READS_CANCELLED_JOBS =
             AttributeKey.valueOf("reads.digests");
 
+    /** Set on connections whose other side reads {@link PeerMessage.ImpliedCancellations}. */
+    private static final AttributeKey<Boolean> READS_IMPLIED_CANCELLATIONS =
+            AttributeKey.valueOf("reads.implied.cancellations");
+
     private final EventLoopGroup eventLoop;
     private final PeerMessageCodec codec;
     private final String node;
@@ -180,10 +184,20 @@
         PeerMessage message =
                 new PeerMessage.CancelledJobs(
                         digest.node(), digest.sinceMillis(), digest.untilMillis(), digest.jobIds());
+        sendToReaders(READS_CANCELLED_JOBS, message);
+    }
+
+    /** Sent to those that read it only, as a digest. */
+    @Override
+    public void announceImpliedCancellations(List<String> jobIds) {
+        sendToReaders(READS_IMPLIED_CANCELLATIONS, new PeerMessage.ImpliedCancellations(jobIds));
+    }
+
+    private void sendToReaders(AttributeKey<Boolean> readsMessage, PeerMessage message) {
         forEachChannel(
                 channelsByPeer.values(),
                 channel -> {
-                    if (channel.hasAttr(READS_CANCELLED_JOBS)) {
+                    if (channel.hasAttr(readsMessage)) {
                         send(channel, message);
                     }
                 });
@@ -257,6 +271,7 @@
                     own -> {
                         send(channel, own);
                         send(channel, PeerMessage.ProgressReply.readsCancelledJobs());
+                        send(channel, PeerMessage.ProgressReply.readsImpliedCancellations());
                     });
         }
 
@@ -292,6 +307,8 @@
         public void onProgressReply(PeerMessage.ProgressReply reply) {
             if (reply.tellsThatSenderReadsCancelledJobs()) {
                 channel.attr(READS_CANCELLED_JOBS).set(true);
+            } else if (reply.tellsThatSenderReadsImpliedCancellations()) {
+                channel.attr(READS_IMPLIED_CANCELLATIONS).set(true);
             } else {
                 progressRequests.complete(reply.requestId(), reply.progress());
             }
@@ -307,6 +324,11 @@
                             cancelled.jobIds()));
         }
 
+        @Override
+        public void onImpliedCancellations(PeerMessage.ImpliedCancellations implied) {
+            controller.onImpliedCancellations(implied.jobIds());
+        }
+
         @Override
         public void onCellRequest(PeerMessage.CellRequest request) {
             controller
--- a/src/main/java/io/kitepath/simulation/SimulatedNode.java
+++ b/src/main/java/io/kitepath/simulation/SimulatedNode.java
@@ -246,6 +246,21 @@
                 .forEach(node -> node.schedule(0.001, () -> node.controller.onJobEndedAtPeer(job)));
     }
 
+    @Override
+    public void announceImpliedCancellations(List<String> jobIds) {
+        if (isProductionVersion || losesPeerMessages) {
+            return;
+        }
+        cluster.nodes.values().stream()
+                .filter(node -> node != this && node.alive && reaches(node))
+                .filter(node -> !node.isProductionVersion)
+                .forEach(
+                        node ->
+                                node.schedule(
+                                        0.001,
+                                        () -> node.controller.onImpliedCancellations(jobIds)));
+    }
+
     @Override
     public void requestProgress(
             String leader, List<String> jobs, Consumer<List<JobProgress>> answer) {
--- a/src/test/java/io/kitepath/peers/PeersTest.java
+++ b/src/test/java/io/kitepath/peers/PeersTest.java
@@ -1,6 +1,7 @@
 package io.kitepath.peers;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import io.kitepath.core.Controller;
@@ -104,6 +105,7 @@
                 () -> {
                     peers.announceState(7, null, true);
                     peers.sendCancellationDigest(DIGEST);
+                    peers.announceImpliedCancellations(List.of("j-7", "j-8"));
                 },
                 0,
                 20,
@@ -151,6 +153,37 @@
         }
     }
 
+    /** Guards against a message that closes the connection to a peer of an earlier version. */
+    @Test
+    void impliedCancellationsGoOnlyToThoseThatSaidThatTheyReadThem() throws Exception {
+        InetSocketAddress address = TestNodes.freeAddress();
+        try (ServerSocket oldSocket = TestNodes.listen();
+                ServerSocket newSocket = TestNodes.listen()) {
+            startNode(address, oldSocket, newSocket);
+            try (FakePeer oldPeer = new FakePeer(oldSocket.accept());
+                    FakePeer newPeer = new FakePeer(newSocket.accept());
+                    FakePeer connecting =
+                            new FakePeer(new Socket(address.getAddress(), address.getPort()))) {
+                oldPeer.send(PeerMessage.ProgressReply.readsCancelledJobs());
+                newPeer.send(PeerMessage.ProgressReply.readsImpliedCancellations());
+                PeerMessage message = newPeer.receive();
+                while (message instanceof PeerMessage.NodeState) {
+                    message = newPeer.receive();
+                }
+                assertEquals(new PeerMessage.ImpliedCancellations(List.of("j-7", "j-8")), message);
+                for (int i = 0; i < 20; i++) {
+                    assertFalse(oldPeer.receive() instanceof PeerMessage.ImpliedCancellations);
+                }
+                connecting.send(new PeerMessage.NodeState("old", 7, false, true));
+                assertInstanceOf(PeerMessage.NodeState.class, connecting.receive());
+                connecting.receive();
+                assertEquals(
+                        PeerMessage.ProgressReply.readsImpliedCancellations(),
+                        connecting.receive());
+            }
+        }
+    }
+
     private static PeerMessage firstDigest(FakePeer peer) throws IOException {
         PeerMessage message = peer.receive();
         while (!(message instanceof PeerMessage.CancelledJobs)) {
