--- a/src/main/java/io/kitepath/core/shard/Job.java
+++ b/src/main/java/io/kitepath/core/shard/Job.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collections;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -73,14 +72,7 @@
 
     // ---- dependencies and demand ---------------------------------------------------------------
 
-    /** Ids of the dependencies that are not known to be done. */
-    final Set<String> unmetDependencies = new LinkedHashSet<>();
-
-    /** Whether a dependency was cancelled, so that this job has to be cancelled too. */
-    boolean hasCancelledDependency;
-
-    /** The number of unmet dependencies of which it is not known whether they are cancelled. */
-    int unresolvedDependencyCount;
+    final DependencyState dependencyState = new DependencyState();
 
     final JobStartGoals startGoals;
 
@@ -343,22 +335,22 @@
 
     /** Ids of the dependencies that are not known to be done; a read-only view. */
     public Set<String> unmetDependencies() {
-        return Collections.unmodifiableSet(unmetDependencies);
+        return Collections.unmodifiableSet(dependencyState.unmet);
     }
 
     /** Whether the job's dependencies or an unreadable record keep it from starting. */
     public boolean isHeld() {
-        return isUnreadable || hasCancelledDependency || !unmetDependencies.isEmpty();
+        return isUnreadable || hasCancelledDependency() || !dependencyState.unmet.isEmpty();
     }
 
     /** Whether a dependency was cancelled, so that this job has to be cancelled too. */
     public boolean hasCancelledDependency() {
-        return hasCancelledDependency;
+        return dependencyState.hasCancelled;
     }
 
     /** Whether a direct or indirect dependency has ended and its outcome is not known yet. */
     public boolean hasUnresolvedDependency() {
-        return unresolvedDependencyCount > 0;
+        return dependencyState.unresolvedCount > 0;
     }
 
     // ---- priority, deadlines and start goals ----------------------------------------------------
@@ -648,7 +640,7 @@
             tasks.markDone(firstTask + i);
         }
         // A part gets a record only after a task was placed, so all dependencies are done.
-        unmetDependencies.clear();
+        dependencyState.unmet.clear();
         startGoals.restoreEligibleSince(partRecord.eligibleSinceMillis());
         return placed;
     }
--- a/src/main/java/io/kitepath/core/shard/JobDependencies.java
+++ b/src/main/java/io/kitepath/core/shard/JobDependencies.java
@@ -3,7 +3,6 @@
 import io.kitepath.core.model.ClusterSettings;
 import io.kitepath.core.model.JobSpec;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Deque;
@@ -42,7 +41,6 @@
 
     private final ClusterSettings settings;
     private final Map<String, Job> jobs;
-    private final ToDoubleFunction<JobSpec> startLatencySeconds;
     private final Runnable onEligible;
 
     /** Open jobs by the id of each dependency whose outcome is unknown. */
@@ -65,6 +63,7 @@
     private final UnresolvedDependencies unresolved =
             new UnresolvedDependencies(this::dependentsOf);
 
+    private final DependencyDemand demand;
     private final DependencyWatermark watermark;
 
     /** Jobs to cancel in the order of propagation: nearest to the cancelled job first. */
@@ -83,8 +82,10 @@
             Runnable onEligible) {
         this.settings = settings;
         this.jobs = jobs;
-        this.startLatencySeconds = startLatencySeconds;
         this.onEligible = onEligible;
+        this.demand =
+                new DependencyDemand(
+                        settings, startLatencySeconds, this::dependentsOf, this::openDependencies);
         this.watermark = new DependencyWatermark(settings);
     }
 
@@ -109,7 +110,7 @@
             markForCancellation(job);
         }
         onUnresolvedChanged(id, wasUnresolved, job.hasUnresolvedDependency());
-        if (!job.unmetDependencies.isEmpty() || dependentsByDependency.containsKey(id)) {
+        if (!job.dependencyState.unmet.isEmpty() || dependentsByDependency.containsKey(id)) {
             watermark.onJobAdded(job.submittedMillis);
         }
         Deque<Job> changed = new ArrayDeque<>();
@@ -118,20 +119,20 @@
             changed.add(job);
         }
         changed.addAll(openDependencies(job));
-        propagateDemand(changed);
+        demand.propagate(changed);
     }
 
     private void addDependency(Job job, String dependency) {
         JobOutcome outcome = outcomes.get(dependency);
         if (outcome == null) {
-            job.unmetDependencies.add(dependency);
+            job.dependencyState.unmet.add(dependency);
             Set<Job> dependents =
                     dependentsByDependency.computeIfAbsent(dependency, id -> new LinkedHashSet<>());
             if (!isOpen(dependency)) {
                 unknownOutcomes.add(dependency);
             }
             if (dependents.add(job) && isUnresolved(dependency)) {
-                job.unresolvedDependencyCount++;
+                job.dependencyState.unresolvedCount++;
             }
         } else if (outcome.isDone) {
             becomeEligible(job, outcome.endedMillis);
@@ -145,7 +146,7 @@
     }
 
     private List<Job> openDependencies(Job job) {
-        return job.unmetDependencies.stream()
+        return job.dependencyState.unmet.stream()
                 .map(jobs::get)
                 .filter(dependency -> dependency != null && !dependency.isFinished)
                 .toList();
@@ -169,7 +170,7 @@
             unknownOutcomes.add(id);
         }
         onUnresolvedChanged(id, wasUnresolved, isUnresolved(id));
-        propagateDemand(changed);
+        demand.propagate(changed);
     }
 
     /**
@@ -192,9 +193,9 @@
         for (Job job : dependents) {
             if (!isDone) {
                 markForCancellation(job);
-            } else if (job.unmetDependencies.remove(id)) {
+            } else if (job.dependencyState.unmet.remove(id)) {
                 becomeEligible(job, endedMillis);
-                if (job.unmetDependencies.isEmpty() && !job.hasCancelledDependency) {
+                if (job.dependencyState.unmet.isEmpty() && !job.dependencyState.hasCancelled) {
                     onEligible.run();
                 }
             }
@@ -214,7 +215,7 @@
                 forgetUnknownOutcome(dependency);
             }
         }
-        job.unresolvedDependencyCount = 0;
+        job.dependencyState.unresolvedCount = 0;
     }
 
     private void forgetUnknownOutcome(String id) {
@@ -234,8 +235,8 @@
         Deque<Job> jobsToMark = new ArrayDeque<>(List.of(firstJob));
         while (!jobsToMark.isEmpty()) {
             Job job = jobsToMark.poll();
-            if (!job.isFinished && !job.hasCancelledDependency) {
-                job.hasCancelledDependency = true;
+            if (!job.isFinished && !job.dependencyState.hasCancelled) {
+                job.dependencyState.hasCancelled = true;
                 jobsToCancel.add(job);
                 jobsToMark.addAll(dependentsOf(job.spec.id()));
             }
@@ -322,8 +323,8 @@
      * are concerned.
      */
     boolean mayReport(Job job, double nowMillis) {
-        return !job.hasCancelledDependency
-                && (job.unmetDependencies.isEmpty()
+        return !job.dependencyState.hasCancelled
+                && (job.dependencyState.unmet.isEmpty()
                         || !job.hasUnresolvedDependency() && watermark.isRecent(nowMillis));
     }
 
@@ -384,54 +385,4 @@
     public long heldJobCount() {
         return jobs.values().stream().filter(job -> !job.isFinished && job.isHeld()).count();
     }
-
-    // ---- demand ---------------------------------------------------------------------------------
-
-    /**
-     * Recomputes the demand of dependents on these jobs, and transitively on their dependencies for
-     * as long as that changes anything.
-     */
-    private void propagateDemand(Deque<Job> changed) {
-        while (!changed.isEmpty()) {
-            Job job = changed.poll();
-            JobSpec.Priority highestPriority = job.spec.priority();
-            DueTimes due = DueTimes.NONE;
-            for (Job dependent : dependentsOf(job.spec.id())) {
-                highestPriority = higherOf(highestPriority, dependent.effectivePriority());
-                due = due.min(dependenciesDue(dependent));
-            }
-            if (job.startGoals.applyDependentsDemand(highestPriority, due, settings)) {
-                changed.addAll(openDependencies(job));
-            }
-        }
-    }
-
-    private static JobSpec.Priority higherOf(JobSpec.Priority one, JobSpec.Priority other) {
-        return other.compareTo(one) < 0 ? other : one;
-    }
-
-    /**
-     * The time by which the job's dependencies have to be done to meet its own deadlines and those
-     * of its dependents.
-     */
-    private DueTimes dependenciesDue(Job job) {
-        DueTimes due = ownDeadlines(job).min(job.startGoals.dependentsDue());
-        // Between the end of a dependency and the start of its dependent, the end is reported and
-        // stored, the placement is stored, and the worker fetches it with a heartbeat.
-        double heartbeatSeconds = settings.workers().heartbeatIntervalSeconds();
-        double gapSeconds =
-                Math.max(startLatencySeconds.applyAsDouble(job.spec), heartbeatSeconds)
-                        + heartbeatSeconds;
-        return due.minusMillis(1000 * (job.spec.estimatedSeconds() + gapSeconds));
-    }
-
-    private DueTimes ownDeadlines(Job job) {
-        double[] deadlinesMillis =
-                Arrays.stream(settings.ownDeadlinesSeconds(job.spec))
-                        .map(seconds -> job.submittedMillis + 1000 * seconds)
-                        .toArray();
-        return deadlinesMillis.length == 0
-                ? DueTimes.NONE
-                : new DueTimes(deadlinesMillis[0], deadlinesMillis[deadlinesMillis.length - 1]);
-    }
 }
--- a/src/main/java/io/kitepath/core/shard/PendingReasons.java
+++ b/src/main/java/io/kitepath/core/shard/PendingReasons.java
@@ -98,9 +98,10 @@
     }
 
     private static String describeDependencies(Job job) {
-        int unmetCount = job.unmetDependencies.size();
+        int unmetCount = job.dependencyState.unmet.size();
         return String.join(
-                        ", ", job.unmetDependencies.stream().limit(MAX_NAMED_DEPENDENCIES).toList())
+                        ", ",
+                        job.dependencyState.unmet.stream().limit(MAX_NAMED_DEPENDENCIES).toList())
                 + (unmetCount > MAX_NAMED_DEPENDENCIES
                         ? " and " + (unmetCount - MAX_NAMED_DEPENDENCIES) + " more"
                         : "")
--- a/src/main/java/io/kitepath/core/shard/UnresolvedDependencies.java
+++ b/src/main/java/io/kitepath/core/shard/UnresolvedDependencies.java
@@ -44,7 +44,7 @@
             Collection<Job> dependents, int difference, Deque<Job> changed) {
         for (Job job : dependents) {
             boolean wasUnresolved = job.hasUnresolvedDependency();
-            job.unresolvedDependencyCount += difference;
+            job.dependencyState.unresolvedCount += difference;
             if (wasUnresolved != job.hasUnresolvedDependency()) {
                 changed.add(job);
             }
--- a/src/test/java/io/kitepath/core/shard/UnresolvedDependenciesTest.java
+++ b/src/test/java/io/kitepath/core/shard/UnresolvedDependenciesTest.java
@@ -166,7 +166,7 @@
                             notEnded.add(id);
                         }
                     } else if (!job.isFinished && random.nextInt(4) == 0) {
-                        job.unmetDependencies.clear();
+                        job.dependencyState.unmet.clear();
                         dependencies.onJobStarted(job);
                         started.add(id);
                     }
