--- a/src/main/java/io/kitepath/core/shard/DependencyDemand.java
+++ b/src/main/java/io/kitepath/core/shard/DependencyDemand.java
@@ -3,15 +3,19 @@
 import io.kitepath.core.model.ClusterSettings;
 import io.kitepath.core.model.JobSpec;
 import java.util.Arrays;
-import java.util.Deque;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 
 /**
  * Passes the demand of dependents on to their dependencies: the highest priority and the earliest
- * due times.
+ * due times. Each change is passed on along the edges of the jobs whose demand it changes, each
+ * once: a job is updated after all of its dependents. Guards against large pipelines that keep the
+ * event loop busy for seconds.
  */
 final class DependencyDemand {
     private final ClusterSettings settings;
@@ -19,6 +23,15 @@
     private final Function<String, Set<Job>> dependentsOf;
     private final Function<Job, List<Job>> openDependencies;
 
+    /**
+     * Jobs whose demand may change. A job is accepted after those that it depends on, so the ones
+     * with the highest revision come first; any other order would only cost more steps.
+     */
+    private final PriorityQueue<Job> updates =
+            new PriorityQueue<>(Comparator.comparingLong(Job::revision).reversed());
+
+    private long steps;
+
     /**
      * @param startLatencySeconds the time from placement to running for jobs like the given one; 0
      *     if unknown
@@ -36,27 +49,98 @@
         this.openDependencies = openDependencies;
     }
 
+    /** The number of edges that were looked at so far. */
+    long steps() {
+        return steps;
+    }
+
+    /** Handles a job that has been added, together with its edges. */
+    void onJobOpened(Job job) {
+        job.dependencyState.isDemandOutdated = true;
+        queueUpdate(job);
+        update();
+    }
+
     /**
-     * Recomputes the demand of dependents on these jobs, and transitively on their dependencies for
-     * as long as that changes anything.
+     * Handles a job that has been removed, together with its edges.
+     *
+     * @param dependencies the open jobs that it waited for until then
      */
-    void propagate(Deque<Job> changed) {
-        while (!changed.isEmpty()) {
-            Job job = changed.poll();
-            JobSpec.Priority highestPriority = job.spec.priority();
-            DueTimes due = DueTimes.NONE;
-            for (Job dependent : dependentsOf.apply(job.spec.id())) {
-                highestPriority = higherOf(highestPriority, dependent.effectivePriority());
-                due = due.min(dependenciesDue(dependent));
+    void onJobClosed(Job job, Collection<Job> dependencies) {
+        Demand demand = job.dependencyState.ownDemand;
+        for (Job dependency : dependencies) {
+            steps++;
+            withdraw(demand, dependency.dependencyState);
+            queueUpdate(dependency);
+        }
+        update();
+    }
+
+    private void queueUpdate(Job job) {
+        if (!job.dependencyState.isUpdateQueued) {
+            job.dependencyState.isUpdateQueued = true;
+            updates.add(job);
+        }
+    }
+
+    private void update() {
+        while (!updates.isEmpty()) {
+            Job job = updates.poll();
+            job.dependencyState.isUpdateQueued = false;
+            update(job);
+        }
+    }
+
+    private void update(Job job) {
+        DependencyState state = job.dependencyState;
+        if (state.isDemandOutdated) {
+            state.isDemandOutdated = false;
+            determineDemand(job);
+        }
+        boolean isChanged =
+                job.startGoals.applyDependentsDemand(
+                        state.demandOfDependents.priorityFrom(job.spec.priority()),
+                        state.demandOfDependents.due(),
+                        settings);
+        if (isChanged || state.ownDemand == null) {
+            passOn(job);
+        }
+    }
+
+    private void determineDemand(Job job) {
+        StrongestDemand strongest = job.dependencyState.demandOfDependents;
+        strongest.clear();
+        for (Job dependent : dependentsOf.apply(job.spec.id())) {
+            steps++;
+            if (dependent.dependencyState.ownDemand != null) {
+                strongest.add(dependent.dependencyState.ownDemand);
             }
-            if (job.startGoals.applyDependentsDemand(highestPriority, due, settings)) {
-                changed.addAll(openDependencies.apply(job));
+        }
+    }
+
+    private void passOn(Job job) {
+        Demand previous = job.dependencyState.ownDemand;
+        Demand demand = new Demand(job.effectivePriority(), dependenciesDue(job));
+        if (demand.equals(previous)) {
+            return;
+        }
+        job.dependencyState.ownDemand = demand;
+        for (Job dependency : openDependencies.apply(job)) {
+            steps++;
+            if (previous != null) {
+                withdraw(previous, dependency.dependencyState);
+            }
+            if (!dependency.dependencyState.isDemandOutdated) {
+                dependency.dependencyState.demandOfDependents.add(demand);
             }
+            queueUpdate(dependency);
         }
     }
 
-    private static JobSpec.Priority higherOf(JobSpec.Priority one, JobSpec.Priority other) {
-        return other.compareTo(one) < 0 ? other : one;
+    private static void withdraw(Demand demand, DependencyState dependency) {
+        if (!dependency.isDemandOutdated && !dependency.demandOfDependents.remove(demand)) {
+            dependency.isDemandOutdated = true;
+        }
     }
 
     /**
--- a/src/main/java/io/kitepath/core/shard/JobDependencies.java
+++ b/src/main/java/io/kitepath/core/shard/JobDependencies.java
@@ -3,6 +3,7 @@
 import io.kitepath.core.model.ClusterSettings;
 import io.kitepath.core.model.JobSpec;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Deque;
@@ -39,6 +40,9 @@
     /** How a job ended, and the time of its end in its record, in milliseconds since 1970. */
     private record JobOutcome(boolean isDone, double endedMillis) {}
 
+    /** An unknown outcome, and how urgent the most urgent job is that waits for it; 0 is first. */
+    private record RankedOutcome(String jobId, int rank) {}
+
     private final ClusterSettings settings;
     private final Map<String, Job> jobs;
     private final Runnable onEligible;
@@ -110,16 +114,11 @@
             markForCancellation(job);
         }
         onUnresolvedChanged(id, wasUnresolved, job.hasUnresolvedDependency());
+        // Jobs that depend on this one may have become known before it.
         if (!job.dependencyState.unmet.isEmpty() || dependentsByDependency.containsKey(id)) {
             watermark.onJobAdded(job.submittedMillis);
+            demand.onJobOpened(job);
         }
-        Deque<Job> changed = new ArrayDeque<>();
-        // Jobs that depend on this one may have become known before it.
-        if (dependentsByDependency.containsKey(id)) {
-            changed.add(job);
-        }
-        changed.addAll(openDependencies(job));
-        demand.propagate(changed);
     }
 
     private void addDependency(Job job, String dependency) {
@@ -155,7 +154,7 @@
     /** Handles a job with placed tasks in its records, so that all its dependencies are done. */
     void onJobStarted(Job job) {
         boolean wasUnresolved = job.hasUnresolvedDependency();
-        removeFromDependents(job);
+        demand.onJobClosed(job, removeFromDependents(job));
         onUnresolvedChanged(job.spec.id(), wasUnresolved, false);
     }
 
@@ -163,14 +162,12 @@
     void onJobClosed(Job job) {
         String id = job.spec.id();
         jobsToCancel.remove(job);
-        Deque<Job> changed = new ArrayDeque<>(openDependencies(job));
         boolean wasUnresolved = job.hasUnresolvedDependency();
-        removeFromDependents(job);
+        demand.onJobClosed(job, removeFromDependents(job));
         if (dependentsByDependency.containsKey(id) && !outcomes.containsKey(id)) {
             unknownOutcomes.add(id);
         }
         onUnresolvedChanged(id, wasUnresolved, isUnresolved(id));
-        demand.propagate(changed);
     }
 
     /**
@@ -207,15 +204,24 @@
         return job != null && !job.isFinished;
     }
 
-    private void removeFromDependents(Job job) {
+    /** Removes the job's edges and returns the open jobs that it depended on by them. */
+    private List<Job> removeFromDependents(Job job) {
+        List<Job> openDependencies = new ArrayList<>();
         for (String dependency : job.dependencies()) {
             Set<Job> dependents = dependentsByDependency.get(dependency);
-            if (dependents != null && dependents.remove(job) && dependents.isEmpty()) {
+            if (dependents == null || !dependents.remove(job)) {
+                continue;
+            }
+            if (dependents.isEmpty()) {
                 dependentsByDependency.remove(dependency);
                 forgetUnknownOutcome(dependency);
             }
+            if (isOpen(dependency)) {
+                openDependencies.add(jobs.get(dependency));
+            }
         }
         job.dependencyState.unresolvedCount = 0;
+        return openDependencies;
     }
 
     private void forgetUnknownOutcome(String id) {
@@ -342,8 +348,10 @@
         return unknownOutcomes.stream()
                 .filter(id -> !notEnded.contains(id) && !excluded.contains(id))
                 .limit(MAX_COMPARED_OUTCOMES)
-                .sorted(Comparator.comparingInt((String id) -> mostUrgentRank(dependentsOf(id))))
+                .map(id -> new RankedOutcome(id, mostUrgentRank(dependentsOf(id))))
+                .sorted(Comparator.comparingInt(RankedOutcome::rank))
                 .limit(maxCount)
+                .map(RankedOutcome::jobId)
                 .toList();
     }
 
@@ -374,6 +382,11 @@
         return jobsToCancel.size();
     }
 
+    /** The number of edges that were looked at to pass on the demand of dependents. */
+    long demandSteps() {
+        return demand.steps();
+    }
+
     /** The number of open jobs for which {@link Job#hasUnresolvedDependency} is true. */
     public long unresolvedJobCount() {
         return jobs.values().stream()
